--- /dev/null
+++ b/Makefile
@@ -0,0 +1,31 @@
+PY := .venv/bin/python
+PACKAGES := wire platform config coord routing experts daemon cli
+
+.PHONY: demo test lint format matrix bench-path bench-experts bench-routing bench-control
+
+.venv/installed: requirements.txt requirements-dev.txt
+	python3 -m venv .venv
+	.venv/bin/pip install -q -r requirements-dev.txt
+	.venv/bin/pip install -q --no-build-isolation --no-deps $(foreach p,$(PACKAGES),-e packages/$(p)) -e standins
+	touch $@
+
+demo: .venv/installed
+	$(PY) tools/demo.py
+
+test: .venv/installed
+	$(PY) tools/run_tests.py
+
+lint: .venv/installed
+	.venv/bin/ruff check .
+	.venv/bin/ruff format --check .
+
+format: .venv/installed
+	.venv/bin/ruff format -q .
+	.venv/bin/ruff check --fix -q .
+	.venv/bin/ruff format -q .
+
+matrix: .venv/installed
+	$(PY) tools/matrix.py
+
+bench-path bench-experts bench-routing bench-control: .venv/installed
+	$(PY) tools/$(subst -,_,$@).py
--- /dev/null
+++ b/packages/config/src/slatehoist/config/replica.py
@@ -0,0 +1,71 @@
+"""Copy of the accepted resources that is in force in one process."""
+
+from collections.abc import Callable, Iterable
+
+from slatehoist.config.resources import Kind, Resource, parse_spec
+
+#: Changes kept for peers and watchers that come after them.
+MAX_HISTORY = 10_000
+
+
+class Replica:
+    """Resources in force here. The revision only grows.
+
+    Changes may arrive from the table and from peers, more than once and in part; a
+    change is put in force only when it directly follows what is in force.
+    """
+
+    def __init__(self) -> None:
+        self.revision = 0
+        self._resources: dict[tuple[str, str], Resource] = {}
+        self._specs: dict[tuple[str, str], object] = {}
+        self._history: list[Resource] = []
+        self._listeners: list[Callable[[], None]] = []
+
+    def on_change(self, listener: Callable[[], None]) -> None:
+        """Call a function after each change of what is in force."""
+        self._listeners.append(listener)
+
+    def apply(self, changes: Iterable[Resource]) -> bool:
+        """Put changes in force, in order; return whether anything changed."""
+        before = self.revision
+        for change in sorted(changes, key=lambda change: change.revision):
+            if change.revision == self.revision + 1:
+                self._apply_one(change)
+        if self.revision == before:
+            return False
+        for listener in self._listeners:
+            listener()
+        return True
+
+    def changes_since(self, revision: int) -> list[Resource]:
+        """Give the changes after a revision that are in force here."""
+        return [change for change in self._history if change.revision > revision]
+
+    def get(self, kind: str, name: str) -> Resource | None:
+        """Give a resource, or None."""
+        resource = self._resources.get((kind, name))
+        return None if resource is None or resource.deleted else resource
+
+    def spec(self, kind: str, name: str) -> object | None:
+        """Give the typed spec of a resource, or None."""
+        return self._specs.get((kind, name))
+
+    def list(self, kind: str) -> list[Resource]:
+        """Give the resources of a kind, by name."""
+        found = [r for (k, _), r in self._resources.items() if k == kind]
+        return sorted((r for r in found if not r.deleted), key=lambda r: r.name)
+
+    def specs(self, kind: Kind) -> dict[str, object]:
+        """Give the typed specs of a kind, by name."""
+        return {name: spec for (k, name), spec in self._specs.items() if k == kind}
+
+    def _apply_one(self, change: Resource) -> None:
+        key = (change.kind, change.name)
+        self.revision = change.revision
+        self._resources[key] = change
+        self._history.append(change)
+        if change.deleted:
+            self._specs.pop(key, None)
+        else:
+            self._specs[key] = parse_spec(change.kind, change.spec)
--- /dev/null
+++ b/packages/config/src/slatehoist/config/resources.py
@@ -0,0 +1,170 @@
+"""Resources that operators declare: kinds, specs and checks."""
+
+import tomllib
+from enum import StrEnum
+from typing import Annotated, Any, Literal, NamedTuple
+
+from pydantic import Field, TypeAdapter
+
+from slatehoist.config.findings import Finding, line_of, validate
+
+Name = Annotated[str, Field(pattern=r"^[a-z0-9]([a-z0-9.\-]{0,61}[a-z0-9])?$")]
+
+
+class Kind(StrEnum):
+    """Kinds of resource."""
+
+    GROUP = "group"
+    ENDPOINT = "endpoint"
+    TEAM = "team"
+    MODEL_VERSION = "modelversion"
+
+
+class GroupSpec(NamedTuple):
+    """Expert-parallel group of ranks in lock-step.
+
+    Attributes
+    ----------
+    shares : dict of str to float
+        Weight of each member's service at the group's endpoints.
+    skew_weight : float
+        Weight of step-time skew against the cost of moves; see the tuning page.
+    """
+
+    ranks: Annotated[int, Field(ge=1, le=1024)]
+    layers: Annotated[int, Field(ge=1, le=256)] = 1
+    experts: Annotated[int, Field(ge=1, le=4096)] = 8
+    spare_slots: Annotated[int, Field(ge=0, le=4096)] = 0
+    shares: dict[str, Annotated[float, Field(gt=0)]] = {}
+    skew_weight: Annotated[float, Field(gt=0, le=100)] = 1.0
+
+
+class EndpointSpec(NamedTuple):
+    """Endpoint that takes requests for models, or for a plain service.
+
+    Attributes
+    ----------
+    idempotent_methods : list of str
+        Methods of a plain service that may be repeated.
+    """
+
+    models: list[str] = []
+    service: str = ""
+    group: str = ""
+    shares: dict[str, Annotated[float, Field(gt=0)]] = {}
+    members: list[str] = []
+    idempotent_methods: list[str] = ["GET", "HEAD", "OPTIONS"]
+
+
+class TeamSpec(NamedTuple):
+    """Team of a member with its limits."""
+
+    rate_per_s: Annotated[float, Field(gt=0)] = 1000.0
+    weight: Annotated[float, Field(gt=0)] = 1.0
+    priority: Annotated[int, Field(ge=0, le=9)] = 5
+
+
+class ModelVersionSpec(NamedTuple):
+    """Version of a model that callers may name."""
+
+    model: Annotated[str, Field(min_length=1)]
+    version: Annotated[str, Field(min_length=1)] = "1"
+    adapters: list[str] = []
+    state: Literal["active", "retired"] = "active"
+
+
+class Resource(NamedTuple):
+    """Accepted resource.
+
+    Attributes
+    ----------
+    generation : int
+        Number of times that the spec was changed.
+    revision : int
+        Configuration revision by which it took its present form.
+    deleted : bool
+        Whether this is the mark of a deletion.
+    """
+
+    kind: str
+    name: str
+    member: str
+    spec: dict[str, Any]
+    generation: int
+    revision: int
+    deleted: bool = False
+
+
+class Manifest(NamedTuple):
+    """Resource as an operator writes it."""
+
+    kind: Kind
+    name: Name
+    spec: dict[str, Any] = {}
+
+
+class _ManifestFile(NamedTuple):
+    resource: list[Manifest]
+
+
+_SPECS = {
+    Kind.GROUP: TypeAdapter(GroupSpec),
+    Kind.ENDPOINT: TypeAdapter(EndpointSpec),
+    Kind.TEAM: TypeAdapter(TeamSpec),
+    Kind.MODEL_VERSION: TypeAdapter(ModelVersionSpec),
+}
+_FILE = TypeAdapter(_ManifestFile)
+_NAME = TypeAdapter(Name)
+
+
+def parse_spec(kind: str, spec: dict[str, Any]) -> Any:
+    """Turn the spec of an accepted resource into its type."""
+    return _SPECS[Kind(kind)].validate_python(spec)
+
+
+def check_resource(
+    kind: str, name: str, spec: Any, text: str = "", file: str = "request"
+) -> list[Finding]:
+    """Collect what is wrong with a resource."""
+    if kind not in list(Kind):
+        kinds = ", ".join(Kind)
+        reason = f"unknown kind; it is one of {kinds}"
+        return [Finding("resource.kind", file, 0, "kind", repr(kind), reason)]
+    _, findings = validate(_NAME, name, text, file)
+    findings = [f._replace(key="name") for f in findings]
+    _, spec_findings = validate(_SPECS[Kind(kind)], spec, text, file)
+    return findings + spec_findings
+
+
+def parse_manifests(text: str, file: str) -> tuple[list[Manifest], list[Finding]]:
+    """Read a TOML file of ``[[resource]]`` tables and collect all findings."""
+    try:
+        data = tomllib.loads(text)
+    except tomllib.TOMLDecodeError as exc:
+        return [], [Finding("resource.toml", file, 0, "(file)", "", str(exc))]
+    manifests, findings = validate(_FILE, data, text, file)
+    if findings:
+        return [], findings
+    for index, manifest in enumerate(manifests.resource):
+        found = _check_in_file(manifest, index, text, file)
+        findings += found
+    return manifests.resource, findings
+
+
+def _check_in_file(
+    manifest: Manifest, index: int, text: str, file: str
+) -> list[Finding]:
+    """Check one manifest's spec with places counted in its file."""
+    wrapper = _SPECS[manifest.kind]
+    _, findings = validate(wrapper, manifest.spec, "", file)
+    placed = []
+    for finding in findings:
+        path = ("resource", index, "spec", *finding.key.split("."))
+        placed.append(_place(finding, path, text))
+    return placed
+
+
+def _place(finding: Finding, path: tuple[Any, ...], text: str) -> Finding:
+    """Give a finding the place of a path in a text."""
+    key = ".".join(str(part) for part in path)
+    return finding._replace(line=line_of(text, path), key=key)
--- /dev/null
+++ b/packages/daemon/src/slatehoist/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The slatehoistd daemon: entry and sidecar."""
--- /dev/null
+++ b/packages/daemon/src/slatehoist/daemon/background.py
@@ -0,0 +1,55 @@
+"""Background tasks of a process, none of which may end without a word."""
+
+import asyncio
+import logging
+from collections.abc import Awaitable, Callable, Coroutine
+
+log = logging.getLogger(__name__)
+
+#: Seconds before a loop that failed is run again.
+RESTART_S = 1.0
+
+
+class Background:
+    """Tasks that belong to one process and end with it."""
+
+    def __init__(self) -> None:
+        self._tasks: set[asyncio.Task] = set()
+
+    def spawn(self, coro: Coroutine) -> asyncio.Task:
+        """Run something once; an error is logged."""
+        task = asyncio.create_task(coro)
+        self._tasks.add(task)
+        task.add_done_callback(self._done)
+        return task
+
+    def repeat(self, step: Callable[[], Awaitable[None]], interval_s: float) -> None:
+        """Run a step again and again, with a pause; an error is logged each time."""
+        self.spawn(self._repeat(step, interval_s))
+
+    async def close(self) -> None:
+        """Cancel all tasks and wait for them."""
+        tasks = list(self._tasks)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    async def _repeat(
+        self, step: Callable[[], Awaitable[None]], interval_s: float
+    ) -> None:
+        while True:
+            try:
+                await step()
+            except Exception:
+                log.exception("task_failed", extra={"task": step.__qualname__})
+                await asyncio.sleep(RESTART_S)
+            await asyncio.sleep(interval_s)
+
+    def _done(self, task: asyncio.Task) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            log.error(
+                "task_failed",
+                extra={"task": task.get_coro().__qualname__},
+                exc_info=task.exception(),
+            )
--- /dev/null
+++ b/packages/daemon/src/slatehoist/daemon/entry/attempts.py
@@ -0,0 +1,212 @@
+"""Entry's side of one attempt: send it once, follow it to its end.
+
+A stream that breaks or falls silent is never sent again. The sidecar is asked on a new
+connection what became of the attempt, and the answer is read on from the next frame.
+"""
+
+from collections.abc import AsyncIterator
+from typing import NamedTuple
+
+import aiohttp
+import xxhash
+
+from slatehoist.config.settings import RetrySettings
+from slatehoist.wire import FrameDecoder, WireError, encode
+from slatehoist.wire.messages import (
+    AttemptRequest,
+    Broken,
+    Data,
+    Final,
+    Head,
+    NotRun,
+    NotRunReason,
+)
+
+#: Times that a sidecar is asked in a row without hearing anything.
+MAX_QUERIES = 2
+#: Seconds to open a connection to a sidecar.
+CONNECT_TIMEOUT_S = 1.0
+
+_HTTP_GONE = 410
+_HTTP_OK = 200
+
+
+class Unknown(NamedTuple):
+    """The attempt may have run; its sidecar can no longer be asked."""
+
+    attempt_id: str
+    reason: str
+
+
+Outcome = Final | NotRun | Broken | Unknown
+
+
+class _Gone(Exception):
+    """The sidecar's incarnation is gone."""
+
+
+class _Progress:
+    """How far one attempt's answer was read, over all connections."""
+
+    def __init__(self, attempt_id: str) -> None:
+        self.attempt_id = attempt_id
+        self.position = 0
+        self.heard = False
+        self.head_seen = False
+        self.outcome: Outcome | None = None
+        self._digest = xxhash.xxh3_64(attempt_id.encode())
+
+    def take(self, frame) -> Head | bytes | None:
+        """Take in a frame; give what is new for the caller."""
+        self.heard = True
+        if isinstance(frame, Data):
+            return self._take_data(frame)
+        if isinstance(frame, Head) and not self.head_seen:
+            self.head_seen = True
+            return frame
+        if isinstance(frame, Final):
+            self._check_whole(frame)
+        if isinstance(frame, Final | NotRun | Broken):
+            self.outcome = frame
+        return None
+
+    def _take_data(self, frame: Data) -> bytes | None:
+        if frame.seq < self.position:
+            return None
+        if frame.seq > self.position:
+            raise WireError(f"frame {frame.seq} where {self.position} was due")
+        self.position += 1
+        self._digest.update(frame.data)
+        return frame.data
+
+    def _check_whole(self, frame: Final) -> None:
+        if frame.count != self.position or frame.digest != self._digest.hexdigest():
+            raise WireError("the answer is not whole")
+
+
+class AttemptClient:
+    """Client of the sidecars' attempts.
+
+    Parameters
+    ----------
+    cfg : RetrySettings
+    """
+
+    def __init__(self, cfg: RetrySettings) -> None:
+        self._cfg = cfg
+        self._session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=0, keepalive_timeout=30),
+            auto_decompress=False,
+        )
+        self._fresh = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=0, force_close=True),
+            auto_decompress=False,
+        )
+        self.resumed = 0
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self._session.close()
+        await self._fresh.close()
+
+    async def follow(
+        self, address: str, req: AttemptRequest
+    ) -> AsyncIterator[Head | bytes | Outcome]:
+        """Run an attempt: its head, the pieces of its body, and last its outcome."""
+        progress = _Progress(req.attempt_id)
+        try:
+            async for piece in self._post(address, req, progress):
+                yield piece
+        except aiohttp.ClientConnectorError:
+            reason = NotRunReason.ENDPOINT_DOWN
+            progress.outcome = NotRun(req.attempt_id, reason)
+        except (TimeoutError, aiohttp.ClientError, WireError):
+            pass
+        silent_queries = 0
+        while progress.outcome is None and silent_queries < MAX_QUERIES:
+            progress.heard = False
+            self.resumed += 1
+            try:
+                async for piece in self._query(address, req, progress):
+                    yield piece
+            except (_Gone, aiohttp.ClientConnectorError):
+                break
+            except (TimeoutError, aiohttp.ClientError, WireError):
+                pass
+            silent_queries = 0 if progress.heard else silent_queries + 1
+        yield progress.outcome or Unknown(req.attempt_id, "sidecar_gone")
+
+    async def ask(
+        self, address: str, incarnation: str, attempt_id: str
+    ) -> AsyncIterator[Head | bytes | Outcome]:
+        """Read the answer of an attempt that another entry sent, from its start."""
+        progress = _Progress(attempt_id)
+        req = _StrangerAttempt(attempt_id, incarnation)
+        try:
+            async for piece in self._query(address, req, progress):
+                yield piece
+        except (TimeoutError, _Gone, aiohttp.ClientError, WireError):
+            pass
+        yield progress.outcome or Unknown(attempt_id, "sidecar_gone")
+
+    async def cancel(self, address: str, attempt_id: str) -> None:
+        """Tell a sidecar that nobody wants an attempt any more."""
+        url = f"http://{address}/attempts/{attempt_id}"
+        timeout = aiohttp.ClientTimeout(total=self._cfg.query_timeout_s)
+        try:
+            async with self._fresh.delete(url, timeout=timeout):
+                pass
+        except (TimeoutError, aiohttp.ClientError):
+            pass
+
+    async def _post(
+        self, address: str, req: AttemptRequest, progress: _Progress
+    ) -> AsyncIterator[Head | bytes]:
+        url = f"http://{address}/attempts"
+        timeout = aiohttp.ClientTimeout(
+            sock_connect=CONNECT_TIMEOUT_S, sock_read=self._cfg.silence_s
+        )
+        async with self._session.post(url, data=encode(req), timeout=timeout) as resp:
+            async for piece in _read_frames(resp, progress):
+                yield piece
+
+    async def _query(
+        self, address: str, req, progress: _Progress
+    ) -> AsyncIterator[Head | bytes]:
+        url = f"http://{address}/attempts/{req.attempt_id}"
+        params = {"from": str(progress.position), "incarnation": req.incarnation}
+        timeout = aiohttp.ClientTimeout(
+            sock_connect=CONNECT_TIMEOUT_S, sock_read=self._cfg.query_timeout_s
+        )
+        async with self._fresh.get(url, params=params, timeout=timeout) as resp:
+            if resp.status == _HTTP_GONE:
+                raise _Gone
+            async for piece in _read_frames(resp, progress):
+                yield piece
+
+
+class _StrangerAttempt(NamedTuple):
+    """What is known of an attempt that another entry sent."""
+
+    attempt_id: str
+    incarnation: str
+
+
+async def _read_frames(
+    resp: aiohttp.ClientResponse, progress: _Progress
+) -> AsyncIterator[Head | bytes]:
+    if resp.status != _HTTP_OK:
+        raise WireError(f"status {resp.status}")
+    decoder = FrameDecoder()
+    async for data in resp.content.iter_any():
+        fresh = []
+        for frame in decoder.feed(data):
+            piece = progress.take(frame)
+            if isinstance(piece, Head):
+                yield piece
+            elif piece is not None:
+                fresh.append(piece)
+        if fresh:
+            yield b"".join(fresh)
+        if progress.outcome is not None:
+            return
--- /dev/null
+++ b/packages/daemon/src/slatehoist/daemon/entry/directory.py
@@ -0,0 +1,194 @@
+"""Directory of the processes that an entry knows, and links to them."""
+
+import contextlib
+from collections.abc import Callable
+
+from slatehoist.config import Kind, Replica
+from slatehoist.daemon.background import Background
+from slatehoist.daemon.configsync import encode_changes
+from slatehoist.platform import Instance
+from slatehoist.routing import Candidate, Peer, choose_subset
+from slatehoist.wire import Link
+from slatehoist.wire.messages import Heartbeat
+
+#: Sidecars that one entry keeps links to.
+MAX_SIDECAR_LINKS = 64
+#: Links to other entries that one entry keeps.
+MAX_ENTRY_LINKS = 64
+
+
+class Neighbour:
+    """Another process, with its link and what it last said."""
+
+    def __init__(self, instance: Instance) -> None:
+        self.instance = instance
+        self.link: Link | None = None
+        self.beat: Heartbeat | None = None
+        self.beat_at = float("-inf")
+        self.up = False
+        self.inflight = 0
+        self.inflight_at_beat = 0
+
+    def hear(self, beat: Heartbeat, now: float) -> None:
+        """Take in a heartbeat."""
+        self.beat = beat
+        self.beat_at = now
+        self.inflight_at_beat = self.inflight
+        self.up = True
+
+    def takes_work(self) -> bool:
+        """Tell whether new work may be sent there."""
+        return (
+            self.up
+            and self.beat is not None
+            and not self.beat.draining
+            and self.beat.endpoint_up
+            and self.instance.state == "live"
+        )
+
+
+class Directory:
+    """Sidecars and entries known to one entry.
+
+    Parameters
+    ----------
+    me : Instance
+    replica : Replica
+    heartbeat : callable
+        Gives this entry's heartbeat.
+    notes : dict
+        Handlers of the peers' notes.
+    """
+
+    def __init__(
+        self,
+        me: Instance,
+        replica: Replica,
+        heartbeat: Callable[[], Heartbeat],
+        notes: dict,
+        background: Background,
+        clock: Callable[[], float],
+    ) -> None:
+        self.me = me
+        self.sidecars: dict[str, Neighbour] = {}
+        self.entries: dict[str, Neighbour] = {}
+        self.instances: list[Instance] = []
+        self.last_heard = float("-inf")
+        self.newest_revision = 0
+        self._replica = replica
+        self._heartbeat = heartbeat
+        self._notes = notes
+        self._clock = clock
+        self._background = background
+
+    async def update(self, instances: list[Instance]) -> None:
+        """Follow the platform's list: open links to new ones, close those gone."""
+        self.instances = instances
+        by_role = {"sidecar": [], "entry": []}
+        for instance in instances:
+            if instance.name != self.me.name and instance.role in by_role:
+                by_role[instance.role].append(instance)
+        await self._follow(self.sidecars, by_role["sidecar"], MAX_SIDECAR_LINKS)
+        await self._follow(self.entries, by_role["entry"], MAX_ENTRY_LINKS)
+
+    async def close(self) -> None:
+        """Close all links."""
+        for neighbour in [*self.sidecars.values(), *self.entries.values()]:
+            await neighbour.link.close()
+
+    def serving(self, model: str, service: str, member: str) -> list[Neighbour]:
+        """Give the sidecars whose endpoint is declared for a model or service."""
+        return [
+            neighbour
+            for neighbour in self.sidecars.values()
+            if neighbour.takes_work()
+            and self._serves(neighbour, model, service, member)
+        ]
+
+    def candidate(self, neighbour: Neighbour, now: float) -> Candidate:
+        """Describe a sidecar for the choice."""
+        beat = neighbour.beat
+        return Candidate(
+            name=neighbour.instance.name,
+            zone=neighbour.instance.zone,
+            own_inflight=neighbour.inflight,
+            reported_load=beat.load,
+            own_at_report=neighbour.inflight_at_beat,
+            report_age_s=now - neighbour.beat_at,
+        )
+
+    def revisions(self) -> dict[str, int]:
+        """Give the revision in force at each process that is heard."""
+        heard = {
+            neighbour.instance.name: neighbour.beat.revision
+            for neighbour in [*self.sidecars.values(), *self.entries.values()]
+            if neighbour.up and neighbour.beat is not None
+        }
+        heard[self.me.name] = self._replica.revision
+        return heard
+
+    async def tell_entries(self, kind: str, msg) -> None:
+        """Send a note to every other entry."""
+        for neighbour in list(self.entries.values()):
+            with contextlib.suppress(Exception):
+                await neighbour.link.note(kind, msg)
+
+    def _serves(
+        self, neighbour: Neighbour, model: str, service: str, member: str
+    ) -> bool:
+        spec = self._replica.spec(Kind.ENDPOINT, neighbour.beat.endpoint)
+        if spec is None or (spec.members and member not in spec.members):
+            return False
+        return model in spec.models if model else spec.service == service
+
+    async def _follow(
+        self, known: dict[str, Neighbour], instances: list[Instance], size: int
+    ) -> None:
+        peers = [Peer(instance.name, instance.zone) for instance in instances]
+        wanted = {peer.name for peer in choose_subset(self.me.name, peers, size)}
+        by_name = {instance.name: instance for instance in instances}
+        for name in list(known):
+            if not self._is_same(known[name], by_name.get(name), name in wanted):
+                await known.pop(name).link.close()
+        for name in wanted - known.keys():
+            known[name] = self._connect(by_name[name])
+        for name, neighbour in known.items():
+            neighbour.instance = by_name[name]
+
+    def _is_same(
+        self, neighbour: Neighbour, instance: Instance | None, wanted: bool
+    ) -> bool:
+        """Tell whether a link stays; work in flight keeps it beyond the subset."""
+        if instance is None:
+            return False
+        old = neighbour.instance
+        moved = (old.address, old.control) != (instance.address, instance.control)
+        return not moved and (wanted or neighbour.inflight > 0)
+
+    def _connect(self, instance: Instance) -> Neighbour:
+        neighbour = Neighbour(instance)
+
+        def on_heartbeat(beat: Heartbeat) -> None:
+            self._on_heartbeat(neighbour, beat)
+
+        def on_down() -> None:
+            neighbour.up = False
+
+        neighbour.link = Link(
+            instance.control,
+            self._heartbeat,
+            self._clock,
+            on_heartbeat,
+            on_down,
+            self._notes,
+        )
+        neighbour.link.start()
+        return neighbour
+
+    def _on_heartbeat(self, neighbour: Neighbour, beat: Heartbeat) -> None:
+        self.last_heard = self._clock()
+        neighbour.hear(beat, self.last_heard)
+        self.newest_revision = max(self.newest_revision, beat.revision)
+        if beat.revision < self._replica.revision:
+            changes = encode_changes(self._replica, beat.revision)
+            self._background.spawn(neighbour.link.note("config", changes))
--- /dev/null
+++ b/packages/daemon/src/slatehoist/daemon/entry/dispatch.py
@@ -0,0 +1,296 @@
+"""Tries of one request: choose, send, follow, and try again only when that is safe."""
+
+import asyncio
+import logging
+import random
+import uuid
+from collections.abc import Callable
+from typing import NamedTuple
+
+from aiohttp import web
+
+from slatehoist.config.settings import EntrySettings
+from slatehoist.daemon.background import Background
+from slatehoist.daemon.entry.answers import CallerAnswer, CallerError, Ran
+from slatehoist.daemon.entry.attempts import AttemptClient, Outcome, Unknown
+from slatehoist.daemon.entry.directory import Directory, Neighbour
+from slatehoist.daemon.metrics import Metric, Metrics
+from slatehoist.daemon.tracing import traceparent, tracer
+from slatehoist.routing import (
+    LoadAwareChooser,
+    PrefixIndex,
+    RetryBudget,
+    SuspectLedger,
+    Verdict,
+    retry_after_s,
+)
+from slatehoist.wire.messages import (
+    AttemptRequest,
+    Broken,
+    BrokenReason,
+    CrashReport,
+    Final,
+    Head,
+    NotRun,
+    NotRunReason,
+    SuspectCleared,
+)
+
+log = logging.getLogger(__name__)
+
+#: Sends of one request, counting those refused as not run at no cost.
+MAX_SENDS = 8
+#: Refusals that cost the endpoint nothing: the request just goes elsewhere.
+FREE_REFUSALS = frozenset(
+    {
+        NotRunReason.DRAINING,
+        NotRunReason.WRONG_INCARNATION,
+        NotRunReason.TOMBSTONE,
+        NotRunReason.ENDPOINT_DOWN,
+        NotRunReason.SUSPECT_BUSY,
+    }
+)
+
+_HTTP_UNAVAILABLE = 503
+_HTTP_TOO_MANY = 429
+_HTTP_BAD_GATEWAY = 502
+_HTTP_GATEWAY_TIMEOUT = 504
+_HTTP_UNPROCESSABLE = 422
+
+
+class CallerRequest(NamedTuple):
+    """Request of a caller, checked and ready to be sent.
+
+    Attributes
+    ----------
+    deadline : float
+        Monotonic time in seconds.
+    cost : float
+        Estimated service in tokens.
+    key : str
+        Idempotency key, or the empty string.
+    """
+
+    member: str
+    team: str
+    model: str
+    service: str
+    method: str
+    path: str
+    body: bytes
+    headers: dict[str, str]
+    priority: int
+    deadline: float
+    idempotent: bool
+    cost: float
+    digest: str
+    prefixes: list[int]
+    key: str = ""
+
+
+class Dispatcher:
+    """Send requests to endpoints and see them to their end."""
+
+    def __init__(
+        self,
+        cfg: EntrySettings,
+        directory: Directory,
+        client: AttemptClient,
+        ledger: SuspectLedger,
+        background: Background,
+        metrics: Metrics,
+        clock: Callable[[], float],
+        rng: random.Random,
+    ) -> None:
+        self._cfg = cfg
+        self._directory = directory
+        self._client = client
+        self._ledger = ledger
+        self._background = background
+        self._metrics = metrics
+        self._clock = clock
+        self._rng = rng
+        self._chooser = LoadAwareChooser(rng)
+        self._prefixes = PrefixIndex()
+        self._budgets: dict[str, RetryBudget] = {}
+
+    async def run(self, req: CallerRequest, answer: CallerAnswer) -> web.StreamResponse:
+        """Run a request to its final answer."""
+        budget = self._budget(req.member)
+        budget.earn(self._clock())
+        tried: set[str] = set()
+        error = None
+        for tries in range(1, MAX_SENDS + 1):
+            refusal = self._refuse_suspect(req)
+            if refusal is not None:
+                return await answer.fail(refusal)
+            neighbour = self._choose(req, tried)
+            if neighbour is None:
+                return await answer.fail(error or self._no_endpoint())
+            tried.add(neighbour.instance.name)
+            outcome = await self._try(req, neighbour, answer)
+            if isinstance(outcome, Final):
+                self._note_whole(req, neighbour)
+                return await answer.finish()
+            error = self._error_of(outcome)
+            if not self._may_retry(req, answer, outcome, tries, budget):
+                break
+            answer.reset()
+            self._metrics.count(Metric.RETRIES, req.member)
+        return await answer.fail(error)
+
+    async def _try(
+        self, req: CallerRequest, neighbour: Neighbour, answer: CallerAnswer
+    ) -> Outcome:
+        """Send one attempt and pass its answer on."""
+        with tracer().start_as_current_span("entry.link") as span:
+            attempt = self._attempt(req, neighbour, traceparent(span))
+            span.set_attribute("attempt.id", attempt.attempt_id)
+            span.set_attribute("instance", neighbour.instance.name)
+            neighbour.inflight += 1
+            try:
+                return await self._follow(neighbour, attempt, answer)
+            except asyncio.CancelledError:
+                address = neighbour.instance.address
+                cancel = self._client.cancel(address, attempt.attempt_id)
+                self._background.spawn(cancel)
+                raise
+            finally:
+                neighbour.inflight -= 1
+
+    async def _follow(
+        self, neighbour: Neighbour, attempt: AttemptRequest, answer: CallerAnswer
+    ) -> Outcome:
+        outcome: Outcome = Unknown(attempt.attempt_id, "no_outcome")
+        address = neighbour.instance.address
+        async for piece in self._client.follow(address, attempt):
+            if isinstance(piece, Head):
+                answer.begin(piece)
+            elif isinstance(piece, bytes):
+                await answer.write(piece)
+            else:
+                outcome = piece
+        if isinstance(outcome, Broken) and outcome.crash_id:
+            self._report_crash(outcome.crash_id, outcome.digests)
+        elif isinstance(outcome, Unknown):
+            self._metrics.count(Metric.UNKNOWN)
+        return outcome
+
+    def _attempt(
+        self, req: CallerRequest, neighbour: Neighbour, trace: str
+    ) -> AttemptRequest:
+        now = self._clock()
+        verdict = self._ledger.verdict(req.digest, now)
+        return AttemptRequest(
+            attempt_id=uuid.uuid4().hex,
+            endpoint=neighbour.beat.endpoint,
+            incarnation=neighbour.beat.incarnation,
+            member=req.member,
+            team=req.team,
+            model=req.model,
+            method=req.method,
+            path=req.path,
+            body=req.body,
+            headers=req.headers,
+            priority=req.priority,
+            deadline_s=max(req.deadline - now, 0.0),
+            cost=req.cost,
+            digest=req.digest,
+            suspect=verdict == Verdict.SUSPECT,
+            traceparent=trace,
+        )
+
+    def _choose(self, req: CallerRequest, tried: set[str]) -> Neighbour | None:
+        with tracer().start_as_current_span("entry.select") as span:
+            now = self._clock()
+            serving = self._directory.serving(req.model, req.service, req.member)
+            fresh = [n for n in serving if n.instance.name not in tried]
+            candidates = [self._directory.candidate(n, now) for n in fresh]
+            holders = self._prefixes.holders(req.prefixes)
+            zone = self._directory.me.zone
+            chosen = self._chooser.choose(candidates, zone, holders)
+            span.set_attribute("candidates", len(candidates))
+            return self._directory.sidecars.get(chosen.name) if chosen else None
+
+    def _may_retry(
+        self,
+        req: CallerRequest,
+        answer: CallerAnswer,
+        outcome: Outcome,
+        tries: int,
+        budget: RetryBudget,
+    ) -> bool:
+        """Tell whether a request may be sent again after an outcome."""
+        if answer.started or self._clock() >= req.deadline:
+            return False
+        if isinstance(outcome, NotRun):
+            if outcome.reason in FREE_REFUSALS:
+                return True
+            return tries < self._cfg.retry.max_tries and budget.spend()
+        if not req.idempotent or tries >= self._cfg.retry.max_tries:
+            return False
+        if isinstance(outcome, Broken) and outcome.reason == BrokenReason.DEADLINE:
+            return False
+        return budget.spend()
+
+    def _budget(self, member: str) -> RetryBudget:
+        retry = self._cfg.retry
+        return self._budgets.setdefault(
+            member, RetryBudget(retry.budget_ratio, retry.budget_floor)
+        )
+
+    def _refuse_suspect(self, req: CallerRequest) -> CallerError | None:
+        verdict = self._ledger.verdict(req.digest, self._clock())
+        if verdict not in (Verdict.HELD, Verdict.CONVICTED):
+            return None
+        return CallerError(
+            _HTTP_UNPROCESSABLE,
+            "crashes_endpoints",
+            "this request crashed endpoints and is refused; do not send it again",
+        )
+
+    def _report_crash(self, crash_id: str, digests: list[str]) -> None:
+        if self._ledger.report_crash(crash_id, digests, self._clock()):
+            log.warning("crash", extra={"crash": crash_id, "suspects": len(digests)})
+            report = CrashReport(crash_id, digests)
+            self._background.spawn(self._directory.tell_entries("crash", report))
+
+    def _note_whole(self, req: CallerRequest, neighbour: Neighbour) -> None:
+        self._prefixes.note_sent(req.prefixes, neighbour.instance.name)
+        if self._ledger.report_cleared(req.digest, self._clock()):
+            note = SuspectCleared(req.digest)
+            self._background.spawn(self._directory.tell_entries("cleared", note))
+
+    def _no_endpoint(self) -> CallerError:
+        return CallerError(
+            _HTTP_UNAVAILABLE,
+            "no_endpoint",
+            "no endpoint can take the request now",
+            Ran.NO,
+            retry_after_s(1.0, self._rng),
+        )
+
+    def _error_of(self, outcome: Outcome) -> CallerError:
+        if isinstance(outcome, NotRun):
+            return self._not_run_error(outcome)
+        if isinstance(outcome, Broken) and outcome.reason == BrokenReason.DEADLINE:
+            return CallerError(
+                _HTTP_GATEWAY_TIMEOUT, "deadline", "out of time", Ran.YES, None
+            )
+        return CallerError(
+            _HTTP_BAD_GATEWAY,
+            "outcome_unknown",
+            "the request may have run; do not repeat it unless it is idempotent",
+            Ran.UNKNOWN,
+            None,
+        )
+
+    def _not_run_error(self, outcome: NotRun) -> CallerError:
+        overload = outcome.reason in (NotRunReason.OVER_SHARE, NotRunReason.QUEUE_FULL)
+        return CallerError(
+            _HTTP_TOO_MANY if overload else _HTTP_UNAVAILABLE,
+            outcome.reason,
+            "the request did not run",
+            Ran.NO,
+            retry_after_s(outcome.retry_after_s, self._rng),
+        )
--- /dev/null
+++ b/packages/daemon/src/slatehoist/daemon/sidecar/__init__.py
@@ -0,0 +1,5 @@
+"""Sidecar: the only way to the endpoint beside it."""
+
+from slatehoist.daemon.sidecar.process import SidecarProcess
+
+__all__ = ["SidecarProcess"]
--- /dev/null
+++ b/packages/daemon/src/slatehoist/daemon/sidecar/admission.py
@@ -0,0 +1,170 @@
+"""Admission to the endpoint: fair queue, adaptive concurrency, suspects apart."""
+
+import asyncio
+from collections.abc import Callable
+from typing import NamedTuple
+
+from result import Err, Ok, Result
+
+from slatehoist.routing import AdaptiveLimit, FairQueue, Ticket
+from slatehoist.wire.messages import AttemptRequest, NotRunReason
+
+#: Weight of the newest second in the smoothed rate of service.
+RATE_SMOOTHING = 0.2
+#: Shortest time to come back that a refusal tells, in seconds.
+MIN_WAIT_S = 0.5
+
+
+class Refused(NamedTuple):
+    """Refusal before the endpoint saw the request."""
+
+    reason: NotRunReason
+    retry_after_s: float
+
+
+class Admission:
+    """Let requests through to the endpoint in fair order.
+
+    Parameters
+    ----------
+    queue : FairQueue
+    limit : AdaptiveLimit
+    clock : callable
+        Monotonic clock, in seconds.
+    """
+
+    def __init__(
+        self, queue: FairQueue, limit: AdaptiveLimit, clock: Callable[[], float]
+    ) -> None:
+        self.queue = queue
+        self.limit = limit
+        self.running = 0
+        self.draining = False
+        self.shed_by_member: dict[str, int] = {}
+        self._clock = clock
+        self._suspect_running = False
+        self._rate = 0.0
+        self._served = 0.0
+        self._rated_at = clock()
+
+    @property
+    def load(self) -> float:
+        """Give the requests running and waiting."""
+        return self.running + len(self.queue)
+
+    async def enter(
+        self, req: AttemptRequest, deadline: float
+    ) -> Result[Ticket, Refused]:
+        """Wait for the request's turn.
+
+        Returns
+        -------
+        Ok of Ticket, to be given back to `leave`; or Err of Refused
+        """
+        now = self._clock()
+        if self.draining:
+            return Err(Refused(NotRunReason.DRAINING, MIN_WAIT_S))
+        if req.suspect and self._suspect_running:
+            return Err(Refused(NotRunReason.SUSPECT_BUSY, MIN_WAIT_S))
+        if self._is_hopeless(req, deadline, now):
+            return self._refuse(req.member, NotRunReason.DEADLINE)
+        self._suspect_running |= req.suspect
+        fut = asyncio.get_running_loop().create_future()
+        ticket = Ticket(
+            req.member, req.team, req.cost, req.priority, deadline, (fut, req)
+        )
+        for evicted in self.queue.push(ticket, now):
+            self._answer_evicted(evicted, now)
+        self.pump()
+        try:
+            refused = await fut
+        except asyncio.CancelledError:
+            self._withdraw(ticket, fut)
+            raise
+        if refused is not None:
+            self._release_suspect(req)
+            return Err(refused)
+        return Ok(ticket)
+
+    def leave(self, ticket: Ticket, tokens: float) -> None:
+        """Give back a slot, with the service that was really used."""
+        self.running -= 1
+        self._release_suspect(ticket.item[1])
+        self.queue.settle(ticket, tokens)
+        self._served += tokens
+        self.pump()
+
+    def pump(self) -> None:
+        """Let through as many requests as there are free slots."""
+        now = self._clock()
+        while self.running < self.limit.limit and len(self.queue):
+            ticket, late = self.queue.pop(now)
+            for too_late in late:
+                self._answer_evicted(too_late, now)
+            if ticket is None:
+                return
+            self.running += 1
+            ticket.item[0].set_result(None)
+
+    def tick(self) -> None:
+        """Refresh the rate of service and drop what is too late."""
+        now = self._clock()
+        span = now - self._rated_at
+        if span > 0:
+            rate = self._served / span
+            self._rate += RATE_SMOOTHING * (rate - self._rate)
+        self._served = 0.0
+        self._rated_at = now
+        for late in self.queue.expire(now):
+            self._answer_evicted(late, now)
+        self.pump()
+
+    def refuse_waiting(self, reason: NotRunReason) -> None:
+        """Refuse all that waits, since the endpoint is gone or leaving."""
+        while len(self.queue):
+            ticket, late = self.queue.pop(float("-inf"))
+            for waiting in [*late, *([ticket] if ticket else [])]:
+                self.queue.settle(waiting, 0.0)
+                _answer(waiting, Refused(reason, MIN_WAIT_S))
+
+    def wait_s(self, member: str) -> float:
+        """Estimate how long a new request of a member would wait, in seconds."""
+        if self._rate <= 0 or not len(self.queue):
+            return MIN_WAIT_S
+        share = self.queue.share_of(member)
+        return self.queue.waiting_cost(member) / (self._rate * share)
+
+    def _is_hopeless(self, req: AttemptRequest, deadline: float, now: float) -> bool:
+        if deadline <= now:
+            return True
+        if not len(self.queue):
+            return False
+        return now + self.wait_s(req.member) > deadline
+
+    def _answer_evicted(self, ticket: Ticket, now: float) -> None:
+        late = ticket.deadline <= now
+        reason = NotRunReason.DEADLINE if late else NotRunReason.OVER_SHARE
+        _answer(ticket, self._refuse(ticket.member, reason).unwrap_err())
+
+    def _refuse(self, member: str, reason: NotRunReason) -> Result[Ticket, Refused]:
+        self.shed_by_member[member] = self.shed_by_member.get(member, 0) + 1
+        return Err(Refused(reason, max(self.wait_s(member), MIN_WAIT_S)))
+
+    def _withdraw(self, ticket: Ticket, fut: asyncio.Future) -> None:
+        """Undo a ticket whose caller went away while it waited or just after."""
+        if self.queue.remove(ticket):
+            self._release_suspect(ticket.item[1])
+        elif fut.done() and not fut.cancelled() and fut.result() is None:
+            self.leave(ticket, 0.0)
+        else:
+            self._release_suspect(ticket.item[1])
+
+    def _release_suspect(self, req: AttemptRequest) -> None:
+        if req.suspect:
+            self._suspect_running = False
+
+
+def _answer(ticket: Ticket, refused: Refused) -> None:
+    fut = ticket.item[0]
+    if not fut.done():
+        fut.set_result(refused)
--- /dev/null
+++ b/packages/daemon/src/slatehoist/daemon/sidecar/attempts.py
@@ -0,0 +1,187 @@
+"""Attempts at one endpoint: what each has produced, and what became of it.
+
+An attempt outlives the connection that brought it. An entry that lost its connection
+asks on a new one and reads on from the next frame. Asking for an attempt that never
+arrived leaves a tombstone, so that a late arrival is refused: only then is "not run"
+true.
+"""
+
+import asyncio
+from collections.abc import Callable
+
+import xxhash
+
+from slatehoist.wire import encode_frame
+from slatehoist.wire.messages import (
+    AttemptRequest,
+    AttemptState,
+    Broken,
+    Data,
+    Final,
+    Head,
+    NotRun,
+    NotRunReason,
+)
+
+#: Most bytes of an answer that are kept for reading on, per attempt.
+MAX_ANSWER_BYTES = 16 * 1024 * 1024
+#: Seconds that a tombstone is kept; longer than a message can be late.
+TOMBSTONE_S = 600.0
+
+
+class Attempt:
+    """One attempt and the frames of its answer."""
+
+    def __init__(self, req: AttemptRequest, now: float) -> None:
+        self.req = req
+        self.deadline = now + req.deadline_s
+        self.state = AttemptState.QUEUED
+        self.head: Head | None = None
+        self.frames: list[bytes] = []
+        self.last: Final | NotRun | Broken | None = None
+        self.ended_at: float | None = None
+        self.last_reader_at = now
+        self.readers = 0
+        self.tokens = 0
+        self.endpoint_incarnation = ""
+        self.cancel_requested = False
+        self.task: asyncio.Task | None = None
+        self._bytes = 0
+        self._digest = xxhash.xxh3_64(req.attempt_id.encode())
+        self._waiters: set[asyncio.Future] = set()
+
+    def start_answer(self, head: Head) -> None:
+        """Note the answer's status and headers."""
+        self.head = head
+        self.wake()
+
+    def push(self, data: bytes) -> bool:
+        """Add a piece of the answer; False if there is no room for it."""
+        self._bytes += len(data)
+        if self._bytes > MAX_ANSWER_BYTES:
+            return False
+        self._digest.update(data)
+        self.frames.append(encode_frame(Data(len(self.frames), data)))
+        self.wake()
+        return True
+
+    def finish(self, load: float, now: float) -> None:
+        """End with a whole answer."""
+        count = len(self.frames)
+        digest = self._digest.hexdigest()
+        final = Final(self.req.attempt_id, count, digest, self.tokens, load)
+        self._end(AttemptState.FINISHED, final, now)
+
+    def refuse(self, reason: NotRunReason, retry_after_s: float, now: float) -> None:
+        """End without having run."""
+        last = NotRun(self.req.attempt_id, reason, retry_after_s)
+        self._end(AttemptState.NOT_RUN, last, now)
+
+    def fail(self, last: Broken, now: float) -> None:
+        """End without a whole answer."""
+        self._end(AttemptState.BROKEN, last, now)
+
+    def wake(self) -> None:
+        """Wake all readers, to send what is new or a sign of life."""
+        for fut in self._waiters:
+            if not fut.done():
+                fut.set_result(None)
+        self._waiters.clear()
+
+    async def changed(self) -> None:
+        """Wait until the next `wake`."""
+        fut = asyncio.get_running_loop().create_future()
+        self._waiters.add(fut)
+        try:
+            await fut
+        finally:
+            self._waiters.discard(fut)
+
+    def _end(
+        self, state: AttemptState, last: Final | NotRun | Broken, now: float
+    ) -> None:
+        if self.last is not None:
+            return
+        self.state = state
+        self.last = last
+        self.ended_at = now
+        self.wake()
+
+
+class AttemptTable:
+    """All attempts of one incarnation of a sidecar.
+
+    Parameters
+    ----------
+    retain_s : float
+        Seconds that an ended attempt stays readable.
+    """
+
+    def __init__(self, retain_s: float) -> None:
+        self._retain_s = retain_s
+        self._attempts: dict[str, Attempt] = {}
+        self._tombstones: dict[str, float] = {}
+
+    def __len__(self) -> int:
+        return len(self._attempts)
+
+    def get(self, attempt_id: str) -> Attempt | None:
+        """Give a known attempt, or None."""
+        return self._attempts.get(attempt_id)
+
+    def admit(self, req: AttemptRequest, now: float) -> Attempt | None:
+        """Enter a new attempt; None if a tombstone forbids it.
+
+        The caller makes sure that the attempt is not known yet.
+        """
+        if req.attempt_id in self._tombstones:
+            return None
+        attempt = Attempt(req, now)
+        self._attempts[req.attempt_id] = attempt
+        return attempt
+
+    def bury(self, attempt_id: str, now: float) -> None:
+        """Leave a tombstone for an attempt that never arrived."""
+        self._tombstones[attempt_id] = now + TOMBSTONE_S
+
+    def live(self) -> list[Attempt]:
+        """Give the attempts that have not ended."""
+        return [a for a in self._attempts.values() if a.last is None]
+
+    def running_digests(self, incarnation: str) -> list[str]:
+        """Give the requests that an incarnation of the endpoint is working on."""
+        running = (a for a in self.live() if a.state == AttemptState.RUNNING)
+        return sorted(
+            {a.req.digest for a in running if a.endpoint_incarnation == incarnation}
+        )
+
+    def sweep(self, now: float, orphan_s: float) -> list[Attempt]:
+        """Forget what is old, and give the attempts that nobody reads any more."""
+        for attempt_id, attempt in list(self._attempts.items()):
+            ended = attempt.ended_at
+            if ended is not None and now - ended > self._retain_s:
+                del self._attempts[attempt_id]
+        for attempt_id, expires in list(self._tombstones.items()):
+            if expires <= now:
+                del self._tombstones[attempt_id]
+        return [
+            attempt
+            for attempt in self.live()
+            if not attempt.readers and now - attempt.last_reader_at > orphan_s
+        ]
+
+
+class CrashLog:
+    """Agree, within one sidecar, on which requests were in flight at a crash."""
+
+    def __init__(self, endpoint: str, running: Callable[[str], list[str]]) -> None:
+        self._endpoint = endpoint
+        self._running = running
+        self._crashes: dict[str, list[str]] = {}
+
+    def record(self, incarnation: str) -> tuple[str, list[str]]:
+        """Give the id and the digests of the crash of an endpoint's incarnation."""
+        crash_id = f"{self._endpoint}/{incarnation}"
+        if crash_id not in self._crashes:
+            self._crashes[crash_id] = self._running(incarnation)
+        return crash_id, self._crashes[crash_id]
--- /dev/null
+++ b/packages/daemon/src/slatehoist/daemon/sidecar/process.py
@@ -0,0 +1,213 @@
+"""Wiring of the sidecar process."""
+
+import asyncio
+import logging
+import uuid
+from collections.abc import Callable
+
+import aiohttp
+from aiohttp import web
+
+from slatehoist.config import Kind, Replica, Resource, SidecarSettings
+from slatehoist.daemon.background import Background
+from slatehoist.daemon.configsync import decode_changes, encode_changes
+from slatehoist.daemon.lifecycle import Lifecycle
+from slatehoist.daemon.metrics import Metric, Metrics
+from slatehoist.daemon.sidecar.admission import Admission
+from slatehoist.daemon.sidecar.attempts import AttemptTable, CrashLog
+from slatehoist.daemon.sidecar.endpoints import Load, make_endpoint
+from slatehoist.daemon.sidecar.runner import AttemptRunner
+from slatehoist.daemon.sidecar.server import AttemptServer
+from slatehoist.platform import HttpTable, HttpWeightStore
+from slatehoist.routing import AdaptiveLimit, FairQueue
+from slatehoist.wire import LinkServer, decode
+from slatehoist.wire.messages import (
+    ConfigAnswer,
+    ConfigQuestion,
+    Heartbeat,
+    NotRunReason,
+)
+
+log = logging.getLogger(__name__)
+
+#: Seconds between readings of the endpoint's load.
+LOAD_INTERVAL_S = 0.25
+#: Seconds between signs of life on idle streams.
+KEEPALIVE_S = 0.5
+#: Seconds between looks for attempts to forget.
+SWEEP_S = 1.0
+#: Seconds that an attempt goes on with nobody reading it.
+ORPHAN_S = 20.0
+#: Readings of the load missed in a row before the endpoint counts as down.
+MISSED_LOADS = 3
+#: Seconds that a stopping sidecar goes on serving, for entries to read ends.
+LINGER_S = 1.0
+
+
+class SidecarProcess:
+    """One sidecar: attempts, admission, endpoint, control links.
+
+    Parameters
+    ----------
+    cfg : SidecarSettings
+    clock : callable
+        Monotonic clock, in seconds.
+    """
+
+    def __init__(self, cfg: SidecarSettings, clock: Callable[[], float]) -> None:
+        self.cfg = cfg
+        self.clock = clock
+        self.incarnation = uuid.uuid4().hex[:16]
+        self.lifecycle = Lifecycle()
+        self.replica = Replica()
+        self.metrics = Metrics(cfg.observe.statsd)
+        self._load = Load("")
+        self._missed_loads = 0
+        self.background = Background()
+
+    async def start(self) -> None:
+        """Listen and start all tasks."""
+        self._build()
+        self.links.start()
+        self._runner_app = web.AppRunner(self._server.build_app(), access_log=None)
+        await self._runner_app.setup()
+        host, _, port = self.cfg.instance.listen.rpartition(":")
+        await web.TCPSite(self._runner_app, host, int(port)).start()
+        self.replica.on_change(self._apply_config)
+        self.lifecycle.become_ready()
+        self.background.repeat(self._watch_endpoint, LOAD_INTERVAL_S)
+        self.background.repeat(self._keep_alive, KEEPALIVE_S)
+        self.background.repeat(self._sweep, SWEEP_S)
+        log.info("sidecar_ready", extra={"incarnation": self.incarnation})
+
+    async def drain(self) -> None:
+        """Take no new work, tell all entries, and finish what runs."""
+        self.lifecycle.drain()
+        self.admission.draining = True
+        self.admission.refuse_waiting(NotRunReason.DRAINING)
+        await self.links.broadcast("heartbeat", self.heartbeat())
+        log.info("sidecar_draining", extra={"running": self.admission.running})
+        end = self.clock() + self.cfg.drain_s
+        while self.table.live() and self.clock() < end:
+            await asyncio.sleep(KEEPALIVE_S / 5)
+        await asyncio.sleep(LINGER_S)
+
+    async def stop(self) -> None:
+        """Stop everything."""
+        self.lifecycle.stop()
+        await self.background.close()
+        await self.links.close()
+        await self._runner_app.cleanup()
+        await self.endpoint.close()
+        await self._session.close()
+        log.info("sidecar_stopped")
+
+    def heartbeat(self) -> Heartbeat:
+        """Give the facts that every entry wants."""
+        return Heartbeat(
+            instance=self.cfg.instance.name,
+            incarnation=self.incarnation,
+            draining=self.lifecycle.state != "ready",
+            load=self.admission.load,
+            step_s=self.admission.limit.step_s,
+            revision=self.replica.revision,
+            endpoint=self.cfg.endpoint.name,
+            endpoint_up=self._missed_loads < MISSED_LOADS,
+        )
+
+    def _build(self) -> None:
+        cfg = self.cfg.endpoint
+        self._session = aiohttp.ClientSession()
+        platform = self.cfg.platform
+        self.platform_table = HttpTable(platform.table, self._session)
+        self.weights = HttpWeightStore(platform.weights, self._session)
+        self.endpoint = make_endpoint(cfg.kind, cfg.url, cfg.silence_s)
+        self.table = AttemptTable(self.cfg.retain_s)
+        limit = AdaptiveLimit(
+            min(cfg.min_concurrency, cfg.concurrency),
+            cfg.concurrency,
+            cfg.target_step_s,
+        )
+        self.admission = Admission(FairQueue(cfg.max_queue), limit, self.clock)
+        self.runner = AttemptRunner(
+            self.table,
+            self.admission,
+            self.endpoint,
+            CrashLog(cfg.name, self.table.running_digests),
+            lambda: self._load.incarnation,
+            self.clock,
+        )
+        self._server = AttemptServer(
+            self.table,
+            self.runner,
+            self.incarnation,
+            lambda: self.admission.load,
+            self.clock,
+        )
+        self.links = LinkServer(
+            self.cfg.instance.control,
+            {"config": self._on_config, "config_question": self._on_config_question},
+            self.heartbeat,
+        )
+
+    async def _on_config(self, peer: str, body: bytes) -> None:
+        self.replica.apply(decode_changes(decode(body, ConfigAnswer)))
+
+    async def _on_config_question(self, peer: str, body: bytes) -> ConfigAnswer:
+        return encode_changes(self.replica, decode(body, ConfigQuestion).since)
+
+    def _apply_config(self) -> None:
+        """Put the weights of members and teams in force."""
+        spec = self.replica.spec(Kind.ENDPOINT, self.cfg.endpoint.name)
+        group = self.replica.spec(Kind.GROUP, spec.group) if spec else None
+        shares = dict(group.shares) if group else {}
+        shares.update(spec.shares if spec else {})
+        for member, weight in shares.items():
+            self.admission.queue.set_weight(member, "", weight)
+        for team in self.replica.list(Kind.TEAM):
+            self._apply_team(team)
+        self.metrics.gauge(Metric.REVISION, self.replica.revision)
+
+    def _apply_team(self, team: Resource) -> None:
+        weight = self.replica.spec(Kind.TEAM, team.name).weight
+        self.admission.queue.set_weight(team.member, team.name, weight)
+
+    async def _watch_endpoint(self) -> None:
+        """Read the endpoint's load and adapt the concurrency to its step time."""
+        load = await self.endpoint.load()
+        if load is None:
+            self._missed_loads += 1
+        else:
+            self._missed_loads = 0
+            self._take_load(load)
+        self.admission.tick()
+        self._send_metrics()
+
+    def _take_load(self, load: Load) -> None:
+        self._note_incarnation(load)
+        if load.step_s:
+            in_use = self.admission.running
+            self.admission.limit.observe(load.step_s, in_use, self.clock())
+
+    def _note_incarnation(self, load: Load) -> None:
+        if self._load.incarnation not in ("", load.incarnation):
+            self.metrics.count(Metric.CRASHES)
+            log.warning("endpoint_replaced", extra={"incarnation": load.incarnation})
+        self._load = load
+
+    def _send_metrics(self) -> None:
+        name = self.cfg.endpoint.name
+        self.metrics.gauge(Metric.QUEUE, len(self.admission.queue), name)
+        self.metrics.gauge(Metric.RUNNING, self.admission.running, name)
+        self.metrics.gauge(Metric.LIMIT, self.admission.limit.limit, name)
+        self.metrics.timing(Metric.STEP_MS, self.admission.limit.step_s, name)
+
+    async def _keep_alive(self) -> None:
+        """Wake idle streams so that they send a sign of life."""
+        for attempt in self.table.live():
+            attempt.wake()
+
+    async def _sweep(self) -> None:
+        """Forget what is old and cancel what nobody reads."""
+        for orphan in self.table.sweep(self.clock(), ORPHAN_S):
+            self.runner.cancel(orphan)
--- /dev/null
+++ b/packages/daemon/src/slatehoist/daemon/sidecar/runner.py
@@ -0,0 +1,154 @@
+"""Run attempts at the endpoint, each in a task of its own."""
+
+import asyncio
+import contextlib
+import logging
+from collections.abc import Callable
+
+from slatehoist.daemon.sidecar.admission import MIN_WAIT_S, Admission
+from slatehoist.daemon.sidecar.attempts import Attempt, AttemptTable, CrashLog
+from slatehoist.daemon.sidecar.endpoints import (
+    AnswerBrokenError,
+    Endpoint,
+    EndpointDownError,
+)
+from slatehoist.daemon.tracing import parent_context, trace_id, tracer
+from slatehoist.wire.messages import (
+    AttemptRequest,
+    AttemptState,
+    Broken,
+    BrokenReason,
+    Head,
+    NotRunReason,
+)
+
+log = logging.getLogger(__name__)
+
+
+class AttemptRunner:
+    """Take attempts in, see them through the queue and the endpoint.
+
+    Parameters
+    ----------
+    incarnation : callable
+        Gives the endpoint's incarnation as last reported.
+    """
+
+    def __init__(
+        self,
+        table: AttemptTable,
+        admission: Admission,
+        endpoint: Endpoint,
+        crashes: CrashLog,
+        incarnation: Callable[[], str],
+        clock: Callable[[], float],
+    ) -> None:
+        self._table = table
+        self._admission = admission
+        self._endpoint = endpoint
+        self._crashes = crashes
+        self._incarnation = incarnation
+        self._clock = clock
+
+    def start(self, req: AttemptRequest) -> Attempt | None:
+        """Start an attempt; None if a tombstone forbids it."""
+        attempt = self._table.admit(req, self._clock())
+        if attempt is not None:
+            attempt.task = asyncio.create_task(self._run(attempt))
+        return attempt
+
+    def cancel(self, attempt: Attempt) -> None:
+        """Stop an attempt that nobody wants any more."""
+        attempt.cancel_requested = True
+        if attempt.task is not None:
+            attempt.task.cancel()
+
+    async def _run(self, attempt: Attempt) -> None:
+        req = attempt.req
+        context = parent_context(req.traceparent)
+        with tracer().start_as_current_span("sidecar.attempt", context) as span:
+            span.set_attribute("attempt.id", req.attempt_id)
+            try:
+                await self._queue_and_run(attempt)
+            except asyncio.CancelledError:
+                await self._give_up(attempt)
+            except Exception:
+                log.exception(
+                    "attempt_failed",
+                    extra={"attempt": req.attempt_id, "trace": trace_id(span)},
+                )
+                self._break(attempt, BrokenReason.ENDPOINT_CRASHED)
+            span.set_attribute("attempt.state", str(attempt.state))
+        self._log_end(attempt, trace_id(span))
+
+    async def _queue_and_run(self, attempt: Attempt) -> None:
+        with tracer().start_as_current_span("sidecar.queue"):
+            entered = await self._admission.enter(attempt.req, attempt.deadline)
+        if entered.is_err():
+            refused = entered.unwrap_err()
+            attempt.refuse(refused.reason, refused.retry_after_s, self._clock())
+            return
+        ticket = entered.unwrap()
+        try:
+            await self._run_at_endpoint(attempt)
+        finally:
+            ran = attempt.state != AttemptState.NOT_RUN
+            used = attempt.tokens or (attempt.req.cost if ran else 0.0)
+            self._admission.leave(ticket, used)
+
+    async def _run_at_endpoint(self, attempt: Attempt) -> None:
+        attempt.state = AttemptState.RUNNING
+        attempt.endpoint_incarnation = self._incarnation()
+        try:
+            with tracer().start_as_current_span("endpoint.run"):
+                async with asyncio.timeout(attempt.deadline - self._clock()):
+                    await self._copy_answer(attempt)
+        except EndpointDownError:
+            reason = NotRunReason.ENDPOINT_DOWN
+            attempt.refuse(reason, MIN_WAIT_S, self._clock())
+        except AnswerBrokenError as exc:
+            self._break(attempt, exc.reason)
+        except TimeoutError:
+            await self._endpoint.cancel(attempt.req.attempt_id)
+            self._break(attempt, BrokenReason.DEADLINE)
+
+    async def _copy_answer(self, attempt: Attempt) -> None:
+        answer = self._endpoint.run(attempt.req)
+        async with contextlib.aclosing(answer):
+            async for piece in answer:
+                if isinstance(piece, Head):
+                    attempt.start_answer(piece)
+                    continue
+                attempt.tokens += self._endpoint.tokens(attempt.req, piece)
+                if not attempt.push(piece):
+                    raise AnswerBrokenError(BrokenReason.BUFFER_LIMIT)
+        attempt.finish(self._admission.load, self._clock())
+
+    def _break(self, attempt: Attempt, reason: BrokenReason) -> None:
+        crash_id, digests = "", []
+        if reason == BrokenReason.ENDPOINT_CRASHED:
+            crash_id, digests = self._crashes.record(attempt.endpoint_incarnation)
+        last = Broken(attempt.req.attempt_id, reason, crash_id, digests)
+        attempt.fail(last, self._clock())
+
+    async def _give_up(self, attempt: Attempt) -> None:
+        """End a cancelled attempt and free its room at the endpoint."""
+        if attempt.state == AttemptState.QUEUED:
+            attempt.refuse(NotRunReason.CANCELLED, 0.0, self._clock())
+            return
+        await self._endpoint.cancel(attempt.req.attempt_id)
+        self._break(attempt, BrokenReason.CANCELLED)
+
+    def _log_end(self, attempt: Attempt, trace: str) -> None:
+        log.info(
+            "attempt_end",
+            extra={
+                "attempt": attempt.req.attempt_id,
+                "member": attempt.req.member,
+                "team": attempt.req.team,
+                "state": attempt.state,
+                "reason": getattr(attempt.last, "reason", ""),
+                "tokens": attempt.tokens,
+                "trace": trace,
+            },
+        )
--- /dev/null
+++ b/packages/daemon/src/slatehoist/daemon/sidecar/server.py
@@ -0,0 +1,130 @@
+"""HTTP side of the sidecar: attempts as streams of frames."""
+
+from collections.abc import Callable
+
+from aiohttp import web
+
+from slatehoist.daemon.sidecar.attempts import Attempt, AttemptTable
+from slatehoist.daemon.sidecar.runner import AttemptRunner
+from slatehoist.wire import WireError, decode, encode_frame
+from slatehoist.wire.messages import (
+    Accepted,
+    AttemptRequest,
+    KeepAlive,
+    NotRun,
+    NotRunReason,
+)
+
+#: Largest attempt taken, in bytes.
+MAX_ATTEMPT_BYTES = 64 * 1024 * 1024
+
+_HTTP_BAD_REQUEST = 400
+_HTTP_GONE = 410
+
+
+class AttemptServer:
+    """Serve the attempts of one incarnation.
+
+    Parameters
+    ----------
+    incarnation : str
+        Identity of this process; another one's attempts are unknown here.
+    load : callable
+        Gives the endpoint's load for signs of life.
+    """
+
+    def __init__(
+        self,
+        table: AttemptTable,
+        runner: AttemptRunner,
+        incarnation: str,
+        load: Callable[[], float],
+        clock: Callable[[], float],
+    ) -> None:
+        self._table = table
+        self._runner = runner
+        self._incarnation = incarnation
+        self._load = load
+        self._clock = clock
+
+    def build_app(self) -> web.Application:
+        """Build the application."""
+        app = web.Application(client_max_size=MAX_ATTEMPT_BYTES)
+        app.router.add_post("/attempts", self._post)
+        app.router.add_get("/attempts/{id}", self._get)
+        app.router.add_delete("/attempts/{id}", self._delete)
+        return app
+
+    async def _post(self, req: web.Request) -> web.StreamResponse:
+        """Run a new attempt, or refuse it before the endpoint sees it."""
+        try:
+            attempt_req = decode(await req.read(), AttemptRequest)
+        except WireError as exc:
+            return web.Response(status=_HTTP_BAD_REQUEST, text=str(exc))
+        if attempt_req.incarnation != self._incarnation:
+            return _not_run(attempt_req.attempt_id, NotRunReason.WRONG_INCARNATION)
+        attempt = self._table.get(attempt_req.attempt_id)
+        if attempt is None:
+            attempt = self._runner.start(attempt_req)
+        if attempt is None:
+            return _not_run(attempt_req.attempt_id, NotRunReason.TOMBSTONE)
+        return await self._stream(req, attempt, 0)
+
+    async def _get(self, req: web.Request) -> web.StreamResponse:
+        """Tell what became of an attempt, and read on from a frame."""
+        if req.query.get("incarnation") != self._incarnation:
+            return web.Response(status=_HTTP_GONE)
+        attempt_id = req.match_info["id"]
+        attempt = self._table.get(attempt_id)
+        if attempt is None:
+            self._table.bury(attempt_id, self._clock())
+            return _not_run(attempt_id, NotRunReason.TOMBSTONE)
+        return await self._stream(req, attempt, int(req.query.get("from", 0)))
+
+    async def _delete(self, req: web.Request) -> web.Response:
+        """Cancel an attempt."""
+        attempt = self._table.get(req.match_info["id"])
+        if attempt is not None:
+            self._runner.cancel(attempt)
+        return web.Response()
+
+    async def _stream(
+        self, req: web.Request, attempt: Attempt, start: int
+    ) -> web.StreamResponse:
+        resp = web.StreamResponse()
+        attempt.readers += 1
+        try:
+            await resp.prepare(req)
+            await resp.write(encode_frame(Accepted(attempt.req.attempt_id)))
+            await self._copy_frames(resp, attempt, start)
+        finally:
+            attempt.readers -= 1
+            attempt.last_reader_at = self._clock()
+        return resp
+
+    async def _copy_frames(
+        self, resp: web.StreamResponse, attempt: Attempt, position: int
+    ) -> None:
+        """Send frames as they come; those that come together go together."""
+        head_sent = False
+        while True:
+            last = attempt.last
+            parts = []
+            if attempt.head is not None and not head_sent:
+                head_sent = True
+                parts.append(encode_frame(attempt.head))
+            parts += attempt.frames[position:]
+            position = max(position, len(attempt.frames))
+            if last is not None:
+                parts.append(encode_frame(last))
+            if not parts:
+                parts.append(encode_frame(KeepAlive(self._load())))
+            await resp.write(b"".join(parts))
+            if last is not None:
+                return
+            if attempt.last is None and position >= len(attempt.frames):
+                await attempt.changed()
+
+
+def _not_run(attempt_id: str, reason: NotRunReason) -> web.Response:
+    return web.Response(body=encode_frame(NotRun(attempt_id, reason)))
--- /dev/null
+++ b/packages/daemon/src/slatehoist/daemon/tracing.py
@@ -0,0 +1,53 @@
+"""Traces with a span per hop: entry, selection, link, sidecar queue, engine."""
+
+from opentelemetry import propagate, trace
+from opentelemetry.exporter.otlp.proto.http.trace_exporter import OTLPSpanExporter
+from opentelemetry.sdk.resources import Resource
+from opentelemetry.sdk.trace import TracerProvider
+from opentelemetry.sdk.trace.export import BatchSpanProcessor
+from opentelemetry.sdk.trace.sampling import ParentBased, TraceIdRatioBased
+
+from slatehoist.config.settings import ObserveSettings
+
+#: Milliseconds between exports of finished spans.
+EXPORT_INTERVAL_MS = 1000
+
+
+def configure_tracing(cfg: ObserveSettings, service: str, instance: str) -> None:
+    """Set up the process's tracer; without a collector's URL, spans go nowhere."""
+    resource = Resource.create(
+        {"service.name": service, "service.instance.id": instance}
+    )
+    ratio = cfg.sample if cfg.otlp else 0.0
+    provider = TracerProvider(
+        resource=resource, sampler=ParentBased(TraceIdRatioBased(ratio))
+    )
+    if cfg.otlp:
+        exporter = OTLPSpanExporter(endpoint=cfg.otlp, timeout=2)
+        processor = BatchSpanProcessor(
+            exporter, schedule_delay_millis=EXPORT_INTERVAL_MS
+        )
+        provider.add_span_processor(processor)
+    trace.set_tracer_provider(provider)
+
+
+def tracer() -> trace.Tracer:
+    """Give the product's tracer."""
+    return trace.get_tracer("slatehoist")
+
+
+def trace_id(span: trace.Span) -> str:
+    """Give a span's trace id in hexadecimal."""
+    return trace.format_trace_id(span.get_span_context().trace_id)
+
+
+def traceparent(span: trace.Span) -> str:
+    """Give the W3C ``traceparent`` of a span."""
+    carrier: dict[str, str] = {}
+    propagate.inject(carrier, trace.set_span_in_context(span))
+    return carrier.get("traceparent", "")
+
+
+def parent_context(header: str):
+    """Give the context that a W3C ``traceparent`` names."""
+    return propagate.extract({"traceparent": header}) if header else None
--- /dev/null
+++ b/packages/platform/src/slatehoist/platform/http.py
@@ -0,0 +1,117 @@
+"""HTTP backends of the platform's services."""
+
+from typing import Any
+
+import aiohttp
+import msgspec
+
+from slatehoist.platform.base import Check, Instance, Row, Write
+from slatehoist.platform.exceptions import (
+    ConflictError,
+    OutcomeUnknownError,
+    StoreDownError,
+)
+
+#: Seconds that one call may take.
+CALL_TIMEOUT_S = 2.0
+
+_HTTP_OK = 200
+_HTTP_NOT_FOUND = 404
+_HTTP_CONFLICT = 409
+#: Statuses by which the service says that it did nothing.
+_REFUSALS = frozenset({429, 503})
+
+
+class _HttpClient:
+    """Shared session handling of the HTTP backends."""
+
+    def __init__(
+        self,
+        base_url: str,
+        session: aiohttp.ClientSession,
+        timeout_s: float = CALL_TIMEOUT_S,
+    ) -> None:
+        self._base_url = base_url.rstrip("/")
+        self._session = session
+        self._timeout = aiohttp.ClientTimeout(total=timeout_s)
+
+    async def _call(
+        self, method: str, path: str, data: bytes | None = None, **params: str
+    ) -> tuple[int, bytes]:
+        """Make one call; errors while connecting are told apart from lost answers."""
+        url = f"{self._base_url}{path}"
+        try:
+            async with self._session.request(
+                method, url, data=data, params=params, timeout=self._timeout
+            ) as resp:
+                body = await resp.read()
+        except aiohttp.ClientConnectorError as exc:
+            raise StoreDownError(f"{url}: {exc}") from exc
+        except (TimeoutError, aiohttp.ClientError) as exc:
+            raise OutcomeUnknownError(f"{url}: {exc!r}") from exc
+        if resp.status in _REFUSALS:
+            raise StoreDownError(f"{url}: status {resp.status}")
+        if resp.status not in (_HTTP_OK, _HTTP_NOT_FOUND, _HTTP_CONFLICT):
+            raise OutcomeUnknownError(f"{url}: status {resp.status}")
+        return resp.status, body
+
+    async def _read(self, path: str, **params: str) -> bytes | None:
+        """Read; a lost answer to a read is no worse than a service that is down."""
+        try:
+            status, body = await self._call("GET", path, **params)
+        except OutcomeUnknownError as exc:
+            raise StoreDownError(str(exc)) from exc
+        return None if status == _HTTP_NOT_FOUND else body
+
+
+class HttpTable(_HttpClient):
+    """Table service over HTTP and JSON."""
+
+    async def get(self, table: str, key: str) -> Row | None:
+        """Read one row, or None."""
+        body = await self._read("/v1/row", table=table, key=key)
+        return None if body is None else msgspec.json.decode(body, type=Row)
+
+    async def scan(self, table: str, prefix: str = "", after: str = "") -> list[Row]:
+        """Read the rows whose key has a prefix and sorts after a key, in order."""
+        body = await self._read("/v1/rows", table=table, prefix=prefix, after=after)
+        return msgspec.json.decode(body or b"[]", type=list[Row])
+
+    async def transact(self, checks: list[Check], writes: list[Write]) -> None:
+        """Write all rows if all checks hold; see `Table.transact`."""
+        data = msgspec.json.encode({"checks": checks, "writes": writes})
+        status, body = await self._call("POST", "/v1/transact", data)
+        if status == _HTTP_CONFLICT:
+            keys = msgspec.json.decode(body, type=list[tuple[str, str]])
+            raise ConflictError(keys)
+
+
+class HttpObjectStore(_HttpClient):
+    """Object store over HTTP."""
+
+    async def get(self, name: str) -> bytes | None:
+        """Read an object, or None."""
+        return await self._read(f"/v1/objects/{name}")
+
+    async def put(self, name: str, data: bytes) -> None:
+        """Write an object."""
+        await self._call("PUT", f"/v1/objects/{name}", data)
+
+
+class HttpInstanceList(_HttpClient):
+    """Instance list over HTTP and JSON."""
+
+    async def list(self) -> list[Instance]:
+        """Read the list."""
+        body = await self._read("/v1/instances")
+        return msgspec.json.decode(body or b"[]", type=list[Instance])
+
+
+class HttpWeightStore(_HttpClient):
+    """Rate-limited weight store over HTTP."""
+
+    async def fetch(self, name: str) -> int:
+        """Fetch the weights of an expert and return their size in bytes."""
+        body = await self._read(f"/v1/weights/{name}")
+        answer: dict[str, Any] = msgspec.json.decode(body or b"{}")
+        return answer.get("bytes", 0)
--- /dev/null
+++ b/packages/platform/src/slatehoist/platform/memory.py
@@ -0,0 +1,64 @@
+"""In-memory backends, for embedding and for tests of what is built on them."""
+
+from typing import Any
+
+from slatehoist.platform.base import Check, Instance, Row, Write
+from slatehoist.platform.exceptions import ConflictError
+
+
+class MemoryTable:
+    """Table service in memory; the stand-in process serves this class too."""
+
+    def __init__(self) -> None:
+        self._rows: dict[str, dict[str, Row]] = {}
+        self.reads = 0
+        self.writes = 0
+
+    async def get(self, table: str, key: str) -> Row | None:
+        """Read one row, or None."""
+        self.reads += 1
+        return self._rows.get(table, {}).get(key)
+
+    async def scan(self, table: str, prefix: str = "", after: str = "") -> list[Row]:
+        """Read the rows whose key has a prefix and sorts after a key, in order."""
+        self.reads += 1
+        rows = self._rows.get(table, {})
+        keys = sorted(key for key in rows if key.startswith(prefix) and key > after)
+        return [rows[key] for key in keys]
+
+    async def transact(self, checks: list[Check], writes: list[Write]) -> None:
+        """Write all rows if all checks hold; see `Table.transact`."""
+        failed = [
+            (check.table, check.key)
+            for check in checks
+            if self._version(check.table, check.key) != check.version
+        ]
+        if failed:
+            raise ConflictError(failed)
+        self.writes += 1
+        for write in writes:
+            self._apply(write)
+
+    def _version(self, table: str, key: str) -> int:
+        row = self._rows.get(table, {}).get(key)
+        return row.version if row is not None else 0
+
+    def _apply(self, write: Write) -> None:
+        rows = self._rows.setdefault(write.table, {})
+        if write.value is None:
+            rows.pop(write.key, None)
+            return
+        value: dict[str, Any] = dict(write.value)
+        version = self._version(write.table, write.key) + 1
+        rows[write.key] = Row(write.key, version, value)
+
+
+class MemoryInstanceList:
+    """Instance list in memory."""
+
+    def __init__(self, instances: list[Instance] | None = None) -> None:
+        self.instances = list(instances or [])
+
+    async def list(self) -> list[Instance]:
+        """Read the list."""
+        return list(self.instances)
--- /dev/null
+++ b/packages/routing/src/slatehoist/routing/__init__.py
@@ -0,0 +1,39 @@
+"""Decisions on where, when and how often a request runs; free of clocks and I/O."""
+
+from slatehoist.routing.affinity import PrefixIndex, prefix_keys
+from slatehoist.routing.fairness import FairQueue, Ticket
+from slatehoist.routing.limits import (
+    AdaptiveLimit,
+    QuotaHolder,
+    QuotaHome,
+    Share,
+    TokenBucket,
+    home_entry,
+)
+from slatehoist.routing.retries import RetryBudget, retry_after_s
+from slatehoist.routing.selection import Candidate, Chooser, LoadAwareChooser
+from slatehoist.routing.subset import Peer, choose_subset
+from slatehoist.routing.suspects import Crash, SuspectLedger, Verdict
+
+__all__ = [
+    "AdaptiveLimit",
+    "Candidate",
+    "Chooser",
+    "Crash",
+    "FairQueue",
+    "LoadAwareChooser",
+    "Peer",
+    "PrefixIndex",
+    "QuotaHolder",
+    "QuotaHome",
+    "RetryBudget",
+    "Share",
+    "SuspectLedger",
+    "Ticket",
+    "TokenBucket",
+    "Verdict",
+    "choose_subset",
+    "home_entry",
+    "prefix_keys",
+    "retry_after_s",
+]
--- /dev/null
+++ b/packages/routing/src/slatehoist/routing/retries.py
@@ -0,0 +1,63 @@
+"""Retry budgets and the time at which a refused caller should come back."""
+
+import random
+
+#: Seconds over which first tries earn retries.
+BUDGET_WINDOW_S = 10.0
+#: Shortest and longest time to come back that is ever told, in seconds.
+MIN_RETRY_AFTER_S = 1.0
+MAX_RETRY_AFTER_S = 60.0
+#: Width of the spread of return times, as a part of the wait.
+RETURN_SPREAD = 0.5
+
+
+class RetryBudget:
+    """Let retries be at most a fraction of first tries, per member.
+
+    Parameters
+    ----------
+    ratio : float
+        Retries earned by each first try.
+    floor : float
+        Retries in hand at the start, and the most that can be saved beyond the
+        window's earnings.
+    """
+
+    def __init__(
+        self, ratio: float, floor: float, window_s: float = BUDGET_WINDOW_S
+    ) -> None:
+        self.ratio = ratio
+        self.floor = floor
+        self._window_s = window_s
+        self._balance = floor
+        self._rate = 0.0
+        self._at: float | None = None
+
+    def earn(self, now: float) -> None:
+        """Count one first try."""
+        if self._at is not None:
+            decay = max(0.0, 1 - (now - self._at) / self._window_s)
+            self._rate *= decay
+        self._at = now
+        self._rate += 1
+        cap = max(self.floor, self._rate * self.ratio)
+        self._balance = min(self._balance + self.ratio, cap)
+
+    def spend(self) -> bool:
+        """Take one retry, if there is one."""
+        if self._balance < 1:
+            return False
+        self._balance -= 1
+        return True
+
+
+def retry_after_s(wait_s: float, rng: random.Random) -> float:
+    """Spread the return of refused callers over a stretch after an expected wait.
+
+    Parameters
+    ----------
+    wait_s : float
+        Expected seconds until there is room.
+    """
+    wait_s = min(max(wait_s, MIN_RETRY_AFTER_S), MAX_RETRY_AFTER_S)
+    return wait_s * (1 + RETURN_SPREAD * rng.random())
--- /dev/null
+++ b/packages/wire/tests/test_wire_frames.py
@@ -0,0 +1,44 @@
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from slatehoist.wire import FrameDecoder, WireError, encode_frame
+from slatehoist.wire.messages import Accepted, Broken, Data, Final, Head, NotRun
+
+FRAMES = st.one_of(
+    st.builds(Accepted, st.text(max_size=8)),
+    st.builds(NotRun, st.text(max_size=8), st.just("draining"), st.floats(0, 60)),
+    st.builds(Head, st.integers(100, 599), st.just({"a": "b"})),
+    st.builds(Data, st.integers(0, 2**40), st.binary(max_size=64)),
+    st.builds(
+        Final,
+        st.text(max_size=8),
+        st.integers(0, 9),
+        st.just("d"),
+        load=st.floats(0, 9),
+    ),
+    st.builds(Broken, st.text(max_size=8), st.text(max_size=8)),
+)
+
+
+class FrameDecoderTests(unittest.TestCase):
+    @given(st.lists(FRAMES, max_size=12), st.integers(1, 17))
+    def test_frames_survive_any_cut_of_the_stream(self, frames, size):
+        data = b"".join(encode_frame(frame) for frame in frames)
+        decoder = FrameDecoder()
+        found = []
+        for start in range(0, len(data), size):
+            found += decoder.feed(data[start : start + size])
+        self.assertEqual(found, frames)
+
+    @given(st.binary(min_size=5, max_size=64))
+    def test_rubbish_raises_wire_error_or_waits(self, data):
+        try:
+            FrameDecoder().feed(data)
+        except WireError:
+            pass
+
+    def test_too_long_a_frame_is_refused(self):
+        with self.assertRaises(WireError):
+            FrameDecoder().feed(b"\xff\xff\xff\xff\x03")
--- /dev/null
+++ b/standins/src/slatehoist_standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the platform's services and the engines."""
--- /dev/null
+++ b/standins/src/slatehoist_standins/fleet.py
@@ -0,0 +1,285 @@
+"""Start and stop the product's processes and the stand-ins on loopback.
+
+Used by the demo, the benches, the fault matrix and the tests of whole processes.
+"""
+
+import asyncio
+import json
+import os
+import pathlib
+import shutil
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+from typing import Any, NamedTuple
+
+import aiohttp
+
+#: Seconds that a process may take to start.
+START_TIMEOUT_S = 20.0
+#: Seconds that a process may take to stop before it is killed.
+STOP_TIMEOUT_S = 5.0
+
+TOKENS = [
+    {"token": "andina-operator", "member": "andina", "team": "ops", "operator": True},
+    {"token": "andina-router", "member": "andina", "team": "router"},
+    {
+        "token": "tejoverde-operator",
+        "member": "tejoverde",
+        "team": "ops",
+        "operator": True,
+    },
+    {"token": "tejoverde-permits", "member": "tejoverde", "team": "permits"},
+]
+
+
+def free_port() -> int:
+    """Find a free port on loopback."""
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return sock.getsockname()[1]
+
+
+class Node(NamedTuple):
+    """One process of the product and where it listens."""
+
+    name: str
+    role: str
+    zone: str
+    http: str
+    control: str
+    config: str
+    endpoint: str = ""
+
+
+class Fleet:
+    """Processes of one trial, in one scratch folder.
+
+    Attributes
+    ----------
+    processes : dict of str to Popen
+    nodes : dict of str to Node
+    """
+
+    def __init__(self) -> None:
+        self.folder = pathlib.Path(tempfile.mkdtemp(prefix="slatehoist-"))
+        self.processes: dict[str, subprocess.Popen] = {}
+        self.commands: dict[str, list[str]] = {}
+        self.nodes: dict[str, Node] = {}
+        self.platform_url = ""
+        self.session: aiohttp.ClientSession | None = None
+
+    async def __aenter__(self) -> "Fleet":
+        connector = aiohttp.TCPConnector(force_close=True, limit=0)
+        self.session = aiohttp.ClientSession(connector=connector)
+        return self
+
+    async def __aexit__(self, *exc_info: object) -> None:
+        await self.session.close()
+        self.stop_all()
+        if not os.environ.get("KEEP"):
+            shutil.rmtree(self.folder, ignore_errors=True)
+
+    # Processes -----------------------------------------------------------------
+
+    def spawn(self, name: str, command: list[str]) -> subprocess.Popen:
+        """Start a process; its output goes to a file of its own."""
+        with open(self.folder / f"{name}.log", "ab") as output:
+            proc = subprocess.Popen(
+                command, stdout=output, stderr=output, stdin=subprocess.DEVNULL
+            )
+        self.processes[name] = proc
+        self.commands[name] = command
+        return proc
+
+    def signal(self, name: str, signum: int) -> None:
+        """Send a signal to a process that this fleet started."""
+        if self.processes[name].poll() is None:
+            self.processes[name].send_signal(signum)
+
+    def kill(self, name: str) -> None:
+        """Kill a process at once."""
+        self.signal(name, signal.SIGKILL)
+        self.processes[name].wait()
+
+    def restart(self, name: str) -> None:
+        """Start a process again with the same command."""
+        self.spawn(name, self.commands[name])
+
+    def stop_all(self) -> None:
+        """Stop everything that was started, and make sure of it."""
+        for name in self.processes:
+            self.signal(name, signal.SIGCONT)
+            self.signal(name, signal.SIGTERM)
+            self.signal(name, signal.SIGTERM)
+        end = time.monotonic() + STOP_TIMEOUT_S
+        for proc in self.processes.values():
+            try:
+                proc.wait(max(0.1, end - time.monotonic()))
+            except subprocess.TimeoutExpired:
+                proc.kill()
+                proc.wait()
+
+    def log(self, name: str) -> str:
+        """Read what a process printed."""
+        return (self.folder / f"{name}.log").read_text(errors="replace")
+
+    # Stand-ins -----------------------------------------------------------------
+
+    async def start_standin(
+        self, kind: str, name: str, port: int | None = None, **options: object
+    ) -> str:
+        """Start a stand-in and return its URL."""
+        port = port or free_port()
+        command = [sys.executable, "-m", "slatehoist_standins", kind, str(port)]
+        command += [f"{key}={value}" for key, value in options.items()]
+        self.spawn(name, command)
+        await self.wait_port(name, f"127.0.0.1:{port}")
+        return f"http://127.0.0.1:{port}"
+
+    async def start_platform(self, **options: object) -> None:
+        """Start the platform's stand-in."""
+        self.platform_url = await self.start_standin("platform", "platform", **options)
+
+    def record_path(self, name: str) -> str:
+        """Give the path of a stand-in's record."""
+        return str(self.folder / f"{name}.record")
+
+    # Product -------------------------------------------------------------------
+
+    async def start_entry(self, name: str, zone: str = "a", **tables: Any) -> Node:
+        """Start an entry and register it with the platform."""
+        return await self._start_node(name, "entry", zone, {"token": TOKENS, **tables})
+
+    async def start_sidecar(
+        self, name: str, endpoint: dict, zone: str = "a", **tables: Any
+    ) -> Node:
+        """Start a sidecar and register it with the platform."""
+        tables = {"endpoint": endpoint, **tables}
+        return await self._start_node(name, "sidecar", zone, tables)
+
+    async def register(self, node: Node, state: str = "live") -> None:
+        """Put a process on the platform's list."""
+        body = {
+            "name": node.name,
+            "role": node.role,
+            "zone": node.zone,
+            "address": node.http,
+            "control": node.control,
+            "state": state,
+            "endpoint": node.endpoint,
+        }
+        url = f"{self.platform_url}/v1/instances"
+        async with self.session.put(url, json=body) as resp:
+            resp.raise_for_status()
+
+    async def deregister(self, name: str) -> None:
+        """Take a process off the platform's list."""
+        url = f"{self.platform_url}/v1/instances/{name}"
+        async with self.session.delete(url) as resp:
+            resp.raise_for_status()
+
+    async def set_faults(self, url: str, **faults: object) -> None:
+        """Tell a stand-in how to fail; no faults heals it."""
+        async with self.session.post(f"{url}/faults", json=faults) as resp:
+            resp.raise_for_status()
+
+    async def _start_node(
+        self, name: str, role: str, zone: str, tables: dict[str, Any]
+    ) -> Node:
+        http = f"127.0.0.1:{free_port()}"
+        control = f"127.0.0.1:{free_port()}"
+        config = self.folder / f"{name}.toml"
+        instance = {"name": name, "zone": zone, "listen": http, "control": control}
+        services = ("table", "objects", "instances", "weights")
+        platform = dict.fromkeys(services, self.platform_url)
+        platform["poll_s"] = 0.3
+        platform.update(tables.pop("platform", {}))
+        tables = {"instance": instance, "platform": platform, **tables}
+        config.write_text(to_toml(tables))
+        endpoint = tables.get("endpoint", {}).get("name", "")
+        node = Node(name, role, zone, http, control, str(config), endpoint)
+        self.nodes[name] = node
+        daemon = str(pathlib.Path(sys.executable).with_name("slatehoistd"))
+        self.spawn(name, [daemon, role, "--config", str(config)])
+        await self.wait_port(name, http)
+        await self.register(node)
+        return node
+
+    # Waiting -------------------------------------------------------------------
+
+    async def wait_port(self, name: str, address: str) -> None:
+        """Wait until a process listens."""
+        host, _, port = address.rpartition(":")
+        end = time.monotonic() + START_TIMEOUT_S
+        while time.monotonic() < end:
+            if self.processes[name].poll() is not None:
+                raise RuntimeError(f"{name} ended at its start:\n{self.log(name)}")
+            try:
+                _, writer = await asyncio.open_connection(host, int(port))
+            except OSError:
+                await asyncio.sleep(0.02)
+                continue
+            writer.close()
+            return
+        raise RuntimeError(f"{name} does not listen:\n{self.log(name)}")
+
+    async def wait_status(
+        self, entry: Node, sidecars: int, timeout_s: float = 15.0
+    ) -> dict:
+        """Wait until an entry may send work to a number of sidecars."""
+        end = time.monotonic() + timeout_s
+        while True:
+            status = await self.status(entry)
+            ready = [s for s in status["sidecars"].values() if s["takes_work"]]
+            behind = status["in_force"] < status["of"]
+            if len(ready) >= sidecars and not behind:
+                return status
+            if time.monotonic() > end:
+                raise RuntimeError(f"not ready: {json.dumps(status)}")
+            await asyncio.sleep(0.05)
+
+    async def status(self, entry: Node) -> dict:
+        """Read an entry's status."""
+        url = f"http://{entry.http}/api/v1/status"
+        async with self.session.get(url, headers=bearer("andina-operator")) as resp:
+            return await resp.json()
+
+    async def declare(
+        self, entry: Node, kind: str, name: str, spec: dict, member: str = "andina"
+    ) -> dict:
+        """Declare a resource."""
+        url = f"http://{entry.http}/api/v1/{kind}/{name}"
+        headers = bearer(f"{member}-operator")
+        async with self.session.put(url, json=spec, headers=headers) as resp:
+            body = await resp.json()
+            if resp.status != 200:
+                raise RuntimeError(f"{kind}/{name}: {resp.status} {body}")
+            return body
+
+
+def bearer(token: str) -> dict[str, str]:
+    """Give the header of a bearer token."""
+    return {"Authorization": f"Bearer {token}"}
+
+
+def to_toml(tables: dict[str, Any]) -> str:
+    """Write tables of plain values as TOML."""
+    lines: list[str] = []
+    tail: list[str] = []
+    for key, value in tables.items():
+        if isinstance(value, dict):
+            tail += [f"[{key}]", *_pairs(value), ""]
+        elif isinstance(value, list) and value and isinstance(value[0], dict):
+            for item in value:
+                tail += [f"[[{key}]]", *_pairs(item), ""]
+        else:
+            lines += _pairs({key: value})
+    return "\n".join([*lines, *tail])
+
+
+def _pairs(values: dict[str, Any]) -> list[str]:
+    return [f"{key} = {json.dumps(value)}" for key, value in values.items()]
