Claim idempotency keys in the table before the first dispatch

A key's claim names the attempt and its sidecar; another entry asks there, replays the record, or takes over an attempt that is forbidden for good. Claims share transactions.

--- a/packages/daemon/src/slatehoist/daemon/entry/answers.py
+++ b/packages/daemon/src/slatehoist/daemon/entry/answers.py
@@ -70,10 +70,16 @@
 
     An event stream is passed on as it comes. Any other answer is kept until it is
     whole, so that a broken one can be replaced by another try.
+
+    Parameters
+    ----------
+    keep : bool
+        Whether to keep a copy of a stream too, for the record of its claim.
     """
 
-    def __init__(self, req: web.Request, trace: str) -> None:
+    def __init__(self, req: web.Request, trace: str, keep: bool = False) -> None:
         self._req = req
+        self._keep = keep
         self._trace = trace
         self._head: Head | None = None
         self._parts: list[bytes] = []
@@ -111,8 +117,10 @@
 
     async def write(self, data: bytes) -> None:
         """Take in a piece of the answer."""
-        if not self._is_event_stream():
+        is_event_stream = self._is_event_stream()
+        if self._keep or not is_event_stream:
             self._parts.append(data)
+        if not is_event_stream:
             return
         if self._stream is None:
             await self._open_stream()
--- a/packages/daemon/src/slatehoist/daemon/entry/attempts.py
+++ b/packages/daemon/src/slatehoist/daemon/entry/attempts.py
@@ -14,6 +14,7 @@
 from slatehoist.wire import FrameDecoder, WireError, encode
 from slatehoist.wire.messages import (
     AttemptRequest,
+    AttemptState,
     Broken,
     Data,
     Final,
@@ -41,8 +42,8 @@
 Outcome = Final | NotRun | Broken | Unknown
 
 
-class _Gone(Exception):
-    """The sidecar's incarnation is gone."""
+class IncarnationGoneError(Exception):
+    """Report that a sidecar's incarnation is gone, with all it knew."""
 
 
 class _Progress:
@@ -129,7 +130,7 @@
             try:
                 async for piece in self._query(address, req, progress):
                     yield piece
-            except (_Gone, aiohttp.ClientConnectorError):
+            except (IncarnationGoneError, aiohttp.ClientConnectorError):
                 break
             except (TimeoutError, aiohttp.ClientError, WireError):
                 pass
@@ -145,10 +146,31 @@
         try:
             async for piece in self._query(address, req, progress):
                 yield piece
-        except (TimeoutError, _Gone, aiohttp.ClientError, WireError):
+        except (TimeoutError, IncarnationGoneError, aiohttp.ClientError, WireError):
             pass
         yield progress.outcome or Unknown(attempt_id, "sidecar_gone")
 
+    async def state(
+        self, address: str, incarnation: str, attempt_id: str
+    ) -> AttemptState | None:
+        """Ask what became of an attempt; None if the sidecar does not answer.
+
+        Raises
+        ------
+        IncarnationGoneError
+            If another incarnation answered.
+        """
+        url = f"http://{address}/attempts/{attempt_id}/state"
+        timeout = aiohttp.ClientTimeout(total=self._cfg.query_timeout_s)
+        params = {"incarnation": incarnation}
+        try:
+            async with self._fresh.get(url, params=params, timeout=timeout) as resp:
+                if resp.status == _HTTP_GONE:
+                    raise IncarnationGoneError
+                return AttemptState(await resp.text())
+        except (aiohttp.ClientError, TimeoutError, ValueError):
+            return None
+
     async def cancel(self, address: str, attempt_id: str) -> None:
         """Tell a sidecar that nobody wants an attempt any more."""
         url = f"http://{address}/attempts/{attempt_id}"
@@ -180,7 +202,7 @@
         )
         async with self._fresh.get(url, params=params, timeout=timeout) as resp:
             if resp.status == _HTTP_GONE:
-                raise _Gone
+                raise IncarnationGoneError
             async for piece in _read_frames(resp, progress):
                 yield piece
 
--- a/packages/daemon/src/slatehoist/daemon/entry/callers.py
+++ b/packages/daemon/src/slatehoist/daemon/entry/callers.py
@@ -17,6 +17,7 @@
     error_response,
 )
 from slatehoist.daemon.entry.dispatch import CallerRequest, Dispatcher
+from slatehoist.daemon.entry.keyed import ClaimKeeper, KeyedRequest
 from slatehoist.daemon.metrics import Metric, Metrics
 from slatehoist.daemon.tracing import parent_context, trace_id, tracer
 from slatehoist.routing import prefix_keys
@@ -62,6 +63,7 @@
         cfg: EntrySettings,
         replica: Replica,
         dispatcher: Dispatcher,
+        claims: ClaimKeeper,
         metrics: Metrics,
         takes_work: Callable[[], bool],
         clock: Callable[[], float],
@@ -69,6 +71,7 @@
         self._cfg = cfg
         self._replica = replica
         self._dispatcher = dispatcher
+        self._claims = claims
         self._metrics = metrics
         self._takes_work = takes_work
         self._clock = clock
@@ -134,15 +137,21 @@
             return error_response(error._replace(retry_after_s=1.0), trace), None
         body = await self._read_body(req)
         caller = parse(req, token, body)
-        answer = CallerAnswer(req, trace)
+        answer = CallerAnswer(req, trace, keep=bool(caller.key))
+        keyed = self._keyed(caller)
         try:
             async with asyncio.timeout(caller.deadline - self._clock()):
-                resp = await self._dispatcher.run(caller, answer)
+                resp = await self._dispatcher.run(caller, answer, keyed)
         except TimeoutError:
             error = CallerError(504, "deadline", "out of time", "unknown")
             resp = await answer.fail(error)
         return resp, caller
 
+    def _keyed(self, caller: CallerRequest) -> KeyedRequest | None:
+        if not caller.key:
+            return None
+        return self._claims.keyed(caller.member, caller.team, caller.key, caller.digest)
+
     async def _read_body(self, req: web.Request) -> bytes:
         limit = self._cfg.caller.max_body_bytes
         if (req.content_length or 0) > limit:
--- a/packages/daemon/src/slatehoist/daemon/entry/dispatch.py
+++ b/packages/daemon/src/slatehoist/daemon/entry/dispatch.py
@@ -14,6 +14,7 @@
 from slatehoist.daemon.entry.answers import CallerAnswer, CallerError, Ran
 from slatehoist.daemon.entry.attempts import AttemptClient, Outcome, Unknown
 from slatehoist.daemon.entry.directory import Directory, Neighbour
+from slatehoist.daemon.entry.keyed import KeyedRequest, Replay
 from slatehoist.daemon.metrics import Metric, Metrics
 from slatehoist.daemon.tracing import traceparent, tracer
 from slatehoist.routing import (
@@ -114,8 +115,19 @@
         self._prefixes = PrefixIndex()
         self._budgets: dict[str, RetryBudget] = {}
 
-    async def run(self, req: CallerRequest, answer: CallerAnswer) -> web.StreamResponse:
-        """Run a request to its final answer."""
+    async def run(
+        self,
+        req: CallerRequest,
+        answer: CallerAnswer,
+        keyed: KeyedRequest | None = None,
+    ) -> web.StreamResponse:
+        """Run a request to its final answer.
+
+        Parameters
+        ----------
+        keyed : KeyedRequest or None
+            Claim of the request's idempotency key, if it has one.
+        """
         budget = self._budget(req.member)
         budget.earn(self._clock())
         tried: set[str] = set()
@@ -128,7 +140,14 @@
             if neighbour is None:
                 return await answer.fail(error or self._no_endpoint())
             tried.add(neighbour.instance.name)
-            outcome = await self._try(req, neighbour, answer)
+            attempt = self._attempt(req, neighbour)
+            if keyed is not None:
+                found = await keyed.before_send(neighbour, attempt.attempt_id)
+                if found is not None:
+                    return await _answer_found(found, answer)
+            outcome = await self._try(neighbour, attempt, answer)
+            if keyed is not None:
+                keyed.ended(outcome, answer)
             if isinstance(outcome, Final):
                 self._note_whole(req, neighbour)
                 return await answer.finish()
@@ -140,20 +159,21 @@
         return await answer.fail(error)
 
     async def _try(
-        self, req: CallerRequest, neighbour: Neighbour, answer: CallerAnswer
+        self, neighbour: Neighbour, attempt: AttemptRequest, answer: CallerAnswer
     ) -> Outcome:
         """Send one attempt and pass its answer on."""
         with tracer().start_as_current_span("entry.link") as span:
-            attempt = self._attempt(req, neighbour, traceparent(span))
+            attempt = attempt._replace(traceparent=traceparent(span))
             span.set_attribute("attempt.id", attempt.attempt_id)
             span.set_attribute("instance", neighbour.instance.name)
             neighbour.inflight += 1
             try:
                 return await self._follow(neighbour, attempt, answer)
             except asyncio.CancelledError:
-                address = neighbour.instance.address
-                cancel = self._client.cancel(address, attempt.attempt_id)
-                self._background.spawn(cancel)
+                if not attempt.keyed:
+                    address = neighbour.instance.address
+                    cancel = self._client.cancel(address, attempt.attempt_id)
+                    self._background.spawn(cancel)
                 raise
             finally:
                 neighbour.inflight -= 1
@@ -176,9 +196,7 @@
             self._metrics.count(Metric.UNKNOWN)
         return outcome
 
-    def _attempt(
-        self, req: CallerRequest, neighbour: Neighbour, trace: str
-    ) -> AttemptRequest:
+    def _attempt(self, req: CallerRequest, neighbour: Neighbour) -> AttemptRequest:
         now = self._clock()
         verdict = self._ledger.verdict(req.digest, now)
         return AttemptRequest(
@@ -197,7 +215,7 @@
             cost=req.cost,
             digest=req.digest,
             suspect=verdict == Verdict.SUSPECT,
-            traceparent=trace,
+            keyed=bool(req.key),
         )
 
     def _choose(self, req: CallerRequest, tried: set[str]) -> Neighbour | None:
@@ -294,3 +312,14 @@
             Ran.NO,
             retry_after_s(outcome.retry_after_s, self._rng),
         )
+
+
+async def _answer_found(
+    found: CallerError | Replay, answer: CallerAnswer
+) -> web.StreamResponse:
+    """Answer with what a claim's row said instead of running the request."""
+    if isinstance(found, CallerError):
+        return await answer.fail(found)
+    answer.begin(found.head)
+    await answer.write(found.body)
+    return await answer.finish()
--- a/packages/daemon/src/slatehoist/daemon/entry/process.py
+++ b/packages/daemon/src/slatehoist/daemon/entry/process.py
@@ -10,16 +10,24 @@
 from aiohttp import web
 
 from slatehoist.config import EntrySettings, Replica, ResourceStore
+from slatehoist.coord import ClaimBook, WriteBatcher
 from slatehoist.daemon.background import Background
 from slatehoist.daemon.configsync import decode_changes, encode_changes
 from slatehoist.daemon.entry.attempts import AttemptClient
 from slatehoist.daemon.entry.callers import CallerApi
 from slatehoist.daemon.entry.directory import Directory, Neighbour
 from slatehoist.daemon.entry.dispatch import Dispatcher
+from slatehoist.daemon.entry.keyed import ClaimKeeper
 from slatehoist.daemon.entry.resource_api import ResourceApi
 from slatehoist.daemon.lifecycle import Lifecycle
 from slatehoist.daemon.metrics import Metric, Metrics
-from slatehoist.platform import HttpInstanceList, HttpTable, Instance, PlatformError
+from slatehoist.platform import (
+    HttpInstanceList,
+    HttpObjectStore,
+    HttpTable,
+    Instance,
+    PlatformError,
+)
 from slatehoist.routing import SuspectLedger
 from slatehoist.wire import LinkDownError, LinkServer, decode
 from slatehoist.wire.messages import (
@@ -151,10 +159,18 @@
             self.clock,
             random.Random(),
         )
+        claims = ClaimKeeper(
+            ClaimBook(table, WriteBatcher(table)),
+            HttpObjectStore(cfg.platform.objects, self._session),
+            self._client,
+            self.directory,
+            self.background,
+        )
         self.callers = CallerApi(
             cfg,
             self.replica,
             self.dispatcher,
+            claims,
             self.metrics,
             lambda: self.lifecycle.takes_work,
             self.clock,
--- a/packages/daemon/src/slatehoist/daemon/sidecar/attempts.py
+++ b/packages/daemon/src/slatehoist/daemon/sidecar/attempts.py
@@ -27,6 +27,12 @@
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
 #: Seconds that a tombstone is kept; longer than a message can be late.
 TOMBSTONE_S = 600.0
+#: Seconds for which it is remembered that an attempt ran, when its answer is gone.
+MEMORY_S = 600.0
+#: The same for an attempt with an idempotency key; as long as its claim lives.
+KEYED_MEMORY_S = 24 * 3600.0
+#: Seconds for which the answer to a request with an idempotency key is kept.
+KEYED_RETAIN_S = 600.0
 
 
 class Attempt:
@@ -121,6 +127,7 @@
         self._retain_s = retain_s
         self._attempts: dict[str, Attempt] = {}
         self._tombstones: dict[str, float] = {}
+        self._ran: dict[str, float] = {}
 
     def __len__(self) -> int:
         return len(self._attempts)
@@ -134,12 +141,26 @@
 
         The caller makes sure that the attempt is not known yet.
         """
-        if req.attempt_id in self._tombstones:
+        if req.attempt_id in self._tombstones or req.attempt_id in self._ran:
             return None
         attempt = Attempt(req, now)
         self._attempts[req.attempt_id] = attempt
         return attempt
 
+    def state(self, attempt_id: str, now: float) -> AttemptState:
+        """Tell what became of an attempt; one never seen is forbidden for good."""
+        attempt = self._attempts.get(attempt_id)
+        if attempt is not None:
+            return attempt.state
+        if attempt_id in self._ran:
+            return AttemptState.BROKEN
+        self.bury(attempt_id, now)
+        return AttemptState.NEVER_SEEN
+
+    def has_run(self, attempt_id: str) -> bool:
+        """Tell whether an attempt ran whose answer is gone."""
+        return attempt_id in self._ran
+
     def bury(self, attempt_id: str, now: float) -> None:
         """Leave a tombstone for an attempt that never arrived."""
         self._tombstones[attempt_id] = now + TOMBSTONE_S
@@ -157,19 +178,33 @@
 
     def sweep(self, now: float, orphan_s: float) -> list[Attempt]:
         """Forget what is old, and give the attempts that nobody reads any more."""
-        for attempt_id, attempt in list(self._attempts.items()):
-            ended = attempt.ended_at
-            if ended is not None and now - ended > self._retain_s:
-                del self._attempts[attempt_id]
-        for attempt_id, expires in list(self._tombstones.items()):
-            if expires <= now:
-                del self._tombstones[attempt_id]
+        for attempt in list(self._attempts.values()):
+            keyed = attempt.req.keyed
+            retain_s = KEYED_RETAIN_S if keyed else self._retain_s
+            if attempt.ended_at is not None and now - attempt.ended_at > retain_s:
+                self._forget(attempt, now)
+        for memory in (self._tombstones, self._ran):
+            for attempt_id, expires in list(memory.items()):
+                if expires <= now:
+                    del memory[attempt_id]
         return [
             attempt
             for attempt in self.live()
-            if not attempt.readers and now - attempt.last_reader_at > orphan_s
+            if not attempt.readers
+            and not attempt.req.keyed
+            and now - attempt.last_reader_at > orphan_s
         ]
 
+    def _forget(self, attempt: Attempt, now: float) -> None:
+        """Drop an ended attempt's answer, but not the fact that it ran or did not."""
+        attempt_id = attempt.req.attempt_id
+        del self._attempts[attempt_id]
+        if attempt.state == AttemptState.NOT_RUN:
+            self.bury(attempt_id, now)
+            return
+        memory_s = KEYED_MEMORY_S if attempt.req.keyed else MEMORY_S
+        self._ran[attempt_id] = now + memory_s
+
 
 class CrashLog:
     """Agree, within one sidecar, on which requests were in flight at a crash."""
--- a/packages/daemon/src/slatehoist/daemon/sidecar/server.py
+++ b/packages/daemon/src/slatehoist/daemon/sidecar/server.py
@@ -10,6 +10,8 @@
 from slatehoist.wire.messages import (
     Accepted,
     AttemptRequest,
+    Broken,
+    BrokenReason,
     KeepAlive,
     NotRun,
     NotRunReason,
@@ -52,6 +54,7 @@
         app = web.Application(client_max_size=MAX_ATTEMPT_BYTES)
         app.router.add_post("/attempts", self._post)
         app.router.add_get("/attempts/{id}", self._get)
+        app.router.add_get("/attempts/{id}/state", self._get_state)
         app.router.add_delete("/attempts/{id}", self._delete)
         return app
 
@@ -76,10 +79,20 @@
             return web.Response(status=_HTTP_GONE)
         attempt_id = req.match_info["id"]
         attempt = self._table.get(attempt_id)
-        if attempt is None:
-            self._table.bury(attempt_id, self._clock())
-            return _not_run(attempt_id, NotRunReason.TOMBSTONE)
-        return await self._stream(req, attempt, int(req.query.get("from", 0)))
+        if attempt is not None:
+            return await self._stream(req, attempt, int(req.query.get("from", 0)))
+        if self._table.has_run(attempt_id):
+            last = Broken(attempt_id, BrokenReason.ANSWER_GONE)
+            return web.Response(body=encode_frame(last))
+        self._table.bury(attempt_id, self._clock())
+        return _not_run(attempt_id, NotRunReason.TOMBSTONE)
+
+    async def _get_state(self, req: web.Request) -> web.Response:
+        """Tell what became of an attempt, in one word."""
+        if req.query.get("incarnation") != self._incarnation:
+            return web.Response(status=_HTTP_GONE)
+        state = self._table.state(req.match_info["id"], self._clock())
+        return web.Response(text=state)
 
     async def _delete(self, req: web.Request) -> web.Response:
         """Cancel an attempt."""
--- a/packages/wire/src/slatehoist/wire/messages.py
+++ b/packages/wire/src/slatehoist/wire/messages.py
@@ -31,6 +31,7 @@
     CANCELLED = "cancelled"
     BUFFER_LIMIT = "buffer_limit"
     DEADLINE = "deadline"
+    ANSWER_GONE = "answer_gone"
 
 
 class AttemptState(StrEnum):
@@ -57,6 +58,8 @@
         Digest of team and body, the identity used for crash suspicion.
     suspect : bool
         Whether the request was in flight on an endpoint that crashed.
+    keyed : bool
+        Whether the request has an idempotency key, so that others may ask for it.
     """
 
     attempt_id: str
@@ -74,6 +77,7 @@
     cost: float
     digest: str
     suspect: bool = False
+    keyed: bool = False
     traceparent: str = ""
 
 
@@ -210,48 +214,62 @@
 
 
 class MapOrder(NamedTuple):
-    """Order from a group's coordinator to one rank.
+    """Order to one rank about its expert map.
 
     Attributes
     ----------
     verb : str
-        One of ``query``, ``stage``, ``arm``, ``go``, ``lift``, ``drop``.
+        A coordinator gives ``query``, ``stage``, ``arm``, ``go`` and ``drop``; anyone
+        who settles an arm gives ``void``, ``settle`` and ``lift``.
     fence : int
         Fencing number of the coordinator's lease.
+    incarnation : str
+        Incarnation of the gate that the order is for, where it matters.
     epoch : int
         Epoch of the map that the order is about.
     step : int
-        First step of the new map, for ``arm`` and ``go``.
+        First step of the new map.
+    placement : bytes
+        The map, for ``stage``.
     """
 
     group: str
     rank: int
     verb: str
-    fence: int
+    fence: int = 0
+    incarnation: str = ""
     epoch: int = 0
     step: int = 0
-    weights: bytes = b""
+    placement: bytes = b""
 
 
 class MapReply(NamedTuple):
-    """A rank's answer to a coordinator.
+    """A rank's answer to an order, with its state after it.
 
     Attributes
     ----------
     done : bool
-        Whether the order is in effect.
+        Whether the order is in effect; if not, ``reason`` says why.
+    epoch : int
+        Epoch of the map in use.
+    loaded : list of int
+        Epochs whose maps are loaded.
+    hold_step : int
+        Step that the rank will not begin; 0 for none.
     next_step : int
-        Index of the first step that this rank has not begun.
+        First step that the rank has not begun.
+    switch_epoch, switch_step : int
+        Last switch that was ordered, done or to come.
     """
 
     rank: int
     done: bool
+    reason: str
     fence: int
+    incarnation: str
     epoch: int
-    staged: int
-    armed_epoch: int
-    armed_step: int
+    loaded: list[int]
+    hold_step: int
     next_step: int
-    reason: str = ""
-    decided_epoch: int = 0
-    decided_step: int = 0
+    switch_epoch: int
+    switch_step: int
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -125,6 +125,7 @@
             entries = await start(fleet)
             check("two entries and four sidecars are up", True)
             await check_requests(fleet, entries)
+            await check_idempotency(fleet, entries)
             await check_drain(fleet, entries)
             await check_kill(fleet, entries)
         except (CheckFailedError, RuntimeError) as exc:
