--- a/packages/config/src/slatehoist/config/settings.py
+++ b/packages/config/src/slatehoist/config/settings.py
@@ -162,7 +162,7 @@
 
 
 class RankSettings(NamedTuple):
-    """The rank of a group that the endpoint runs, if any."""
+    """A rank of a group that runs beside the sidecar."""
 
     group: Annotated[str, Field(min_length=1, description="name of the group")]
     rank: Annotated[int, Field(ge=0, description="index of the rank")]
@@ -181,7 +181,7 @@
     instance: InstanceSettings
     platform: PlatformSettings
     endpoint: EndpointSettings
-    rank: RankSettings | None = None
+    rank: list[RankSettings] = []
     log: LogSettings = LogSettings()
     observe: ObserveSettings = ObserveSettings()
     retain_s: Annotated[
--- a/packages/coord/src/slatehoist/coord/gates.py
+++ b/packages/coord/src/slatehoist/coord/gates.py
@@ -41,7 +41,7 @@
         """Report the state."""
 
     async def load(self, epoch: int, placement: bytes, fence: int) -> None:
-        """Load the map and weights of an epoch beside those in use."""
+        """Begin to load the map and weights of an epoch beside those in use."""
 
     async def hold(self, step: int, fence: int) -> bool:
         """Do not begin a step; False if it was begun already."""
@@ -115,8 +115,7 @@
             case "query":
                 return ""
             case "stage":
-                await self._rank.load(order.epoch, order.placement, order.fence)
-                return ""
+                return await self._stage(order)
             case "arm":
                 return await self._arm(order)
             case "go":
@@ -131,6 +130,14 @@
                 return await self._drop(order)
         return "verb"
 
+    async def _stage(self, order: MapOrder) -> str:
+        """Load a map beside the one in use; ask again until it is loaded."""
+        state = await self._rank.state()
+        if order.epoch not in state.loaded:
+            await self._rank.load(order.epoch, order.placement, order.fence)
+            state = await self._rank.state()
+        return "" if order.epoch in state.loaded else "loading"
+
     async def _arm(self, order: MapOrder) -> str:
         """Promise to wait before a step."""
         if order.step in self.voided:
--- a/packages/coord/src/slatehoist/coord/switch.py
+++ b/packages/coord/src/slatehoist/coord/switch.py
@@ -166,7 +166,7 @@
         old = max(reply.epoch for reply in replies)
         loaded = [epoch for reply in replies for epoch in reply.loaded]
         epoch = max([old, _epoch(row), *loaded]) + 1
-        await self._tell_all("stage", epoch, placement=placement)
+        await self._stage(epoch, placement)
         await self._decide(row, epoch, placement)
         step = await self._arm(epoch)
         await self._go(epoch, step)
@@ -174,6 +174,14 @@
         await self._drop_all_but(epoch)
         return step
 
+    async def _stage(self, epoch: int, placement: bytes) -> None:
+        """Have all ranks load the new map."""
+        while True:
+            replies = await self._tell_all("stage", epoch, placement=placement)
+            if all(reply.done for reply in replies):
+                return
+            await asyncio.sleep(self._retry_s)
+
     async def _decide(self, row: Row | None, epoch: int, placement: bytes) -> None:
         """Write the decision; the row's fence keeps an older coordinator out."""
         lease = self._lease()
--- a/packages/daemon/src/slatehoist/daemon/metrics.py
+++ b/packages/daemon/src/slatehoist/daemon/metrics.py
@@ -22,7 +22,7 @@
     STEP_MS = "sidecar.step_ms"
     CRASHES = "sidecar.crashes"
     REVISION = "config.revision"
-    MAP_EPOCH = "group.map_epoch"
+    MAP_SWITCHES = "group.map_switches"
 
 
 class Metrics:
--- /dev/null
+++ b/packages/daemon/src/slatehoist/daemon/sidecar/peers.py
@@ -0,0 +1,114 @@
+"""Links among the sidecars of one group, opened when there is something to say."""
+
+import asyncio
+import contextlib
+from collections.abc import Callable
+
+from slatehoist.config import Kind, Replica
+from slatehoist.platform import Instance, InstanceList, PlatformError
+from slatehoist.wire import Link, LinkDownError
+from slatehoist.wire.messages import (
+    Heartbeat,
+    MapOrder,
+    MapReply,
+    RanksAnswer,
+    RanksQuestion,
+)
+
+#: Seconds that one order may take to be answered.
+ORDER_TIMEOUT_S = 2.0
+#: Seconds to wait for a link to come up.
+CONNECT_TIMEOUT_S = 2.0
+
+
+class LinkedRank:
+    """One rank behind a link."""
+
+    def __init__(self, link: Link) -> None:
+        self._link = link
+
+    async def order(self, order: MapOrder) -> MapReply:
+        """Give an order; see `RankPeer`."""
+        return await self._link.ask("map_order", order, MapReply, ORDER_TIMEOUT_S)
+
+
+class GroupPeers:
+    """Sidecars that host the ranks of one group, this one among them.
+
+    Parameters
+    ----------
+    ranks : callable
+        Gives the number of ranks that the group is declared with; 0 if unknown.
+    """
+
+    def __init__(
+        self,
+        group: str,
+        instances: InstanceList,
+        replica: Replica,
+        heartbeat: Callable[[], Heartbeat],
+        clock: Callable[[], float],
+    ) -> None:
+        self.group = group
+        self._instances = instances
+        self._replica = replica
+        self._heartbeat = heartbeat
+        self._clock = clock
+        self._links: dict[str, Link] = {}
+        self._last_list: list[Instance] = []
+
+    async def connect(self) -> list[LinkedRank]:
+        """Reach every rank of the group, by index.
+
+        Raises
+        ------
+        LinkDownError
+            If a rank cannot be reached.
+        """
+        spec = self._replica.spec(Kind.GROUP, self.group)
+        if spec is None:
+            raise LinkDownError(f"group {self.group} is not declared")
+        await self._follow_list()
+        answers = await asyncio.gather(
+            *(self._ask_ranks(link) for link in self._links.values())
+        )
+        ranks: dict[int, LinkedRank] = {}
+        for link, indexes in zip(self._links.values(), answers, strict=True):
+            ranks.update(dict.fromkeys(indexes, LinkedRank(link)))
+        missing = sorted(set(range(spec.ranks)) - ranks.keys())
+        if missing:
+            raise LinkDownError(f"ranks {missing} of {self.group} cannot be reached")
+        return [ranks[index] for index in range(spec.ranks)]
+
+    async def close(self) -> None:
+        """Close all links."""
+        while self._links:
+            _, link = self._links.popitem()
+            await link.close()
+
+    async def _follow_list(self) -> None:
+        """Open links to new members; an outage leaves the list as it was."""
+        with contextlib.suppress(PlatformError):
+            self._last_list = await self._instances.list()
+        wanted = {i.control for i in self._last_list if self._is_member(i)}
+        for control in self._links.keys() - wanted:
+            await self._links.pop(control).close()
+        for control in wanted - self._links.keys():
+            self._links[control] = link = Link(control, self._heartbeat, self._clock)
+            link.start()
+
+    def _is_member(self, instance: Instance) -> bool:
+        spec = self._replica.spec(Kind.ENDPOINT, instance.endpoint)
+        return spec is not None and spec.group == self.group
+
+    async def _ask_ranks(self, link: Link) -> list[int]:
+        question = RanksQuestion(self.group)
+        end = self._clock() + CONNECT_TIMEOUT_S
+        while self._clock() < end:
+            try:
+                answer = await link.ask("ranks", question, RanksAnswer)
+            except LinkDownError:
+                await asyncio.sleep(0.05)
+                continue
+            return answer.ranks
+        return []
--- a/packages/daemon/src/slatehoist/daemon/sidecar/process.py
+++ b/packages/daemon/src/slatehoist/daemon/sidecar/process.py
@@ -15,10 +15,13 @@
 from slatehoist.daemon.metrics import Metric, Metrics
 from slatehoist.daemon.sidecar.admission import Admission
 from slatehoist.daemon.sidecar.attempts import AttemptTable, CrashLog
+from slatehoist.daemon.sidecar.coordinator import GroupCoordinator
 from slatehoist.daemon.sidecar.endpoints import Load, make_endpoint
+from slatehoist.daemon.sidecar.peers import GroupPeers
+from slatehoist.daemon.sidecar.ranks import EngineRank, RankHost
 from slatehoist.daemon.sidecar.runner import AttemptRunner
 from slatehoist.daemon.sidecar.server import AttemptServer
-from slatehoist.platform import HttpTable, HttpWeightStore
+from slatehoist.platform import HttpInstanceList, HttpTable, HttpWeightStore
 from slatehoist.routing import AdaptiveLimit, FairQueue
 from slatehoist.wire import LinkServer, decode
 from slatehoist.wire.messages import (
@@ -40,6 +43,8 @@
 ORPHAN_S = 20.0
 #: Readings of the load missed in a row before the endpoint counts as down.
 MISSED_LOADS = 3
+#: Seconds between looks for arms that wait.
+ARM_WATCH_S = 0.25
 #: Seconds that a stopping sidecar goes on serving, for entries to read ends.
 LINGER_S = 1.0
 
@@ -61,6 +66,9 @@
         self.lifecycle = Lifecycle()
         self.replica = Replica()
         self.metrics = Metrics(cfg.observe.statsd)
+        self.peers: GroupPeers | None = None
+        self.ranks: RankHost | None = None
+        self.coordinator: GroupCoordinator | None = None
         self._load = Load("")
         self._missed_loads = 0
         self.background = Background()
@@ -78,6 +86,7 @@
         self.background.repeat(self._watch_endpoint, LOAD_INTERVAL_S)
         self.background.repeat(self._keep_alive, KEEPALIVE_S)
         self.background.repeat(self._sweep, SWEEP_S)
+        self._start_group()
         log.info("sidecar_ready", extra={"incarnation": self.incarnation})
 
     async def drain(self) -> None:
@@ -86,6 +95,8 @@
         self.admission.draining = True
         self.admission.refuse_waiting(NotRunReason.DRAINING)
         await self.links.broadcast("heartbeat", self.heartbeat())
+        if self.coordinator is not None:
+            await self.coordinator.give_up()
         log.info("sidecar_draining", extra={"running": self.admission.running})
         end = self.clock() + self.cfg.drain_s
         while self.table.live() and self.clock() < end:
@@ -96,6 +107,8 @@
         """Stop everything."""
         self.lifecycle.stop()
         await self.background.close()
+        if self.peers is not None:
+            await self.peers.close()
         await self.links.close()
         await self._runner_app.cleanup()
         await self.endpoint.close()
@@ -144,12 +157,49 @@
             lambda: self.admission.load,
             self.clock,
         )
-        self.links = LinkServer(
-            self.cfg.instance.control,
-            {"config": self._on_config, "config_question": self._on_config_question},
-            self.heartbeat,
+        self._build_group()
+        handlers = {
+            "config": self._on_config,
+            "config_question": self._on_config_question,
+        }
+        if self.ranks is not None:
+            handlers["map_order"] = self.ranks.on_order
+            handlers["ranks"] = self.ranks.on_ranks_question
+        self.links = LinkServer(self.cfg.instance.control, handlers, self.heartbeat)
+
+    def _build_group(self) -> None:
+        """Build the gates and the coordinator, if ranks run beside this sidecar."""
+        cfg = self.cfg.rank
+        if not cfg:
+            return
+        instances = HttpInstanceList(self.cfg.platform.instances, self._session)
+        self.peers = GroupPeers(
+            cfg[0].group, instances, self.replica, self.heartbeat, self.clock
+        )
+        ranks = [
+            EngineRank(rank_cfg, self._session, self.weights, self.background)
+            for rank_cfg in cfg
+        ]
+        self.ranks = RankHost(cfg, self.incarnation, ranks, self.peers, self.clock)
+        self.coordinator = GroupCoordinator(
+            cfg[0],
+            self.platform_table,
+            self.peers,
+            self.replica,
+            self._session,
+            f"{self.cfg.instance.name}/{self.incarnation}",
+            self.metrics,
+            self.clock,
         )
 
+    def _start_group(self) -> None:
+        if self.coordinator is None:
+            return
+        interval_s = self.coordinator.renew_interval_s
+        self.background.repeat(self.coordinator.keep_lease, interval_s)
+        self.background.repeat(self.coordinator.coordinate, self.cfg.rank[0].plan_s)
+        self.background.repeat(self.ranks.watch_arms, ARM_WATCH_S)
+
     async def _on_config(self, peer: str, body: bytes) -> None:
         self.replica.apply(decode_changes(decode(body, ConfigAnswer)))
 
--- /dev/null
+++ b/packages/daemon/src/slatehoist/daemon/sidecar/ranks.py
@@ -0,0 +1,188 @@
+"""Ranks beside this sidecar: orders to their engine, and the arms that wait."""
+
+import asyncio
+import logging
+from collections.abc import Callable
+
+import aiohttp
+import msgspec
+
+from slatehoist.config.settings import RankSettings
+from slatehoist.coord import RankGate, RankState, RankUnreachableError, settle
+from slatehoist.daemon.background import Background
+from slatehoist.daemon.sidecar.peers import GroupPeers
+from slatehoist.platform import PlatformError, WeightStore
+from slatehoist.wire import LinkDownError, decode
+from slatehoist.wire.messages import MapOrder, MapReply, RanksAnswer, RanksQuestion
+
+log = logging.getLogger(__name__)
+
+#: Seconds that a rank's engine may take to answer an order.
+ORDER_TIMEOUT_S = 1.0
+#: Seconds that a rank waits before an armed step until it settles the arm itself.
+ARM_PATIENCE_S = 1.0
+
+
+class EngineRank:
+    """Orders to one rank over HTTP.
+
+    Loading fetches the weights of the experts that are new on the rank from the
+    platform's paced store, in the background; until that is done, the epoch does not
+    count as loaded.
+    """
+
+    def __init__(
+        self,
+        cfg: RankSettings,
+        session: aiohttp.ClientSession,
+        weights: WeightStore,
+        background: Background,
+    ) -> None:
+        self._url = f"{cfg.url.rstrip('/')}/ranks/{cfg.rank}"
+        self._index = cfg.rank
+        self._session = session
+        self._weights = weights
+        self._background = background
+        self._timeout = aiohttp.ClientTimeout(total=ORDER_TIMEOUT_S)
+        self._held: set[tuple[int, int]] = set()
+        self._fetching: dict[int, asyncio.Task] = {}
+
+    async def state(self) -> RankState:
+        """Report the state; see `Rank`."""
+        return RankState(**await self._call("GET", "/state"))
+
+    async def load(self, epoch: int, placement: bytes, fence: int) -> None:
+        """Begin to load an epoch; see `Rank`."""
+        task = self._fetching.get(epoch)
+        if task is None or (task.done() and task.exception() is not None):
+            fetch = self._fetch_and_load(epoch, placement, fence)
+            self._fetching[epoch] = self._background.spawn(fetch)
+
+    async def hold(self, step: int, fence: int) -> bool:
+        """Do not begin a step; see `Rank`."""
+        return await self._order("hold", fence, step=step)
+
+    async def switch(self, epoch: int, step: int, fence: int) -> None:
+        """Use an epoch's map from a step on; see `Rank`."""
+        await self._order("switch", fence, epoch=epoch, step=step)
+
+    async def release(self, step: int, fence: int) -> None:
+        """Lift a hold; see `Rank`."""
+        await self._order("release", fence, step=step)
+
+    async def drop(self, epoch: int, fence: int) -> None:
+        """Unload an epoch's map; see `Rank`."""
+        self._fetching.pop(epoch, None)
+        await self._order("drop", fence, epoch=epoch)
+
+    async def _fetch_and_load(self, epoch: int, placement: bytes, fence: int) -> None:
+        layers = msgspec.json.decode(placement, type=list[list[list[int]]])
+        wanted = {
+            (layer, expert)
+            for layer, ranks in enumerate(layers)
+            for expert in ranks[self._index]
+            if expert >= 0
+        }
+        for layer, expert in sorted(wanted - self._held):
+            await self._weights.fetch(f"{layer}/{expert}")
+        self._held = wanted
+        text = placement.decode()
+        await self._order("load", fence, epoch=epoch, placement=text)
+
+    async def _order(
+        self,
+        verb: str,
+        fence: int,
+        *,
+        epoch: int = 0,
+        step: int = 0,
+        placement: str = "",
+    ) -> bool:
+        body = {
+            "verb": verb,
+            "fence": fence,
+            "epoch": epoch,
+            "step": step,
+            "placement": placement,
+        }
+        return (await self._call("POST", "/orders", body))["done"]
+
+    async def _call(self, method: str, path: str, body: dict | None = None) -> dict:
+        try:
+            async with self._session.request(
+                method, self._url + path, json=body, timeout=self._timeout
+            ) as resp:
+                return msgspec.json.decode(await resp.read())
+        except (aiohttp.ClientError, TimeoutError, msgspec.DecodeError) as exc:
+            raise RankUnreachableError(f"rank {self._index}: {exc!r}") from exc
+
+
+class RankHost:
+    """Gates of the ranks beside this sidecar.
+
+    Parameters
+    ----------
+    incarnation : str
+        Incarnation of the sidecar, and so of its gates.
+    """
+
+    def __init__(
+        self,
+        cfg: list[RankSettings],
+        incarnation: str,
+        ranks: list[EngineRank],
+        peers: GroupPeers,
+        clock: Callable[[], float],
+    ) -> None:
+        self.group = cfg[0].group
+        self.gates = {
+            rank_cfg.rank: RankGate(rank_cfg.rank, rank, incarnation)
+            for rank_cfg, rank in zip(cfg, ranks, strict=True)
+        }
+        self._ranks = dict(zip((c.rank for c in cfg), ranks, strict=True))
+        self._peers = peers
+        self._clock = clock
+        self._waiting_since: dict[int, float] = {}
+
+    async def on_order(self, peer: str, body: bytes) -> MapReply | None:
+        """Answer an order that came over a link."""
+        order = decode(body, MapOrder)
+        gate = self.gates.get(order.rank)
+        if gate is None or order.group != self.group:
+            return None
+        try:
+            return await gate.take(order)
+        except RankUnreachableError:
+            return None
+
+    async def on_ranks_question(self, peer: str, body: bytes) -> RanksAnswer:
+        """Tell which ranks of a group are here."""
+        question = decode(body, RanksQuestion)
+        ranks = sorted(self.gates) if question.group == self.group else []
+        return RanksAnswer(ranks)
+
+    async def watch_arms(self) -> None:
+        """Settle an arm that a rank here has waited at for too long."""
+        now = self._clock()
+        for index, rank in self._ranks.items():
+            try:
+                state = await rank.state()
+            except RankUnreachableError:
+                continue
+            waits = state.hold_step and state.next_step == state.hold_step
+            if not waits:
+                self._waiting_since.pop(index, None)
+                continue
+            since = self._waiting_since.setdefault(index, now)
+            if now - since >= ARM_PATIENCE_S:
+                await self._settle(state.hold_step)
+                self._waiting_since.pop(index, None)
+
+    async def _settle(self, step: int) -> None:
+        try:
+            peers = await self._peers.connect()
+            settlement = await settle(peers, self.group, step)
+        except (LinkDownError, PlatformError) as exc:
+            log.warning("arm_not_settled", extra={"step": step, "why": exc})
+            return
+        log.info("arm_settled", extra={"step": step, "verdict": settlement.verdict})
--- a/packages/wire/src/slatehoist/wire/messages.py
+++ b/packages/wire/src/slatehoist/wire/messages.py
@@ -213,6 +213,18 @@
     lifetime_s: float
 
 
+class RanksQuestion(NamedTuple):
+    """Ask a sidecar which ranks of a group are beside it."""
+
+    group: str
+
+
+class RanksAnswer(NamedTuple):
+    """Ranks of a group beside a sidecar."""
+
+    ranks: list[int]
+
+
 class MapOrder(NamedTuple):
     """Order to one rank about its expert map.
 
--- /dev/null
+++ b/tools/bench_experts.py
@@ -0,0 +1,268 @@
+"""Measure the expert planner against its baselines and bound.
+
+Prints a table per scenario and, as the last line, JSON. ``--plot`` draws skew over
+time and the frontier of skew and bytes into docs/img.
+"""
+
+import argparse
+import concurrent.futures
+import json
+import os
+import resource
+import time
+from typing import NamedTuple
+
+os.environ.setdefault("OMP_NUM_THREADS", "1")
+
+import numpy as np
+
+from models.expert_loads import SCENARIOS, read_late, sample
+from slatehoist.experts import (
+    FullReplanner,
+    MoveCost,
+    Planner,
+    StaticPlanner,
+    initial_placement,
+    lower_bound,
+    moved_slots,
+    split_load,
+)
+
+#: Seconds between plans.
+PERIOD_S = 60.0
+#: Readings that a plan looks at.
+WINDOW = 4
+#: Periods within which a move that is undone counts as flapping.
+FLAP_PERIODS = 10
+#: Periods until a planner has seen enough for its flapping to count.
+WARM_UP_PERIODS = 15
+#: Weights of skew against cost that stand for the two members.
+MEMBERS = {"andina": 1.0, "tejoverde": 0.01}
+WORKERS = 4
+
+
+class Case(NamedTuple):
+    """One run of one contender."""
+
+    scenario: str
+    contender: str
+    ranks: int
+    layers: int
+    experts: int
+    spare: int
+    periods: int
+    lag: int
+    gap: float
+    seed: int
+    skew_weight: float = 0.0
+
+
+def make_planner(case: Case):
+    """Make the contender of a case."""
+    if case.contender == "static":
+        return StaticPlanner()
+    if case.contender == "full":
+        return FullReplanner()
+    return Planner(MoveCost(), case.skew_weight)
+
+
+def run(case: Case) -> dict:
+    """Run one contender through one scenario."""
+    loads = sample(case.scenario, case.seed, case.periods, case.layers, case.experts)
+    readings = read_late(loads, case.seed, case.lag, case.gap)
+    placement = initial_placement(case.layers, case.ranks, case.experts, case.spare)
+    placement = FullReplanner().plan(placement, readings[0])
+    planner = make_planner(case)
+    slots = case.experts + case.spare
+    skews, bounds, moves, flaps, cpu_s = [], [], [], 0, []
+    changed: dict[tuple, int] = {}
+    for t in range(1, case.periods):
+        window = readings[max(0, t - WINDOW) : t]
+        if case.contender in ("static", "full"):
+            window = window.mean(axis=0)
+        start = time.process_time()
+        new = planner.plan(placement, window)
+        cpu_s.append(time.process_time() - start)
+        moves.append(moved_slots(placement, new))
+        undone = count_flaps(placement, new, changed, t)
+        flaps += undone if t > WARM_UP_PERIODS else 0
+        placement = new
+        skews.append(skew(placement, readings[t - 1], loads[t]))
+        mean = loads[t].sum(axis=1) / case.ranks
+        bounds.append(lower_bound(loads[t], case.ranks, slots).sum() / mean.sum())
+    cost = MoveCost()
+    fetch_s = np.array(moves) * cost.expert_bytes / cost.store_rate
+    return {
+        "skew": float(np.mean(skews)),
+        "skew_p99": float(np.percentile(skews, 99)),
+        "bound": float(np.mean(bounds)),
+        "gigabytes": float(np.sum(moves) * cost.expert_bytes / 1e9),
+        "fetch_s_mean": float(fetch_s.mean()),
+        "slow_down": float(np.minimum(fetch_s / PERIOD_S, 1).mean() * cost.slow_down),
+        "flaps": flaps / (case.periods - WARM_UP_PERIODS - 1),
+        "moves": int(np.sum(moves)),
+        "cpu_s": float(np.mean(cpu_s)),
+        "cpu_s_max": float(np.max(cpu_s)),
+        "peak_mb": resource.getrusage(resource.RUSAGE_SELF).ru_maxrss / 1024,
+        "series": [round(s, 4) for s in skews],
+    }
+
+
+def skew(placement: np.ndarray, reading: np.ndarray, loads: np.ndarray) -> float:
+    """Give the true skew, with the load split by what was read."""
+    layers, ranks, _ = placement.shape
+    carried = split_load(placement, reading + 1.0)
+    row = np.arange(layers)[:, None, None]
+    part = carried / (reading + 1.0)[row, placement]
+    true = np.where(placement >= 0, part * loads[row, placement], 0.0)
+    largest = true.sum(axis=2).max(axis=1)
+    return float(largest.sum() / (loads.sum(axis=1) / ranks).sum())
+
+
+def count_flaps(old: np.ndarray, new: np.ndarray, changed: dict, t: int) -> int:
+    """Count moves that undo one of the last periods."""
+    flaps = 0
+    for came, left in ((new, old), (old, new)):
+        held = (came[..., :, None] == left[..., None, :]).any(axis=-1)
+        for layer, rank, slot in np.argwhere(~held & (came >= 0)):
+            key = (layer, rank, came[layer, rank, slot])
+            if t - changed.get(key, -FLAP_PERIODS - 1) <= FLAP_PERIODS:
+                flaps += 1
+            changed[key] = t
+    return flaps
+
+
+def make_cases(args: argparse.Namespace) -> list[Case]:
+    """List all runs: sizes, scenarios, readings, contenders, seeds."""
+    sizes = [(64, 58, 64, 32), (64, 58, 64, 64), (8, 8, 16, 8)]
+    if args.quick:
+        sizes = [(64, 12, 64, 32)]
+    weights = {"static": 0.0, "full": 0.0, **MEMBERS}
+    return [
+        Case(name, who, ranks, layers, experts, spare, args.periods, lag, gap, seed, w)
+        for ranks, layers, experts, spare in sizes
+        for name in SCENARIOS
+        for lag, gap in ((0, 0.0), (1, 0.1))
+        for seed in range(args.seed, args.seed + args.seeds)
+        for who, w in weights.items()
+    ]
+
+
+def group_results(cases: list[Case], results: list[dict]) -> dict:
+    """Average over the seeds."""
+    groups: dict[tuple, list[dict]] = {}
+    for case, result in zip(cases, results, strict=True):
+        key = (case.ranks, case.spare, case.scenario, case.lag, case.contender)
+        groups.setdefault(key, []).append(result)
+    return {
+        key: {k: float(np.mean([r[k] for r in rs])) for k in rs[0] if k != "series"}
+        for key, rs in groups.items()
+    }
+
+
+def judge(means: dict) -> list[dict]:
+    """Compare the members' figures with the goals."""
+    rows = []
+    for ranks, spare, name, lag in sorted({key[:4] for key in means}):
+        at = (ranks, spare, name, lag)
+        static, full = means[(*at, "static")], means[(*at, "full")]
+        andina, tejo = means[(*at, "andina")], means[(*at, "tejoverde")]
+        way = (static["skew"] - tejo["skew"]) / max(
+            static["skew"] - full["bound"], 1e-9
+        )
+        full_bytes = max(full["gigabytes"], 1e-9)
+        rows.append(
+            {
+                "ranks": ranks,
+                "spare": spare,
+                "scenario": name,
+                "lag": lag,
+                "static": round(static["skew"], 3),
+                "full": round(full["skew"], 3),
+                "bound": round(full["bound"], 3),
+                "andina": round(andina["skew"], 3),
+                "andina_p99": round(andina["skew_p99"], 3),
+                "andina_over_full": round(andina["skew"] / full["skew"], 3),
+                "andina_bytes": round(andina["gigabytes"] / full_bytes, 4),
+                "andina_flaps": round(andina["flaps"], 1),
+                "tejoverde": round(tejo["skew"], 3),
+                "tejoverde_way": round(way, 3),
+                "tejoverde_bytes": round(tejo["gigabytes"] / full_bytes, 4),
+                "tejoverde_flaps": round(tejo["flaps"], 1),
+                "full_flaps": round(full["flaps"], 1),
+                "full_fetch_s": round(full["fetch_s_mean"], 1),
+                "andina_fetch_s": round(andina["fetch_s_mean"], 1),
+                "tejoverde_fetch_s": round(tejo["fetch_s_mean"], 1),
+                "cpu_s": round(andina["cpu_s"], 3),
+                "peak_mb": round(andina["peak_mb"]),
+            }
+        )
+    return rows
+
+
+def print_table(rows: list[dict]) -> None:
+    """Print the rows with one column per figure."""
+    names = list(rows[0])
+    print(" ".join(f"{name[-11:]:>11}" for name in names))
+    for row in rows:
+        print(" ".join(f"{row[name]!s:>11}" for name in names))
+
+
+def plot(cases: list[Case], results: list[dict]) -> None:
+    """Draw skew over time and the frontier."""
+    import matplotlib as mpl
+
+    mpl.use("Agg")
+    import matplotlib.pyplot as plt
+
+    fig, axes = plt.subplots(1, 2, figsize=(11, 4))
+    for case, result in zip(cases, results, strict=True):
+        shown = (case.scenario, case.spare, case.lag, case.ranks) == (
+            "shift",
+            32,
+            1,
+            64,
+        )
+        if shown and case.seed == cases[0].seed:
+            axes[0].plot(result["series"], label=case.contender)
+    axes[0].set(xlabel="period", ylabel="step-time skew", title="sudden shift")
+    axes[0].legend()
+    weights = (0.0003, 0.001, 0.003, 0.01, 0.03, 0.1, 1)
+    base = Case("drift", "swept", 64, 12, 64, 32, 40, 1, 0.1, cases[0].seed)
+    points = [run(base._replace(skew_weight=w)) for w in weights]
+    for name in ("static", "full"):
+        result = run(base._replace(contender=name))
+        axes[1].plot(result["gigabytes"], result["skew"], "s", label=name)
+    xs, ys = [p["gigabytes"] for p in points], [p["skew"] for p in points]
+    axes[1].plot(xs, ys, "o-", label="planner, by skew weight")
+    for weight, x, y in zip(weights, xs, ys, strict=True):
+        axes[1].annotate(f"{weight:g}", (x, y))
+    axes[1].set(xlabel="GB moved", ylabel="mean skew", title="frontier under drift")
+    axes[1].set_xscale("symlog")
+    axes[1].legend()
+    fig.tight_layout()
+    fig.savefig("docs/img/experts.png", dpi=110)
+
+
+def main() -> None:
+    """Run the bench."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seed", type=int, default=int(os.environ.get("SEED", "1")))
+    parser.add_argument("--seeds", type=int, default=2)
+    parser.add_argument("--periods", type=int, default=48)
+    parser.add_argument("--quick", action="store_true")
+    parser.add_argument("--plot", action="store_true")
+    args = parser.parse_args()
+    print(f"seeds {args.seed}..{args.seed + args.seeds - 1}")
+    cases = make_cases(args)
+    with concurrent.futures.ProcessPoolExecutor(WORKERS) as pool:
+        results = list(pool.map(run, cases))
+    rows = judge(group_results(cases, results))
+    print_table(rows)
+    if args.plot:
+        plot(cases, results)
+    print(json.dumps({"seed": args.seed, "seeds": args.seeds, "rows": rows}))
+
+
+if __name__ == "__main__":
+    main()
