Prove the path under faults put in at named steps

The fault matrix runs real processes and checks the stand-ins' records. Crash suspicion is told among entries and kept in the table.

--- a/packages/daemon/src/slatehoist/daemon/entry/dispatch.py
+++ b/packages/daemon/src/slatehoist/daemon/entry/dispatch.py
@@ -14,6 +14,7 @@
 from slatehoist.daemon.entry.answers import CallerAnswer, CallerError, Ran
 from slatehoist.daemon.entry.attempts import AttemptClient, Outcome, Unknown
 from slatehoist.daemon.entry.directory import Directory, Neighbour
+from slatehoist.daemon.entry.guard import CrashGuard
 from slatehoist.daemon.entry.keyed import KeyedRequest, Replay
 from slatehoist.daemon.metrics import Metric, Metrics
 from slatehoist.daemon.tracing import traceparent, tracer
@@ -21,7 +22,6 @@
     LoadAwareChooser,
     PrefixIndex,
     RetryBudget,
-    SuspectLedger,
     Verdict,
     retry_after_s,
 )
@@ -29,12 +29,10 @@
     AttemptRequest,
     Broken,
     BrokenReason,
-    CrashReport,
     Final,
     Head,
     NotRun,
     NotRunReason,
-    SuspectCleared,
 )
 
 log = logging.getLogger(__name__)
@@ -98,7 +96,7 @@
         cfg: EntrySettings,
         directory: Directory,
         client: AttemptClient,
-        ledger: SuspectLedger,
+        guard: CrashGuard,
         background: Background,
         metrics: Metrics,
         clock: Callable[[], float],
@@ -107,7 +105,7 @@
         self._cfg = cfg
         self._directory = directory
         self._client = client
-        self._ledger = ledger
+        self._guard = guard
         self._background = background
         self._metrics = metrics
         self._clock = clock
@@ -132,11 +130,11 @@
         budget = self._budget(req.member)
         budget.earn(self._clock())
         tried: set[str] = set()
-        error = None
+        error, may_have_run = None, False
         for tries in range(1, MAX_SENDS + 1):
             refusal = self._refuse_suspect(req)
             if refusal is not None:
-                return await answer.fail(refusal)
+                return await answer.fail(_truthful(refusal, may_have_run))
             neighbour = self._choose(req, tried)
             if neighbour is None:
                 return await answer.fail(error or self._no_endpoint())
@@ -152,7 +150,8 @@
             if isinstance(outcome, Final):
                 self._note_whole(req, neighbour)
                 return await answer.finish()
-            error = self._error_of(outcome)
+            may_have_run = may_have_run or not isinstance(outcome, NotRun)
+            error = _truthful(self._error_of(outcome), may_have_run)
             if not self._may_retry(req, answer, outcome, tries, budget):
                 break
             answer.reset()
@@ -189,7 +188,7 @@
             else:
                 outcome = piece
         if isinstance(outcome, Broken) and outcome.crash_id:
-            self._report_crash(outcome.crash_id, outcome.digests)
+            self._guard.report_crash(outcome.crash_id, outcome.digests)
         elif isinstance(outcome, Unknown) or _is_unreachable(outcome):
             neighbour.doubt()
         if isinstance(outcome, Unknown):
@@ -206,7 +205,7 @@
 
     def _attempt(self, req: CallerRequest, neighbour: Neighbour) -> AttemptRequest:
         now = self._clock()
-        verdict = self._ledger.verdict(req.digest, now)
+        verdict = self._guard.verdict(req.digest)
         return AttemptRequest(
             attempt_id=uuid.uuid4().hex,
             endpoint=neighbour.beat.endpoint,
@@ -266,7 +265,7 @@
         )
 
     def _refuse_suspect(self, req: CallerRequest) -> CallerError | None:
-        verdict = self._ledger.verdict(req.digest, self._clock())
+        verdict = self._guard.verdict(req.digest)
         if verdict not in (Verdict.HELD, Verdict.CONVICTED):
             return None
         return CallerError(
@@ -275,17 +274,9 @@
             "this request crashed endpoints and is refused; do not send it again",
         )
 
-    def _report_crash(self, crash_id: str, digests: list[str]) -> None:
-        if self._ledger.report_crash(crash_id, digests, self._clock()):
-            log.warning("crash", extra={"crash": crash_id, "suspects": len(digests)})
-            report = CrashReport(crash_id, digests)
-            self._background.spawn(self._directory.tell_entries("crash", report))
-
     def _note_whole(self, req: CallerRequest, neighbour: Neighbour) -> None:
         self._prefixes.note_sent(req.prefixes, neighbour.instance.name)
-        if self._ledger.report_cleared(req.digest, self._clock()):
-            note = SuspectCleared(req.digest)
-            self._background.spawn(self._directory.tell_entries("cleared", note))
+        self._guard.report_whole(req.digest)
 
     def _no_endpoint(self) -> CallerError:
         return CallerError(
@@ -322,6 +313,13 @@
         )
 
 
+def _truthful(error: CallerError, may_have_run: bool) -> CallerError:
+    """Do not say "not run" of a request of which an earlier try may have run."""
+    if may_have_run and error.ran == Ran.NO:
+        return error._replace(ran=Ran.UNKNOWN)
+    return error
+
+
 async def _answer_found(
     found: CallerError | Replay, answer: CallerAnswer
 ) -> web.StreamResponse:
--- /dev/null
+++ b/packages/daemon/src/slatehoist/daemon/entry/guard.py
@@ -0,0 +1,83 @@
+"""Crash suspicion shared by all entries: told to each other, and kept in the table."""
+
+import logging
+from collections.abc import Callable
+
+from slatehoist.daemon.background import Background
+from slatehoist.daemon.entry.directory import Directory
+from slatehoist.platform import ABSENT, Check, PlatformError, Table, Write
+from slatehoist.routing import SuspectLedger, Verdict
+from slatehoist.wire import decode
+from slatehoist.wire.messages import CrashReport, SuspectCleared
+
+log = logging.getLogger(__name__)
+
+CRASHES = "crashes"
+
+
+class CrashGuard:
+    """Ledger of suspects that hears of every entry's crashes.
+
+    Other entries are told at once over links. The table's rows are for entries that
+    start later or were cut off.
+    """
+
+    def __init__(
+        self,
+        ledger: SuspectLedger,
+        directory: Directory,
+        table: Table,
+        background: Background,
+        clock: Callable[[], float],
+    ) -> None:
+        self._ledger = ledger
+        self._directory = directory
+        self._table = table
+        self._background = background
+        self._clock = clock
+
+    def verdict(self, digest: str) -> Verdict:
+        """Judge a request before it is sent."""
+        return self._ledger.verdict(digest, self._clock())
+
+    def report_crash(self, crash_id: str, digests: list[str]) -> None:
+        """Take in a crash that this entry met, and tell everybody."""
+        if not self._ledger.report_crash(crash_id, digests, self._clock()):
+            return
+        log.warning("crash", extra={"crash": crash_id, "suspects": len(digests)})
+        report = CrashReport(crash_id, digests)
+        self._background.spawn(self._directory.tell_entries("crash", report))
+        self._background.spawn(self._keep(report))
+
+    def report_whole(self, digest: str) -> None:
+        """Take in that a request ran to its end."""
+        if self._ledger.report_cleared(digest, self._clock()):
+            note = SuspectCleared(digest)
+            self._background.spawn(self._directory.tell_entries("cleared", note))
+
+    async def on_crash(self, peer: str, body: bytes) -> None:
+        """Take in another entry's crash."""
+        report = decode(body, CrashReport)
+        self._ledger.report_crash(report.crash_id, report.digests, self._clock())
+
+    async def on_cleared(self, peer: str, body: bytes) -> None:
+        """Take in that another entry saw a suspect run to its end."""
+        self._ledger.report_cleared(decode(body, SuspectCleared).digest, self._clock())
+
+    async def follow_table(self) -> None:
+        """Take in the crashes that the table keeps."""
+        try:
+            rows = await self._table.scan(CRASHES)
+        except PlatformError:
+            return
+        for row in rows:
+            digests = row.value["digests"]
+            self._ledger.report_crash(row.key, digests, self._clock())
+
+    async def _keep(self, report: CrashReport) -> None:
+        check = Check(CRASHES, report.crash_id, ABSENT)
+        write = Write(CRASHES, report.crash_id, {"digests": report.digests})
+        try:
+            await self._table.transact([check], [write])
+        except PlatformError as exc:
+            log.info("crash_not_kept", extra={"crash": report.crash_id, "why": exc})
--- a/packages/daemon/src/slatehoist/daemon/entry/process.py
+++ b/packages/daemon/src/slatehoist/daemon/entry/process.py
@@ -17,6 +17,7 @@
 from slatehoist.daemon.entry.callers import CallerApi
 from slatehoist.daemon.entry.directory import Directory, Neighbour
 from slatehoist.daemon.entry.dispatch import Dispatcher
+from slatehoist.daemon.entry.guard import CrashGuard
 from slatehoist.daemon.entry.keyed import ClaimKeeper
 from slatehoist.daemon.entry.resource_api import ResourceApi
 from slatehoist.daemon.lifecycle import Lifecycle
@@ -33,15 +34,15 @@
 from slatehoist.wire.messages import (
     ConfigAnswer,
     ConfigQuestion,
-    CrashReport,
     Heartbeat,
-    SuspectCleared,
 )
 
 log = logging.getLogger(__name__)
 
 #: Seconds that a stopping entry goes on taking connections, unready.
 UNREADY_S = 1.0
+#: Polls of the configuration for each one of the kept crashes.
+CRASH_POLL_FACTOR = 10
 #: Seconds to wait for another entry's view of the revisions.
 REVISIONS_TIMEOUT_S = 0.5
 
@@ -63,7 +64,6 @@
         self.lifecycle = Lifecycle()
         self.replica = Replica()
         self.metrics = Metrics(cfg.observe.statsd)
-        self.ledger = SuspectLedger(cfg.guard.suspicion_s, cfg.guard.conviction_s)
         self._table_heard = clock()
         self.background = Background()
 
@@ -74,6 +74,8 @@
         poll_s = self.cfg.platform.poll_s
         self.background.repeat(self._follow_instances, poll_s)
         self.background.repeat(self._follow_config, poll_s)
+        crash_poll_s = poll_s * CRASH_POLL_FACTOR
+        self.background.repeat(self.guard.follow_table, crash_poll_s)
         await self._listen()
         log.info("entry_listening", extra={"incarnation": self.incarnation})
 
@@ -142,6 +144,13 @@
         self.directory = Directory(
             me, self.replica, self.heartbeat, notes, self.background, self.clock
         )
+        self.guard = CrashGuard(
+            SuspectLedger(cfg.guard.suspicion_s, cfg.guard.conviction_s),
+            self.directory,
+            table,
+            self.background,
+            self.clock,
+        )
         handlers = {
             **notes,
             "config_question": self._on_config_question,
@@ -153,7 +162,7 @@
             cfg,
             self.directory,
             self._client,
-            self.ledger,
+            self.guard,
             self.background,
             self.metrics,
             self.clock,
@@ -278,11 +287,10 @@
         return encode_changes(self.replica, decode(body, ConfigQuestion).since)
 
     async def _on_crash(self, peer: str, body: bytes) -> None:
-        report = decode(body, CrashReport)
-        self.ledger.report_crash(report.crash_id, report.digests, self.clock())
+        await self.guard.on_crash(peer, body)
 
     async def _on_cleared(self, peer: str, body: bytes) -> None:
-        self.ledger.report_cleared(decode(body, SuspectCleared).digest, self.clock())
+        await self.guard.on_cleared(peer, body)
 
     async def _on_revisions(self, peer: str, body: bytes) -> dict[str, int]:
         return self.directory.revisions()
--- a/packages/routing/src/slatehoist/routing/suspects.py
+++ b/packages/routing/src/slatehoist/routing/suspects.py
@@ -119,9 +119,14 @@
                 only_culprit = frozenset({culprit})
                 self._crashes[crash_id] = crash._replace(digests=only_culprit)
 
+    def _lifetime_s(self, crash: Crash) -> float:
+        """Remember a crash longer if a request is held for it."""
+        held = any(len(self._crashes_of(d)) >= HOLD_CRASHES for d in crash.digests)
+        return self._conviction_s if held else self._suspicion_s
+
     def _expire(self, now: float) -> None:
         for crash_id, crash in list(self._crashes.items()):
-            if now - crash.at >= self._suspicion_s:
+            if now - crash.at >= self._lifetime_s(crash):
                 del self._crashes[crash_id]
         for digest, at in list(self._convicted.items()):
             if now - at >= self._conviction_s:
--- a/standins/src/slatehoist_standins/fleet.py
+++ b/standins/src/slatehoist_standins/fleet.py
@@ -7,6 +7,7 @@
 import json
 import os
 import pathlib
+import random
 import shutil
 import signal
 import socket
@@ -23,6 +24,11 @@
 #: Seconds that a process may take to stop before it is killed.
 STOP_TIMEOUT_S = 5.0
 
+#: Ports to choose from.
+PORTS = (10_000, 32_000)
+
+_given_ports: set[int] = set()
+
 TOKENS = [
     {"token": "andina-operator", "member": "andina", "team": "ops", "operator": True},
     {"token": "andina-router", "member": "andina", "team": "router"},
@@ -37,10 +43,18 @@
 
 
 def free_port() -> int:
-    """Find a free port on loopback."""
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()[1]
+    """Find a free port on loopback, below those that the system gives to clients."""
+    while True:
+        port = random.SystemRandom().randrange(*PORTS)
+        if port in _given_ports:
+            continue
+        with socket.socket() as sock:
+            try:
+                sock.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        _given_ports.add(port)
+        return port
 
 
 class Node(NamedTuple):
--- a/tools/faults/catalogue.py
+++ b/tools/faults/catalogue.py
@@ -5,7 +5,7 @@
 import sys
 from collections.abc import Callable
 
-from faults import configs, groups, requests
+from faults import configs, groups, poisons, requests
 from faults.cells import Cell
 from faults.world import World
 
@@ -25,7 +25,12 @@
         Mechanism that is switched off in the product's processes.
     """
     daemon = [sys.executable, MUTANT, mutation] if mutation else None
-    cells = [*requests.make_cells(), *requests.make_pairs(seed), *configs.make_cells()]
+    cells = [
+        *requests.make_cells(),
+        *requests.make_pairs(seed),
+        *configs.make_cells(),
+        *poisons.make_cells(),
+    ]
     by_path: dict[str, list[Cell]] = {}
     for cell in cells:
         by_path.setdefault(cell.path, []).append(cell)
--- a/tools/faults/configs.py
+++ b/tools/faults/configs.py
@@ -192,11 +192,12 @@
         for p in prompts
     ]
     expect(all(r.kind == "whole" for r in later), f"refused elsewhere: {later}")
-    runs = [e for e in read_record(world.record_path("engine-0"))[before:]]
-    new = [e for e in runs if e["event"] == "run"]
+    after = read_record(world.record_path("engine-0"))[before:]
+    new = [event for event in after if event["event"] == "run"]
     expect(not new, f"a leaving endpoint got new work: {new}")
     reply = await call
     expect(reply.kind == "whole", f"a long stream was cut off: {reply.kind}")
+    await until(lambda: world.processes["sidecar-0"].poll() is not None, what="stop")
 
 
 async def run_start(world: World, fault: str, step: str) -> None:
@@ -238,22 +239,22 @@
 START_FAULTS = ("none", "store:down", "store:slow")
 
 
+STEPS = (
+    ("config", ("before", "after"), ACCEPT_FAULTS, run_accept),
+    ("leave", ("midstream", "sending", "entry"), LEAVE_FAULTS, run_leave),
+    ("leave", ("long",), ("none", "store:down"), run_leave_long),
+    ("start", ("entry", "sidecar"), START_FAULTS, run_start),
+)
+
+
 def make_cells() -> list[Cell]:
     """List the cells of configuration, leaving and starting."""
-    cells = []
-    for when in ("before", "after"):
-        for fault in ACCEPT_FAULTS:
-            cells.append(Cell("config", fault, when, _bind(run_accept, fault, when)))
-    for step in ("midstream", "sending", "entry"):
-        for fault in LEAVE_FAULTS:
-            cells.append(Cell("leave", fault, step, _bind(run_leave, fault, step)))
-    for fault in ("none", "store:down"):
-        run = _bind(run_leave_long, fault, "long")
-        cells.append(Cell("leave", fault, "long", run))
-    for step in ("entry", "sidecar"):
-        for fault in START_FAULTS:
-            cells.append(Cell("start", fault, step, _bind(run_start, fault, step)))
-    return cells
+    return [
+        Cell(path, fault, step, _bind(run, fault, step))
+        for path, steps, faults, run in STEPS
+        for step in steps
+        for fault in faults
+    ]
 
 
 def _bind(run, fault: str, step: str):
--- /dev/null
+++ b/tools/faults/poisons.py
@@ -0,0 +1,84 @@
+"""Cells of requests that crash each endpoint that runs them."""
+
+import asyncio
+
+from faults.callers import complete, expected_text
+from faults.cells import Cell, expect
+from faults.world import ENGINES, World, unique, until
+
+#: Crashes that one poison request may cause, over all entries.
+MAX_CRASHES = 2
+#: Times that its caller sends it again.
+RESENDS = 5
+TOKENS = 40
+
+
+async def run_poison(world: World, among_others: bool, restart_entry: bool) -> None:
+    """Send a poison request again and again through both entries."""
+    before = world.crashes()
+    keeper = asyncio.create_task(_replace_crashed(world))
+    session = world.session
+    innocents = [unique("innocent") for _ in range(ENGINES if among_others else 0)]
+    calls = [
+        asyncio.create_task(
+            complete(session, world.entries[0].http, p, TOKENS, stream=False)
+        )
+        for p in innocents
+    ]
+    if innocents:
+        await until(lambda: all(world.runs(p) for p in innocents), what="innocents")
+    poison = unique("POISON")
+    last = None
+    for resend in range(RESENDS):
+        entry = world.entries[resend % 2]
+        last = await complete(session, entry.http, poison, TOKENS, stream=False)
+        expect(last.kind != "whole", f"a poison request was answered: {last}")
+        if restart_entry and resend == 1:
+            world.kill("entry-0")
+            world.restart("entry-0")
+            await until(lambda: _has_sidecars(world), what="the entry")
+    replies = await asyncio.gather(*calls)
+    keeper.cancel()
+    crashes = world.crashes() - before
+    expect(crashes <= MAX_CRASHES, f"one poison request crashed {crashes} endpoints")
+    expect(last.code == "crashes_endpoints", f"not convicted or held: {last}")
+    for prompt, reply in zip(innocents, replies, strict=True):
+        whole = reply.kind == "whole" and reply.text == expected_text(prompt, TOKENS)
+        expect(whole, f"an innocent request suffered: {reply}")
+
+
+async def _has_sidecars(world: World) -> bool:
+    try:
+        await world.wait_status(world.entries[0], ENGINES - 1, 0.1)
+    except Exception:
+        return False
+    return True
+
+
+async def _replace_crashed(world: World) -> None:
+    """Start crashed engines again, as the platform would."""
+    while True:
+        for name in list(world.urls):
+            if world.processes[name].poll() is not None:
+                await asyncio.sleep(0.3)
+                world.restart(name)
+        await asyncio.sleep(0.05)
+
+
+def make_cells() -> list[Cell]:
+    """List the cells of poison requests."""
+
+    async def alone(world: World) -> None:
+        await run_poison(world, among_others=False, restart_entry=False)
+
+    async def among(world: World) -> None:
+        await run_poison(world, among_others=True, restart_entry=False)
+
+    async def restart(world: World) -> None:
+        await run_poison(world, among_others=False, restart_entry=True)
+
+    return [
+        Cell("poison", "poison", "alone", alone),
+        Cell("poison", "poison", "among", among),
+        Cell("poison", "poison", "restart", restart),
+    ]
--- a/tools/faults/requests.py
+++ b/tools/faults/requests.py
@@ -207,6 +207,7 @@
     trap = {"match": '"state":"finished"', "when": "before"}
     await world.set_faults(world.platform_url, trap=trap)
     reply = await _keyed(world, 0, body)
+    expect(reply.kind == "whole", f"not whole before any fault: {reply}")
     await until(lambda: world.trapped(world.platform_url), what="the record")
     await injection(world, *await find_back_end(world, body))
     await world.set_faults(world.platform_url)
--- a/tools/faults/world.py
+++ b/tools/faults/world.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+import re
 import signal
 import time
 from collections.abc import Awaitable, Callable
@@ -101,8 +102,6 @@
     async def heal(self) -> None:
         """Undo all faults and start again what has died."""
         await self.set_faults(self.platform_url)
-        restarted = [n for n, p in self.processes.items() if p.poll() is not None]
-        before = await self._incarnations(restarted)
         for name, proc in list(self.processes.items()):
             if proc.poll() is None:
                 self.signal(name, signal.SIGCONT)
@@ -117,28 +116,24 @@
             await retry(lambda i=i: self.stall(i, False))
         for name in ["platform", *self.urls, *(f"{n}.http" for n in self._relayed())]:
             await self.set_relay(name, "pass")
-        await until(lambda: self._all_new(before), what="restarted sidecars")
+        await until(lambda: self._all_known(), what="the sidecars' incarnations")
         await self.wait_ready()
 
-    async def _incarnations(self, names: list[str]) -> dict[str, str]:
-        """Give the incarnations that some entry knows of some sidecars."""
-        for entry in self.entries:
-            if self.processes[entry.name].poll() is None:
-                status = await retry(lambda entry=entry: self.status(entry))
-                known = status["sidecars"]
-                return {n: known[n]["incarnation"] for n in names if n in known}
-        return {}
-
-    async def _all_new(self, before: dict[str, str]) -> bool:
-        """Tell whether every entry knows the sidecars' new incarnations."""
+    async def _all_known(self) -> bool:
+        """Tell whether every entry knows the sidecars' present incarnations."""
         for entry in self.entries:
             status = await retry(lambda entry=entry: self.status(entry))
-            for name, old in before.items():
-                sidecar = status["sidecars"].get(name)
-                if sidecar is None or sidecar["incarnation"] == old:
+            for name in self._relayed():
+                known = status["sidecars"].get(name, {}).get("incarnation")
+                if known != self._incarnation(name):
                     return False
         return True
 
+    def _incarnation(self, sidecar: str) -> str:
+        """Read a sidecar's present incarnation from its log."""
+        found = re.findall(r"event=sidecar_ready incarnation=(\w+)", self.log(sidecar))
+        return found[-1] if found else ""
+
     def _relayed(self) -> list[str]:
         return [name for name, node in self.nodes.items() if node.role == "sidecar"]
 
