--- a/packages/config/src/slatehoist/config/settings.py
+++ b/packages/config/src/slatehoist/config/settings.py
@@ -90,10 +90,10 @@
 
     budget_ratio: Annotated[
         float, Field(ge=0, le=1, description="retries per first try, by member")
-    ] = 0.1
+    ] = 0.09
     budget_floor: Annotated[
-        float, Field(ge=0, description="retries a member may make in any case")
-    ] = 10.0
+        float, Field(ge=0, description="retries a member may make in 10 s, in any case")
+    ] = 5.0
     max_tries: Annotated[
         int, Field(ge=1, le=16, description="tries of one request at most")
     ] = 3
@@ -153,6 +153,9 @@
     max_queue: Annotated[
         int, Field(ge=0, description="most requests waiting at once")
     ] = 512
+    max_wait_s: Annotated[
+        Seconds, Field(description="longest wait in the queue that is accepted")
+    ] = 3.0
     checks_fence: Annotated[
         bool, Field(description="whether the engine refuses old fencing numbers")
     ] = False
--- a/packages/daemon/src/slatehoist/daemon/entry/directory.py
+++ b/packages/daemon/src/slatehoist/daemon/entry/directory.py
@@ -7,12 +7,10 @@
 from slatehoist.daemon.background import Background
 from slatehoist.daemon.configsync import encode_changes
 from slatehoist.platform import Instance
-from slatehoist.routing import Candidate, Peer, choose_subset
+from slatehoist.routing import Candidate, Peer, choose_subset, subset_size
 from slatehoist.wire import Link
 from slatehoist.wire.messages import Heartbeat
 
-#: Sidecars that one entry keeps links to.
-MAX_SIDECAR_LINKS = 64
 #: Links to other entries that one entry keeps.
 MAX_ENTRY_LINKS = 64
 
@@ -36,6 +34,11 @@
         self.inflight_at_beat = self.inflight
         self.up = True
 
+    def hear_load(self, load: float, now: float) -> None:
+        """Take in the load that came with an answer."""
+        if self.beat is not None:
+            self.hear(self.beat._replace(load=load), now)
+
     def doubt(self) -> None:
         """Send no new work until the next heartbeat."""
         self.up = False
@@ -92,7 +95,8 @@
         for instance in instances:
             if instance.name != self.me.name and instance.role in by_role:
                 by_role[instance.role].append(instance)
-        await self._follow(self.sidecars, by_role["sidecar"], MAX_SIDECAR_LINKS)
+        links = subset_size(len(by_role["entry"]) + 1, len(by_role["sidecar"]))
+        await self._follow(self.sidecars, by_role["sidecar"], links)
         await self._follow(self.entries, by_role["entry"], MAX_ENTRY_LINKS)
 
     async def close(self) -> None:
@@ -119,6 +123,7 @@
             reported_load=beat.load,
             own_at_report=neighbour.inflight_at_beat,
             report_age_s=now - neighbour.beat_at,
+            concurrency=max(beat.concurrency, 1),
         )
 
     def revisions(self) -> dict[str, int]:
--- a/packages/daemon/src/slatehoist/daemon/entry/dispatch.py
+++ b/packages/daemon/src/slatehoist/daemon/entry/dispatch.py
@@ -23,6 +23,7 @@
     PrefixIndex,
     RetryBudget,
     Verdict,
+    may_be_eager,
     retry_after_s,
 )
 from slatehoist.wire.messages import (
@@ -39,6 +40,8 @@
 
 #: Sends of one request, counting those refused as not run at no cost.
 MAX_SENDS = 8
+#: First sends of a request that ask to be refused rather than queued.
+EAGER_SENDS = 2
 #: Refusals that cost the endpoint nothing: the request just goes elsewhere.
 FREE_REFUSALS = frozenset(
     {
@@ -48,6 +51,7 @@
         NotRunReason.ENDPOINT_DOWN,
         NotRunReason.SIDECAR_DOWN,
         NotRunReason.SUSPECT_BUSY,
+        NotRunReason.BUSY,
     }
 )
 
@@ -130,16 +134,18 @@
         budget = self._budget(req.member)
         budget.earn(self._clock())
         tried: set[str] = set()
+        busy: set[str] = set()
         error, may_have_run = None, False
         for tries in range(1, MAX_SENDS + 1):
             refusal = self._refuse_suspect(req)
             if refusal is not None:
                 return await answer.fail(_truthful(refusal, may_have_run))
-            neighbour = self._choose(req, tried)
+            neighbour, spacious = self._choose(req, tried)
             if neighbour is None:
                 return await answer.fail(error or self._no_endpoint())
             tried.add(neighbour.instance.name)
-            attempt = self._attempt(req, neighbour)
+            eager = spacious and tries <= EAGER_SENDS and keyed is None
+            attempt = self._attempt(req, neighbour)._replace(eager=eager)
             if keyed is not None:
                 found = await keyed.before_send(neighbour, attempt.attempt_id)
                 if found is not None:
@@ -148,10 +154,16 @@
             if keyed is not None:
                 keyed.ended(outcome, answer)
             if isinstance(outcome, Final):
+                neighbour.hear_load(outcome.load, self._clock())
                 self._note_whole(req, neighbour)
                 return await answer.finish()
             may_have_run = may_have_run or not isinstance(outcome, NotRun)
             error = _truthful(self._error_of(outcome), may_have_run)
+            if isinstance(outcome, NotRun) and outcome.reason == NotRunReason.BUSY:
+                busy.add(neighbour.instance.name)
+                neighbour.hear_load(outcome.load, self._clock())
+            if tries == EAGER_SENDS:
+                tried -= busy
             if not self._may_retry(req, answer, outcome, tries, budget):
                 break
             answer.reset()
@@ -225,7 +237,10 @@
             keyed=bool(req.key),
         )
 
-    def _choose(self, req: CallerRequest, tried: set[str]) -> Neighbour | None:
+    def _choose(
+        self, req: CallerRequest, tried: set[str]
+    ) -> tuple[Neighbour | None, bool]:
+        """Choose a sidecar, and tell whether there seems to be room elsewhere too."""
         with tracer().start_as_current_span("entry.select") as span:
             now = self._clock()
             serving = self._directory.serving(req.model, req.service, req.member)
@@ -233,9 +248,12 @@
             candidates = [self._directory.candidate(n, now) for n in fresh]
             holders = self._prefixes.holders(req.prefixes)
             zone = self._directory.me.zone
-            chosen = self._chooser.choose(candidates, zone, holders)
+            prefix = req.prefixes[-1] if req.prefixes else 0
+            chosen = self._chooser.choose(candidates, zone, holders, prefix)
             span.set_attribute("candidates", len(candidates))
-            return self._directory.sidecars.get(chosen.name) if chosen else None
+            spacious = may_be_eager(candidates)
+            name = chosen.name if chosen else ""
+            return self._directory.sidecars.get(name), spacious
 
     def _may_retry(
         self,
--- a/packages/daemon/src/slatehoist/daemon/sidecar/admission.py
+++ b/packages/daemon/src/slatehoist/daemon/sidecar/admission.py
@@ -29,18 +29,25 @@
     ----------
     queue : FairQueue
     limit : AdaptiveLimit
+    max_wait_s : float
+        Longest queue, in seconds; a longer one would outlast an overload.
     clock : callable
         Monotonic clock, in seconds.
     """
 
     def __init__(
-        self, queue: FairQueue, limit: AdaptiveLimit, clock: Callable[[], float]
+        self,
+        queue: FairQueue,
+        limit: AdaptiveLimit,
+        max_wait_s: float,
+        clock: Callable[[], float],
     ) -> None:
         self.queue = queue
         self.limit = limit
         self.running = 0
         self.draining = False
         self.shed_by_member: dict[str, int] = {}
+        self._max_wait_s = max_wait_s
         self._clock = clock
         self._suspect_running = False
         self._rate = 0.0
@@ -66,6 +73,8 @@
             return Err(Refused(NotRunReason.DRAINING, MIN_WAIT_S))
         if req.suspect and self._suspect_running:
             return Err(Refused(NotRunReason.SUSPECT_BUSY, MIN_WAIT_S))
+        if req.eager and not self._has_free_slot():
+            return Err(Refused(NotRunReason.BUSY, MIN_WAIT_S))
         if self._is_hopeless(req, deadline, now):
             return self._refuse(req.member, NotRunReason.DEADLINE)
         self._suspect_running |= req.suspect
@@ -129,17 +138,17 @@
 
     def wait_s(self, member: str) -> float:
         """Estimate how long a new request of a member would wait, in seconds."""
-        if self._rate <= 0 or not len(self.queue):
-            return MIN_WAIT_S
-        share = self.queue.share_of(member)
-        return self.queue.waiting_cost(member) / (self._rate * share)
+        return max(self.queue.expected_wait_s(member, self._rate), MIN_WAIT_S)
+
+    def _has_free_slot(self) -> bool:
+        return self.running < self.limit.limit and not len(self.queue)
 
     def _is_hopeless(self, req: AttemptRequest, deadline: float, now: float) -> bool:
+        """Tell whether a request would wait past its use, or too long in any case."""
         if deadline <= now:
             return True
-        if not len(self.queue):
-            return False
-        return now + self.wait_s(req.member) > deadline
+        wait_s = self.queue.expected_wait_s(req.member, self._rate)
+        return wait_s > min(deadline - now, self._max_wait_s)
 
     def _answer_evicted(self, ticket: Ticket, now: float) -> None:
         late = ticket.deadline <= now
--- a/packages/daemon/src/slatehoist/daemon/sidecar/attempts.py
+++ b/packages/daemon/src/slatehoist/daemon/sidecar/attempts.py
@@ -78,9 +78,11 @@
         final = Final(self.req.attempt_id, count, digest, self.tokens, load)
         self._end(AttemptState.FINISHED, final, now)
 
-    def refuse(self, reason: NotRunReason, retry_after_s: float, now: float) -> None:
+    def refuse(
+        self, reason: NotRunReason, retry_after_s: float, load: float, now: float
+    ) -> None:
         """End without having run."""
-        last = NotRun(self.req.attempt_id, reason, retry_after_s)
+        last = NotRun(self.req.attempt_id, reason, retry_after_s, load)
         self._end(AttemptState.NOT_RUN, last, now)
 
     def fail(self, last: Broken, now: float) -> None:
--- a/packages/daemon/src/slatehoist/daemon/sidecar/process.py
+++ b/packages/daemon/src/slatehoist/daemon/sidecar/process.py
@@ -126,6 +126,7 @@
             revision=self.replica.revision,
             endpoint=self.cfg.endpoint.name,
             endpoint_up=self._missed_loads < MISSED_LOADS,
+            concurrency=self.admission.limit.limit,
         )
 
     def _build(self) -> None:
@@ -141,7 +142,9 @@
             cfg.concurrency,
             cfg.target_step_s,
         )
-        self.admission = Admission(FairQueue(cfg.max_queue), limit, self.clock)
+        self.admission = Admission(
+            FairQueue(cfg.max_queue), limit, cfg.max_wait_s, self.clock
+        )
         self.runner = AttemptRunner(
             self.table,
             self.admission,
--- a/packages/daemon/src/slatehoist/daemon/sidecar/runner.py
+++ b/packages/daemon/src/slatehoist/daemon/sidecar/runner.py
@@ -89,7 +89,7 @@
             entered = await self._admission.enter(attempt.req, attempt.deadline)
         if entered.is_err():
             refused = entered.unwrap_err()
-            attempt.refuse(refused.reason, refused.retry_after_s, self._clock())
+            self._refuse(attempt, refused.reason, refused.retry_after_s)
             return
         ticket = entered.unwrap()
         try:
@@ -107,8 +107,7 @@
                 async with asyncio.timeout(attempt.deadline - self._clock()):
                     await self._copy_answer(attempt)
         except EndpointDownError:
-            reason = NotRunReason.ENDPOINT_DOWN
-            attempt.refuse(reason, MIN_WAIT_S, self._clock())
+            self._refuse(attempt, NotRunReason.ENDPOINT_DOWN, MIN_WAIT_S)
         except AnswerBrokenError as exc:
             self._break(attempt, exc.reason)
         except TimeoutError:
@@ -126,6 +125,12 @@
                     raise AnswerBrokenError(BrokenReason.BUFFER_LIMIT)
         attempt.finish(self._admission.load, self._clock())
 
+    def _refuse(
+        self, attempt: Attempt, reason: NotRunReason, retry_after_s: float
+    ) -> None:
+        load = self._admission.load
+        attempt.refuse(reason, retry_after_s, load, self._clock())
+
     def _break(self, attempt: Attempt, reason: BrokenReason) -> None:
         """End an attempt without a whole answer, and free its room."""
         self._background.spawn(self._endpoint.cancel(attempt.req.attempt_id))
@@ -138,7 +143,7 @@
     async def _give_up(self, attempt: Attempt) -> None:
         """End a cancelled attempt."""
         if attempt.state == AttemptState.QUEUED:
-            attempt.refuse(NotRunReason.CANCELLED, 0.0, self._clock())
+            self._refuse(attempt, NotRunReason.CANCELLED, 0.0)
             return
         self._break(attempt, BrokenReason.CANCELLED)
 
--- a/packages/routing/src/slatehoist/routing/__init__.py
+++ b/packages/routing/src/slatehoist/routing/__init__.py
@@ -11,8 +11,13 @@
     home_entry,
 )
 from slatehoist.routing.retries import RetryBudget, retry_after_s
-from slatehoist.routing.selection import Candidate, Chooser, LoadAwareChooser
-from slatehoist.routing.subset import Peer, choose_subset
+from slatehoist.routing.selection import (
+    Candidate,
+    Chooser,
+    LoadAwareChooser,
+    may_be_eager,
+)
+from slatehoist.routing.subset import Peer, choose_subset, subset_size
 from slatehoist.routing.suspects import Crash, SuspectLedger, Verdict
 
 __all__ = [
@@ -34,6 +39,8 @@
     "Verdict",
     "choose_subset",
     "home_entry",
+    "may_be_eager",
     "prefix_keys",
     "retry_after_s",
+    "subset_size",
 ]
--- a/packages/routing/src/slatehoist/routing/fairness.py
+++ b/packages/routing/src/slatehoist/routing/fairness.py
@@ -11,7 +11,7 @@
 from typing import Any, NamedTuple
 
 #: Virtual service, in tokens per unit of weight, that an idle member may keep.
-IDLE_CREDIT_TOKENS = 500.0
+IDLE_CREDIT_TOKENS = 4000.0
 
 
 class Ticket(NamedTuple):
@@ -170,6 +170,18 @@
             self.remove(ticket)
         return late
 
+    def expected_wait_s(self, member: str, rate: float) -> float:
+        """Estimate how long a new request of a member would wait, in seconds.
+
+        Parameters
+        ----------
+        rate : float
+            Tokens a second that the endpoint serves, all members together.
+        """
+        if rate <= 0 or not self._length:
+            return 0.0
+        return self.waiting_cost(member) / (rate * self.share_of(member))
+
     def share_of(self, member: str) -> float:
         """Give a member's share of the service among those that now wait."""
         total = sum(f.weight for f in self._members.flows.values() if f.waiting)
--- a/packages/routing/src/slatehoist/routing/subset.py
+++ b/packages/routing/src/slatehoist/routing/subset.py
@@ -4,11 +4,17 @@
 comes or goes changes at most one link of an entry.
 """
 
+import math
 from collections.abc import Iterable
 from typing import NamedTuple
 
 from slatehoist.routing.hashing import rendezvous_weight
 
+#: Links that an entry keeps in any case.
+MIN_LINKS = 64
+#: Entries that each sidecar should have a link to, on average.
+MIN_COVERAGE = 24
+
 
 class Peer(NamedTuple):
     """A peer that a link could go to."""
@@ -24,6 +30,16 @@
     )
 
 
+def subset_size(entries: int, sidecars: int) -> int:
+    """Give the links that one entry should keep.
+
+    Each sidecar is to hear from so many entries that chance does not leave some with
+    much more work than others; beyond that, links only cost.
+    """
+    covering = math.ceil(MIN_COVERAGE * sidecars / max(entries, 1))
+    return min(max(covering, MIN_LINKS), sidecars)
+
+
 def choose_subset(entry: str, peers: Iterable[Peer], size: int) -> list[Peer]:
     """Choose peers to link to, spread evenly over the zones.
 
--- a/packages/wire/src/slatehoist/wire/messages.py
+++ b/packages/wire/src/slatehoist/wire/messages.py
@@ -22,6 +22,7 @@
     ENDPOINT_DOWN = "endpoint_down"
     SIDECAR_DOWN = "sidecar_down"
     CANCELLED = "cancelled"
+    BUSY = "busy"
 
 
 class BrokenReason(StrEnum):
@@ -61,6 +62,8 @@
         Whether the request was in flight on an endpoint that crashed.
     keyed : bool
         Whether the request has an idempotency key, so that others may ask for it.
+    eager : bool
+        Whether to be refused rather than queued.
     """
 
     attempt_id: str
@@ -79,6 +82,7 @@
     digest: str
     suspect: bool = False
     keyed: bool = False
+    eager: bool = False
     traceparent: str = ""
 
 
@@ -94,6 +98,7 @@
     attempt_id: str
     reason: str
     retry_after_s: float = 0.0
+    load: float = 0.0
 
 
 class Head(NamedTuple):
@@ -171,6 +176,7 @@
     revision: int
     endpoint: str = ""
     endpoint_up: bool = True
+    concurrency: int = 1
 
 
 class ConfigQuestion(NamedTuple):
