--- /dev/null
+++ b/packages/cli/src/slatehoist/cli/client.py
@@ -0,0 +1,78 @@
+"""Client of the resource API."""
+
+import json
+from collections.abc import AsyncIterator
+from typing import Any, NamedTuple
+
+import aiohttp
+
+#: Seconds that one call may take.
+CALL_TIMEOUT_S = 15.0
+
+
+class ApiError(Exception):
+    """Report an answer other than success."""
+
+    def __init__(self, status: int, body: dict[str, Any]) -> None:
+        error = body.get("error", {})
+        super().__init__(error.get("message", f"status {status}"))
+        self.status = status
+        self.code = error.get("code", "")
+        self.body = body
+
+
+class UnreachableError(Exception):
+    """Report that no entry answered."""
+
+
+class Api(NamedTuple):
+    """Where the resource API is, and who calls it."""
+
+    server: str
+    token: str
+
+    async def call(
+        self,
+        method: str,
+        path: str,
+        body: Any = None,
+        headers: dict[str, str] | None = None,
+    ) -> Any:
+        """Make one call and decode its answer."""
+        timeout = aiohttp.ClientTimeout(total=CALL_TIMEOUT_S)
+        url = f"{self.server.rstrip('/')}/api/v1/{path}"
+        try:
+            async with (
+                aiohttp.ClientSession(timeout=timeout) as session,
+                session.request(
+                    method, url, json=body, headers=self._headers(headers)
+                ) as resp,
+            ):
+                answer = json.loads(await resp.text() or "{}")
+                if resp.status >= 400:
+                    raise ApiError(resp.status, answer)
+                return answer
+        except (aiohttp.ClientError, TimeoutError, json.JSONDecodeError) as exc:
+            raise UnreachableError(f"{url}: {exc}") from exc
+
+    async def watch(self, revision: int) -> AsyncIterator[dict[str, Any]]:
+        """Follow changes after a revision."""
+        url = f"{self.server.rstrip('/')}/api/v1/watch"
+        timeout = aiohttp.ClientTimeout(total=None, sock_read=CALL_TIMEOUT_S)
+        try:
+            async with (
+                aiohttp.ClientSession(timeout=timeout) as session,
+                session.get(
+                    url, params={"from": str(revision)}, headers=self._headers(None)
+                ) as resp,
+            ):
+                if resp.status >= 400:
+                    raise ApiError(resp.status, json.loads(await resp.text()))
+                async for line in resp.content:
+                    if line.startswith(b"data: "):
+                        yield json.loads(line[6:])
+        except (aiohttp.ClientError, TimeoutError) as exc:
+            raise UnreachableError(f"{url}: {exc}") from exc
+
+    def _headers(self, more: dict[str, str] | None) -> dict[str, str]:
+        return {"Authorization": f"Bearer {self.token}", **(more or {})}
--- /dev/null
+++ b/packages/cli/src/slatehoist/cli/main.py
@@ -0,0 +1,269 @@
+"""Command line of ``slatehoist``.
+
+Exit codes: 0 done, 1 refused by the server, 2 bad arguments or file, 3 unreachable,
+4 not in force in time.
+"""
+
+import asyncio
+import os
+import sys
+import time
+from collections.abc import Coroutine
+from dataclasses import dataclass
+from typing import Annotated, Any, Literal
+
+import cappa
+
+from slatehoist.cli.client import Api, ApiError, UnreachableError
+from slatehoist.cli.output import (
+    RESOURCE_HEADS,
+    print_json,
+    print_table,
+    resource_row,
+)
+from slatehoist.config import Manifest, parse_manifests
+
+EXIT_REFUSED = 1
+EXIT_BAD_FILE = 2
+EXIT_UNREACHABLE = 3
+EXIT_NOT_IN_FORCE = 4
+#: Seconds between looks at what is in force.
+POLL_S = 0.3
+
+Output = Annotated[
+    Literal["table", "json"], cappa.Arg(long="--output", short="-o", help="Form.")
+]
+
+
+def _api() -> Api:
+    server = os.environ.get("SLATEHOIST_SERVER", "http://127.0.0.1:8000")
+    token = os.environ.get("SLATEHOIST_TOKEN", "")
+    if not token:
+        _fail(EXIT_BAD_FILE, "set SLATEHOIST_TOKEN to an operator's token")
+    return Api(server, token)
+
+
+def _fail(code: int, message: str) -> None:
+    print(f"slatehoist: {message}", file=sys.stderr)
+    raise cappa.Exit(code=code)
+
+
+def _run(work: Coroutine) -> Any:
+    """Run a command and turn its errors into messages and exit codes."""
+    try:
+        return asyncio.run(work)
+    except ApiError as exc:
+        current = exc.body.get("current")
+        won = f"; it stands at revision {current['revision']}" if current else ""
+        _fail(EXIT_REFUSED, f"{exc} ({exc.code}){won}")
+    except UnreachableError as exc:
+        _fail(EXIT_UNREACHABLE, str(exc))
+    except KeyboardInterrupt:
+        return None
+
+
+@cappa.command(help="Declare the resources of a file.")
+@dataclass
+class Apply:
+    """Arguments of ``slatehoist apply``."""
+
+    file: Annotated[str, cappa.Arg(short="-f", long="--file", help="TOML file.")]
+    wait_s: Annotated[
+        float, cappa.Arg(long="--wait", help="Seconds to wait until in force.")
+    ] = 0.0
+    output: Output = "table"
+
+    def __call__(self) -> None:
+        """Declare, and perhaps wait until all is in force."""
+        try:
+            with open(self.file, encoding="utf-8") as file:
+                text = file.read()
+        except OSError as exc:
+            _fail(EXIT_BAD_FILE, str(exc))
+        manifests, findings = parse_manifests(text, self.file)
+        if findings:
+            for finding in findings:
+                print(finding, file=sys.stderr)
+            raise cappa.Exit(code=EXIT_BAD_FILE)
+        documents = _run(self._apply(_api(), manifests))
+        _print_resources(documents, self.output)
+
+    async def _apply(self, api: Api, manifests: list[Manifest]) -> list[dict]:
+        documents = [
+            await api.call("PUT", f"{m.kind}/{m.name}", m.spec) for m in manifests
+        ]
+        newest = max((d["revision"] for d in documents), default=0)
+        if self.wait_s:
+            await _wait_in_force(api, newest, self.wait_s)
+        return documents
+
+
+async def _wait_in_force(api: Api, revision: int, wait_s: float) -> None:
+    end = time.monotonic() + wait_s
+    while True:
+        status = await api.call("GET", "status")
+        behind = [n for n, r in status["instances"].items() if r < revision]
+        if not behind:
+            return
+        if time.monotonic() > end:
+            _fail(EXIT_NOT_IN_FORCE, f"not in force at {', '.join(sorted(behind))}")
+        await asyncio.sleep(POLL_S)
+
+
+@cappa.command(help="Show resources of a kind, or one of them.")
+@dataclass
+class Get:
+    """Arguments of ``slatehoist get``."""
+
+    kind: Annotated[str, cappa.Arg(help="group, endpoint, team or modelversion.")]
+    name: Annotated[str, cappa.Arg(help="Name; all if absent.")] = ""
+    output: Output = "table"
+
+    def __call__(self) -> None:
+        """Show."""
+        path = f"{self.kind}/{self.name}" if self.name else self.kind
+        answer = _run(_api().call("GET", path))
+        documents = answer if isinstance(answer, list) else [answer]
+        _print_resources(documents, self.output)
+
+
+@cappa.command(help="Delete a resource.")
+@dataclass
+class Delete:
+    """Arguments of ``slatehoist delete``."""
+
+    kind: Annotated[str, cappa.Arg(help="Kind of the resource.")]
+    name: Annotated[str, cappa.Arg(help="Name of the resource.")]
+
+    def __call__(self) -> None:
+        """Delete."""
+        _run(_api().call("DELETE", f"{self.kind}/{self.name}"))
+        print(f"{self.kind}/{self.name} deleted")
+
+
+@cappa.command(help="Follow changes; ends with Ctrl-C.")
+@dataclass
+class Watch:
+    """Arguments of ``slatehoist watch``."""
+
+    revision: Annotated[
+        int, cappa.Arg(long="--from", help="Revision to start after.")
+    ] = 0
+    output: Output = "table"
+
+    def __call__(self) -> None:
+        """Follow, and go on after a lost connection from where it was."""
+        _run(self._follow(_api()))
+
+    async def _follow(self, api: Api) -> None:
+        revision = self.revision
+        while True:
+            try:
+                async for change in api.watch(revision):
+                    revision = change["revision"]
+                    self._print(change)
+            except UnreachableError as exc:
+                print(f"slatehoist: {exc}; going on", file=sys.stderr)
+                await asyncio.sleep(1.0)
+
+    def _print(self, change: dict[str, Any]) -> None:
+        if self.output == "json":
+            print_json(change)
+            return
+        verb = "deleted" if change["deleted"] else "changed"
+        name = f"{change['kind']}/{change['name']}"
+        print(f"{change['revision']:>8} {verb} {name} {change['spec']}", flush=True)
+
+
+@cappa.command(help="Show what is in force where, and the sidecars' state.")
+@dataclass
+class Status:
+    """Arguments of ``slatehoist status``."""
+
+    output: Output = "table"
+
+    def __call__(self) -> None:
+        """Show."""
+        status = _run(_api().call("GET", "status"))
+        if self.output == "json":
+            print_json(status)
+            return
+        force = f"in force {status['in_force']} of {status['of']}"
+        print(f"revision {status['revision']}, {force}\n")
+        rows = [
+            [name, s["zone"], s["endpoint"], s["up"], s["takes_work"], s["load"]]
+            for name, s in status["sidecars"].items()
+        ]
+        heads = ("SIDECAR", "ZONE", "ENDPOINT", "UP", "TAKES WORK", "LOAD")
+        print_table(heads, rows)
+
+
+@cappa.command(help="Tell why a resource is, or is not, in force.")
+@dataclass
+class Explain:
+    """Arguments of ``slatehoist explain``."""
+
+    kind: Annotated[str, cappa.Arg(help="Kind of the resource.")]
+    name: Annotated[str, cappa.Arg(help="Name of the resource.")]
+
+    def __call__(self) -> None:
+        """Explain."""
+        for line in _run(self._explain(_api())):
+            print(line)
+
+    async def _explain(self, api: Api) -> list[str]:
+        document = await api.call("GET", f"{self.kind}/{self.name}")
+        status = await api.call("GET", "status")
+        revision = document["revision"]
+        lines = [
+            f"{self.kind}/{self.name}: generation {document['generation']}, "
+            f"accepted as revision {revision}"
+        ]
+        behind = {n: r for n, r in status["instances"].items() if r < revision}
+        if not behind:
+            lines.append(f"in force at all {status['of']} processes")
+        for name, at in sorted(behind.items()):
+            reason = "not heard of" if at == 0 else f"still at revision {at}"
+            lines.append(f"not in force at {name}: {reason}")
+        if self.kind == "endpoint":
+            lines += self._explain_endpoint(status)
+        return lines
+
+    def _explain_endpoint(self, status: dict[str, Any]) -> list[str]:
+        beside = {
+            name: s
+            for name, s in status["sidecars"].items()
+            if s["endpoint"] == self.name
+        }
+        if not beside:
+            return ["no sidecar of this endpoint is linked to the entry asked"]
+        return [
+            f"sidecar {name}: "
+            + ("takes work" if s["takes_work"] else "takes no new work")
+            + ("" if s["up"] else ", its link is down")
+            for name, s in sorted(beside.items())
+        ]
+
+
+@cappa.command(name="slatehoist", help="Operators' command line.")
+@dataclass
+class Operator:
+    """Arguments of ``slatehoist``."""
+
+    command: cappa.Subcommands[Apply | Get | Delete | Watch | Status | Explain]
+
+
+def _print_resources(documents: list[dict], output: str) -> None:
+    if output == "json":
+        print_json(documents)
+        return
+    print_table(RESOURCE_HEADS, [resource_row(d) for d in documents])
+
+
+def main() -> None:
+    """Run the command line."""
+    cappa.invoke(Operator)
+
+
+if __name__ == "__main__":
+    main()
--- a/packages/config/src/slatehoist/config/findings.py
+++ b/packages/config/src/slatehoist/config/findings.py
@@ -96,16 +96,28 @@
         header = _HEADER.match(line)
         key = _KEY.match(line)
         if header:
-            table = _split(header.group(1))
+            table = _within_arrays(_split(header.group(1)), counts)
             if line.lstrip().startswith("[["):
-                index = counts.get(table, -1) + 1
-                counts[table] = index
-                table = (*table, index)
+                plain = _split(header.group(1))
+                counts[plain] = counts.get(plain, -1) + 1
+                table = (*plain, counts[plain])
             lines.setdefault(table, number)
         elif key:
             lines.setdefault((*table, *_split(key.group(1))), number)
     return lines
 
 
+def _within_arrays(
+    path: tuple[str, ...], counts: dict[tuple[Any, ...], int]
+) -> tuple[Any, ...]:
+    """Add to a table's path the index of each array of tables that it is in."""
+    indexed: list[Any] = []
+    for end, part in enumerate(path, start=1):
+        indexed.append(part)
+        if end < len(path) and path[:end] in counts:
+            indexed.append(counts[path[:end]])
+    return tuple(indexed)
+
+
 def _split(dotted: str) -> tuple[str, ...]:
     return tuple(part.strip().strip("\"'") for part in dotted.split("."))
--- a/packages/config/src/slatehoist/config/settings.py
+++ b/packages/config/src/slatehoist/config/settings.py
@@ -92,8 +92,8 @@
         float, Field(ge=0, le=1, description="retries per first try, by member")
     ] = 0.09
     budget_floor: Annotated[
-        float, Field(ge=0, description="retries a member may make in 10 s, in any case")
-    ] = 5.0
+        float, Field(ge=0, description="retries in hand for a sudden loss, by member")
+    ] = 20.0
     max_tries: Annotated[
         int, Field(ge=1, le=16, description="tries of one request at most")
     ] = 3
--- a/packages/daemon/src/slatehoist/daemon/entry/callers.py
+++ b/packages/daemon/src/slatehoist/daemon/entry/callers.py
@@ -18,6 +18,7 @@
 )
 from slatehoist.daemon.entry.dispatch import CallerRequest, Dispatcher
 from slatehoist.daemon.entry.keyed import ClaimKeeper, KeyedRequest
+from slatehoist.daemon.entry.quotas import TeamQuotas
 from slatehoist.daemon.metrics import Metric, Metrics
 from slatehoist.daemon.tracing import parent_context, trace_id, tracer
 from slatehoist.routing import prefix_keys
@@ -64,6 +65,7 @@
         replica: Replica,
         dispatcher: Dispatcher,
         claims: ClaimKeeper,
+        quotas: TeamQuotas,
         metrics: Metrics,
         takes_work: Callable[[], bool],
         clock: Callable[[], float],
@@ -72,6 +74,7 @@
         self._replica = replica
         self._dispatcher = dispatcher
         self._claims = claims
+        self._quotas = quotas
         self._metrics = metrics
         self._takes_work = takes_work
         self._clock = clock
@@ -135,6 +138,10 @@
         if not self._takes_work():
             error = CallerError(503, "not_ready", "this entry takes no new work")
             return error_response(error._replace(retry_after_s=1.0), trace), None
+        wait_s = self._quotas.take(token.team)
+        if wait_s:
+            error = CallerError(429, "over_quota", "the team is over its rate")
+            return error_response(error._replace(retry_after_s=wait_s), trace), None
         body = await self._read_body(req)
         caller = parse(req, token, body)
         answer = CallerAnswer(req, trace, keep=bool(caller.key))
--- a/packages/daemon/src/slatehoist/daemon/entry/process.py
+++ b/packages/daemon/src/slatehoist/daemon/entry/process.py
@@ -19,6 +19,7 @@
 from slatehoist.daemon.entry.dispatch import Dispatcher
 from slatehoist.daemon.entry.guard import CrashGuard
 from slatehoist.daemon.entry.keyed import ClaimKeeper
+from slatehoist.daemon.entry.quotas import RENEW_S, TeamQuotas
 from slatehoist.daemon.entry.resource_api import ResourceApi
 from slatehoist.daemon.lifecycle import Lifecycle
 from slatehoist.daemon.metrics import Metric, Metrics
@@ -74,6 +75,7 @@
         poll_s = self.cfg.platform.poll_s
         self.background.repeat(self._follow_instances, poll_s)
         self.background.repeat(self._follow_config, poll_s)
+        self.background.repeat(self.quotas.renew, RENEW_S)
         crash_poll_s = poll_s * CRASH_POLL_FACTOR
         self.background.repeat(self.guard.follow_table, crash_poll_s)
         await self._listen()
@@ -151,9 +153,11 @@
             self.background,
             self.clock,
         )
+        self.quotas = TeamQuotas(self.replica, self.directory, self.clock)
         handlers = {
             **notes,
             "config_question": self._on_config_question,
+            "quota": self.quotas.on_question,
             "revisions": self._on_revisions,
         }
         self.links = LinkServer(cfg.instance.control, handlers, self.heartbeat)
@@ -180,6 +184,7 @@
             self.replica,
             self.dispatcher,
             claims,
+            self.quotas,
             self.metrics,
             lambda: self.lifecycle.takes_work,
             self.clock,
--- /dev/null
+++ b/packages/daemon/src/slatehoist/daemon/entry/quotas.py
@@ -0,0 +1,96 @@
+"""Teams' rate limits, shared by all entries through each team's home entry."""
+
+from collections.abc import Callable
+
+from slatehoist.config import Kind, Replica
+from slatehoist.daemon.entry.directory import Directory
+from slatehoist.routing import QuotaHolder, QuotaHome, Share, home_entry
+from slatehoist.wire import LinkDownError, decode
+from slatehoist.wire.messages import QuotaAnswer, QuotaQuestion
+
+#: Seconds between renewals of the active teams' shares.
+RENEW_S = 0.5
+#: Seconds without a request after which a team counts as idle here.
+IDLE_S = 30.0
+#: Seconds to wait for a home entry.
+ASK_TIMEOUT_S = 0.5
+
+
+class TeamQuotas:
+    """Rate limits of the teams that are active at one entry.
+
+    The home entry of a team, chosen by rendezvous hashing among the entries that are
+    heard, divides the team's rate. An entry that cannot reach it keeps to a safe and
+    shrinking share.
+    """
+
+    def __init__(
+        self, replica: Replica, directory: Directory, clock: Callable[[], float]
+    ) -> None:
+        self._replica = replica
+        self._directory = directory
+        self._clock = clock
+        self._home = QuotaHome()
+        self._holders: dict[str, QuotaHolder] = {}
+        self._used_at: dict[str, float] = {}
+
+    def take(self, team: str) -> float:
+        """Take one request of a team.
+
+        Returns
+        -------
+        float
+            0 if it may run; otherwise seconds until one may.
+        """
+        spec = self._replica.spec(Kind.TEAM, team)
+        if spec is None:
+            return 0.0
+        now = self._clock()
+        self._used_at[team] = now
+        holder = self._holders.get(team)
+        if holder is None:
+            holder = QuotaHolder(spec.rate_per_s, len(self._entries()), now)
+            self._holders[team] = holder
+        return holder.take(now)
+
+    async def renew(self) -> None:
+        """Renew the shares of the active teams, and forget the idle ones."""
+        now = self._clock()
+        for team in list(self._holders):
+            if now - self._used_at[team] > IDLE_S:
+                del self._holders[team], self._used_at[team]
+                continue
+            await self._renew_one(team)
+
+    async def on_question(self, peer: str, body: bytes) -> QuotaAnswer:
+        """Answer another entry that asks for a share."""
+        question = decode(body, QuotaQuestion)
+        share = self._grant(question.team, question.entry, question.wanted_per_s)
+        return QuotaAnswer(share.rate, share.expires - self._clock())
+
+    async def _renew_one(self, team: str) -> None:
+        holder = self._holders[team]
+        wanted = holder.wanted(self._clock())
+        me = self._directory.me.name
+        home = home_entry(team, self._entries())
+        if home == me:
+            holder.renew(self._grant(team, me, wanted), self._clock())
+            return
+        link = self._directory.entries[home].link
+        question = QuotaQuestion(team, me, wanted)
+        try:
+            answer = await link.ask("quota", question, QuotaAnswer, ASK_TIMEOUT_S)
+        except LinkDownError:
+            return
+        now = self._clock()
+        holder.renew(Share(answer.rate_per_s, now + answer.lifetime_s), now)
+
+    def _grant(self, team: str, entry: str, wanted: float) -> Share:
+        spec = self._replica.spec(Kind.TEAM, team)
+        rate = spec.rate_per_s if spec else 0.0
+        return self._home.grant(team, entry, wanted, rate, self._clock())
+
+    def _entries(self) -> list[str]:
+        """List the entries that are heard, this one among them."""
+        heard = [name for name, n in self._directory.entries.items() if n.up]
+        return [self._directory.me.name, *heard]
--- a/packages/routing/src/slatehoist/routing/retries.py
+++ b/packages/routing/src/slatehoist/routing/retries.py
@@ -4,6 +4,8 @@
 
 #: Seconds over which first tries earn retries.
 BUDGET_WINDOW_S = 10.0
+#: Seconds over which retries in hand come back.
+FLOOR_WINDOW_S = 60.0
 #: Shortest and longest time to come back that is ever told, in seconds.
 MIN_RETRY_AFTER_S = 1.0
 MAX_RETRY_AFTER_S = 60.0
@@ -19,7 +21,8 @@
     ratio : float
         Retries earned by each first try.
     floor : float
-        Retries that a member may make in any window, however few its requests are.
+        Retries in hand for the sudden loss of an endpoint, however few the requests
+        are; used up, they come back over a minute.
     """
 
     def __init__(
@@ -34,11 +37,11 @@
 
     def earn(self, now: float) -> None:
         """Count one first try."""
-        passed = 0.0 if self._at is None else (now - self._at) / self._window_s
+        passed_s = 0.0 if self._at is None else now - self._at
         self._at = now
-        self._rate = self._rate * max(0.0, 1 - passed) + 1
+        self._rate = self._rate * max(0.0, 1 - passed_s / self._window_s) + 1
         cap = max(self.floor, self._rate * self.ratio)
-        earned = self.ratio + passed * self.floor
+        earned = self.ratio + passed_s / FLOOR_WINDOW_S * self.floor
         self._balance = min(self._balance + earned, cap)
 
     def spend(self) -> bool:
