Bound a poison request's crashes at two, also when it has company

A broken connection is no crash if the same incarnation still answers. Ruled out: the ledger's own rules; they held once the reports were right.

--- a/packages/daemon/src/slatehoist/daemon/entry/directory.py
+++ b/packages/daemon/src/slatehoist/daemon/entry/directory.py
@@ -1,5 +1,6 @@
 """Directory of the processes that an entry knows, and links to them."""
 
+import asyncio
 import contextlib
 from collections.abc import Callable
 
@@ -136,6 +137,12 @@
         heard[self.me.name] = self._replica.revision
         return heard
 
+    async def ask_entries(self, kind: str, msg, timeout_s: float) -> None:
+        """Send something to every other entry and wait until they have it."""
+        heard = [n for n in self.entries.values() if n.up]
+        asks = (n.link.ask(kind, msg, bool, timeout_s) for n in heard)
+        await asyncio.gather(*asks, return_exceptions=True)
+
     async def tell_entries(self, kind: str, msg) -> None:
         """Send a note to every other entry."""
         for neighbour in list(self.entries.values()):
--- a/packages/daemon/src/slatehoist/daemon/entry/guard.py
+++ b/packages/daemon/src/slatehoist/daemon/entry/guard.py
@@ -1,5 +1,6 @@
 """Crash suspicion shared by all entries: told to each other, and kept in the table."""
 
+import asyncio
 import logging
 from collections.abc import Callable
 
@@ -14,6 +15,9 @@
 
 CRASHES = "crashes"
 
+#: Seconds to wait for other entries to have heard of a crash.
+ACK_TIMEOUT_S = 0.3
+
 
 class CrashGuard:
     """Ledger of suspects that hears of every entry's crashes.
@@ -35,19 +39,29 @@
         self._table = table
         self._background = background
         self._clock = clock
+        self._tellings: dict[str, asyncio.Task] = {}
 
     def verdict(self, digest: str) -> Verdict:
         """Judge a request before it is sent."""
         return self._ledger.verdict(digest, self._clock())
 
-    def report_crash(self, crash_id: str, digests: list[str]) -> None:
-        """Take in a crash that this entry met, and tell everybody."""
-        if not self._ledger.report_crash(crash_id, digests, self._clock()):
-            return
-        log.warning("crash", extra={"crash": crash_id, "suspects": len(digests)})
-        report = CrashReport(crash_id, digests)
-        self._background.spawn(self._directory.tell_entries("crash", report))
-        self._background.spawn(self._keep(report))
+    async def report_crash(self, crash_id: str, digests: list[str]) -> None:
+        """Take in a crash that this entry met, and tell everybody.
+
+        This waits a moment for the other entries to have heard, since the caller may
+        come back through one of them as soon as it has its answer. All requests that
+        were in the crash wait for the same telling.
+        """
+        if self._ledger.report_crash(crash_id, digests, self._clock()):
+            log.warning("crash", extra={"crash": crash_id, "suspects": len(digests)})
+            report = CrashReport(crash_id, digests)
+            self._background.spawn(self._keep(report))
+            telling = self._directory.ask_entries("crash", report, ACK_TIMEOUT_S)
+            self._tellings[crash_id] = self._background.spawn(telling)
+        telling = self._tellings.get(crash_id)
+        if telling is not None:
+            await asyncio.wait({telling})
+            self._tellings.pop(crash_id, None)
 
     def report_whole(self, digest: str) -> None:
         """Take in that a request ran to its end."""
@@ -55,10 +69,11 @@
             note = SuspectCleared(digest)
             self._background.spawn(self._directory.tell_entries("cleared", note))
 
-    async def on_crash(self, peer: str, body: bytes) -> None:
-        """Take in another entry's crash."""
+    async def on_crash(self, peer: str, body: bytes) -> bool:
+        """Take in another entry's crash, and say so."""
         report = decode(body, CrashReport)
         self._ledger.report_crash(report.crash_id, report.digests, self._clock())
+        return True
 
     async def on_cleared(self, peer: str, body: bytes) -> None:
         """Take in that another entry saw a suspect run to its end."""
--- a/packages/daemon/src/slatehoist/daemon/entry/process.py
+++ b/packages/daemon/src/slatehoist/daemon/entry/process.py
@@ -138,11 +138,7 @@
             cfg.instance.control,
             "live",
         )
-        notes = {
-            "crash": self._on_crash,
-            "cleared": self._on_cleared,
-            "config": self._on_config,
-        }
+        notes = {"config": self._on_config}
         self.directory = Directory(
             me, self.replica, self.heartbeat, notes, self.background, self.clock
         )
@@ -156,6 +152,8 @@
         self.quotas = TeamQuotas(self.replica, self.directory, self.clock)
         handlers = {
             **notes,
+            "crash": self.guard.on_crash,
+            "cleared": self.guard.on_cleared,
             "config_question": self._on_config_question,
             "quota": self.quotas.on_question,
             "revisions": self._on_revisions,
@@ -291,12 +289,6 @@
     async def _on_config_question(self, peer: str, body: bytes) -> ConfigAnswer:
         return encode_changes(self.replica, decode(body, ConfigQuestion).since)
 
-    async def _on_crash(self, peer: str, body: bytes) -> None:
-        await self.guard.on_crash(peer, body)
-
-    async def _on_cleared(self, peer: str, body: bytes) -> None:
-        await self.guard.on_cleared(peer, body)
-
     async def _on_revisions(self, peer: str, body: bytes) -> dict[str, int]:
         return self.directory.revisions()
 
--- a/packages/daemon/src/slatehoist/daemon/sidecar/process.py
+++ b/packages/daemon/src/slatehoist/daemon/sidecar/process.py
@@ -71,6 +71,7 @@
         self.coordinator: GroupCoordinator | None = None
         self._load = Load("")
         self._missed_loads = 0
+        self._crashed_at: dict[str, float] = {}
         self.background = Background()
 
     async def start(self) -> None:
@@ -125,7 +126,7 @@
             step_s=self.admission.limit.step_s,
             revision=self.replica.revision,
             endpoint=self.cfg.endpoint.name,
-            endpoint_up=self._missed_loads < MISSED_LOADS,
+            endpoint_up=self._is_endpoint_up(),
             concurrency=self.admission.limit.limit,
         )
 
@@ -151,6 +152,7 @@
             self.endpoint,
             CrashLog(cfg.name, self.table.running_digests),
             lambda: self._load.incarnation,
+            self._on_crash,
             self.background,
             self.clock,
         )
@@ -228,8 +230,9 @@
 
     async def _watch_endpoint(self) -> None:
         """Read the endpoint's load and adapt the concurrency to its step time."""
+        asked_at = self.clock()
         load = await self.endpoint.load()
-        if load is None:
+        if load is None or self._is_outdated(load, asked_at):
             self._missed_loads += 1
         else:
             self._missed_loads = 0
@@ -243,6 +246,19 @@
             in_use = self.admission.running
             self.admission.limit.observe(load.step_s, in_use, self.clock())
 
+    def _is_endpoint_up(self) -> bool:
+        return bool(self._load.incarnation) and self._missed_loads < MISSED_LOADS
+
+    def _on_crash(self, incarnation: str) -> None:
+        """Run nothing more until the endpoint shows a new incarnation."""
+        self._crashed_at.setdefault(incarnation, self.clock())
+        if self._load.incarnation == incarnation:
+            self._load = Load("")
+
+    def _is_outdated(self, load: Load, asked_at: float) -> bool:
+        """Tell whether a reading is of before a crash of its incarnation."""
+        return asked_at <= self._crashed_at.get(load.incarnation, float("-inf"))
+
     def _note_incarnation(self, load: Load) -> None:
         if self._load.incarnation not in ("", load.incarnation):
             self.metrics.count(Metric.CRASHES)
--- a/packages/daemon/src/slatehoist/daemon/sidecar/runner.py
+++ b/packages/daemon/src/slatehoist/daemon/sidecar/runner.py
@@ -32,7 +32,10 @@
     Parameters
     ----------
     incarnation : callable
-        Gives the endpoint's incarnation as last reported.
+        Gives the endpoint's incarnation; empty if it is not known to be up, and then
+        nothing is run there, since a crash could not be told from the one before.
+    on_crash : callable
+        Called with the incarnation that crashed.
     """
 
     def __init__(
@@ -42,6 +45,7 @@
         endpoint: Endpoint,
         crashes: CrashLog,
         incarnation: Callable[[], str],
+        on_crash: Callable[[str], None],
         background: Background,
         clock: Callable[[], float],
     ) -> None:
@@ -50,6 +54,7 @@
         self._endpoint = endpoint
         self._crashes = crashes
         self._incarnation = incarnation
+        self._on_crash = on_crash
         self._background = background
         self._clock = clock
 
@@ -100,8 +105,11 @@
             self._admission.leave(ticket, used)
 
     async def _run_at_endpoint(self, attempt: Attempt) -> None:
-        attempt.state = AttemptState.RUNNING
         attempt.endpoint_incarnation = self._incarnation()
+        if not attempt.endpoint_incarnation:
+            self._refuse(attempt, NotRunReason.ENDPOINT_DOWN, MIN_WAIT_S)
+            return
+        attempt.state = AttemptState.RUNNING
         try:
             with tracer().start_as_current_span("endpoint.run"):
                 async with asyncio.timeout(attempt.deadline - self._clock()):
@@ -109,10 +117,21 @@
         except EndpointDownError:
             self._refuse(attempt, NotRunReason.ENDPOINT_DOWN, MIN_WAIT_S)
         except AnswerBrokenError as exc:
-            self._break(attempt, exc.reason)
+            self._break(attempt, await self._judge_break(attempt, exc.reason))
         except TimeoutError:
             self._break(attempt, BrokenReason.DEADLINE)
 
+    async def _judge_break(
+        self, attempt: Attempt, reason: BrokenReason
+    ) -> BrokenReason:
+        """Do not call it a crash if the same incarnation still answers."""
+        if reason != BrokenReason.ENDPOINT_CRASHED:
+            return reason
+        load = await self._endpoint.load()
+        if load is not None and load.incarnation == attempt.endpoint_incarnation:
+            return BrokenReason.CONNECTION_LOST
+        return reason
+
     async def _copy_answer(self, attempt: Attempt) -> None:
         answer = self._endpoint.run(attempt.req)
         async with contextlib.aclosing(answer):
@@ -137,6 +156,7 @@
         crash_id, digests = "", []
         if reason == BrokenReason.ENDPOINT_CRASHED:
             crash_id, digests = self._crashes.record(attempt.endpoint_incarnation)
+            self._on_crash(attempt.endpoint_incarnation)
         last = Broken(attempt.req.attempt_id, reason, crash_id, digests)
         attempt.fail(last, self._clock())
 
--- a/packages/wire/src/slatehoist/wire/messages.py
+++ b/packages/wire/src/slatehoist/wire/messages.py
@@ -30,6 +30,7 @@
 
     ENDPOINT_CRASHED = "endpoint_crashed"
     ENDPOINT_SILENT = "endpoint_silent"
+    CONNECTION_LOST = "connection_lost"
     CANCELLED = "cancelled"
     BUFFER_LIMIT = "buffer_limit"
     DEADLINE = "deadline"
--- a/standins/src/slatehoist_standins/fleet.py
+++ b/standins/src/slatehoist_standins/fleet.py
@@ -19,6 +19,8 @@
 
 import aiohttp
 
+#: Line that begins each start in a process's output.
+START_MARK = "--- start ---\n"
 #: Seconds that a process may take to start.
 START_TIMEOUT_S = 20.0
 #: Seconds that a process may take to stop before it is killed.
@@ -104,6 +106,8 @@
     def spawn(self, name: str, command: list[str]) -> subprocess.Popen:
         """Start a process; its output goes to a file of its own."""
         with open(self.folder / f"{name}.log", "ab") as output:
+            output.write(START_MARK.encode())
+            output.flush()
             proc = subprocess.Popen(
                 command, stdout=output, stderr=output, stdin=subprocess.DEVNULL
             )
@@ -140,8 +144,9 @@
                 proc.wait()
 
     def log(self, name: str) -> str:
-        """Read what a process printed."""
-        return (self.folder / f"{name}.log").read_text(errors="replace")
+        """Read what a process printed since its last start."""
+        text = (self.folder / f"{name}.log").read_text(errors="replace")
+        return text.rpartition(START_MARK)[2]
 
     # Stand-ins -----------------------------------------------------------------
 
--- a/tools/faults/world.py
+++ b/tools/faults/world.py
@@ -132,7 +132,7 @@
     def _incarnation(self, sidecar: str) -> str:
         """Read a sidecar's present incarnation from its log."""
         found = re.findall(r"event=sidecar_ready incarnation=(\w+)", self.log(sidecar))
-        return found[-1] if found else ""
+        return found[-1] if found else "not started"
 
     def _relayed(self) -> list[str]:
         return [name for name, node in self.nodes.items() if node.role == "sidecar"]
