--- a/packages/routing/src/slatehoist/routing/suspects.py
+++ b/packages/routing/src/slatehoist/routing/suspects.py
@@ -3,8 +3,10 @@
 After a first crash every request in flight is a suspect. A suspect runs again only
 where no other suspect runs. If that endpoint crashes too, the suspect is held: it is
 refused at once, while those that ran beside it become suspects in turn. It is
-convicted when it has crashed twice and nobody else in either crash can be to blame;
-it goes free if another of them turns out to be the culprit.
+convicted when it has crashed twice and nobody else in one of the crashes can be to
+blame. A conviction explains the crashes that the culprit was in, and who was held for
+nothing else runs again, by itself at first. The crashes go on counting, since two
+poison requests may have been in one of them.
 
 One distinct request thus crashes at most two endpoints, plus the copies that were in
 flight at the same moment.
@@ -63,9 +65,10 @@
         crashes = self._crashes_of(digest)
         if not crashes or digest in self._cleared:
             return Verdict.CLEAR
+        unexplained = [c for c in crashes if not self._is_explained(c, digest)]
         if len(crashes) >= HOLD_CRASHES:
-            return Verdict.HELD
-        return Verdict.SUSPECT
+            return Verdict.HELD if unexplained else Verdict.SUSPECT
+        return Verdict.SUSPECT if unexplained else Verdict.CLEAR
 
     def report_crash(self, crash_id: str, digests: list[str], now: float) -> bool:
         """Take in a crash report; return whether it told anything new."""
@@ -110,14 +113,10 @@
             (digest,) = blamable
             if len(self._crashes_of(digest)) >= HOLD_CRASHES:
                 self._convicted.setdefault(digest, now)
-                self._release_others(digest)
 
-    def _release_others(self, culprit: str) -> None:
-        """Drop the crashes that a convicted request explains for all others."""
-        for crash_id, crash in list(self._crashes.items()):
-            if culprit in crash.digests:
-                only_culprit = frozenset({culprit})
-                self._crashes[crash_id] = crash._replace(digests=only_culprit)
+    def _is_explained(self, crash: Crash, digest: str) -> bool:
+        """Tell whether a convicted request other than this one was in a crash."""
+        return any(d in self._convicted and d != digest for d in crash.digests)
 
     def _lifetime_s(self, crash: Crash) -> float:
         """Remember a crash longer if a request is held for it."""
