--- a/tools/faults/requests.py
+++ b/tools/faults/requests.py
@@ -61,12 +61,7 @@
     await world.stall(0, True)
     fillers = [unique("filler") for _ in range(BATCH)]
     session, address = world.session, world.entries[0].http
-    running = [
-        asyncio.create_task(
-            complete(session, address, f, TOKENS, stream=False, model="solo-0")
-        )
-        for f in fillers
-    ]
+    running = [asyncio.create_task(_fill(world, filler)) for filler in fillers]
     await until(lambda: all(world.runs(f) for f in fillers), what="fillers")
     prompt = unique("queued")
     call = asyncio.create_task(
@@ -83,6 +78,15 @@
     await asyncio.gather(*running)
 
 
+async def _fill(world: World, filler: str) -> None:
+    """Take a slot of the first engine; send again until the filler is there."""
+    address = world.entries[0].http
+    while not world.runs(filler):
+        await complete(
+            world.session, address, filler, TOKENS, stream=False, model="solo-0"
+        )
+
+
 async def run_prefill(world: World, fault: str, injection: Injection) -> None:
     """Put in a fault while an unstreamed request has no token yet."""
     prompt = unique("prefill")
--- a/tools/matrix.py
+++ b/tools/matrix.py
@@ -15,15 +15,19 @@
 from faults.catalogue import make_worlds
 from faults.cells import Cell, Violation
 
+#: Worlds that run at the same time; more of them starve each other's heartbeats.
+WORLDS = 4
 #: Seconds that one cell may take.
 CELL_TIMEOUT_S = 90.0
 
 
-async def run_world(make_world, cells: list[Cell], results: dict) -> None:
+async def run_world(
+    room: asyncio.Semaphore, make_world, cells: list[Cell], results: dict
+) -> None:
     """Run cells one after another in one world."""
     if not cells:
         return
-    async with make_world() as world:
+    async with room, make_world() as world:
         await world.start()
         for cell in cells:
             start = time.monotonic()
@@ -76,9 +80,12 @@
     print(f"seed {seed}")
     results: dict[str, str] = {}
     worlds = make_worlds(seed, mutation)
+    room = asyncio.Semaphore(WORLDS)
     await asyncio.gather(
         *(
-            run_world(make, [c for c in cells if re.search(pattern, c.name)], results)
+            run_world(
+                room, make, [c for c in cells if re.search(pattern, c.name)], results
+            )
             for make, cells in worlds
         )
     )
