Slow heartbeats down when links are many

Measured with make bench-control: 80 bytes and 0.77 ms of a core a second per link at one heartbeat a second, so 128 links cost 10 KB/s and 10% of a core against a budget of 4 KB/s and 2.5%.

--- a/packages/daemon/src/slatehoist/daemon/entry/directory.py
+++ b/packages/daemon/src/slatehoist/daemon/entry/directory.py
@@ -9,7 +9,7 @@
 from slatehoist.daemon.configsync import encode_changes
 from slatehoist.platform import Instance
 from slatehoist.routing import Candidate, Peer, choose_subset, subset_size
-from slatehoist.wire import Link
+from slatehoist.wire import Link, heartbeat_interval_s
 from slatehoist.wire.messages import Heartbeat
 
 #: Links to other entries that one entry keeps.
@@ -99,6 +99,9 @@
         links = subset_size(len(by_role["entry"]) + 1, len(by_role["sidecar"]))
         await self._follow(self.sidecars, by_role["sidecar"], links)
         await self._follow(self.entries, by_role["entry"], MAX_ENTRY_LINKS)
+        neighbours = [*self.sidecars.values(), *self.entries.values()]
+        for neighbour in neighbours:
+            neighbour.link.interval_s = heartbeat_interval_s(len(neighbours))
 
     async def close(self) -> None:
         """Close all links."""
--- a/packages/wire/src/slatehoist/wire/__init__.py
+++ b/packages/wire/src/slatehoist/wire/__init__.py
@@ -3,7 +3,7 @@
 from slatehoist.wire.codec import decode, encode
 from slatehoist.wire.exceptions import LinkDownError, WireError
 from slatehoist.wire.frames import FrameDecoder, answer_digest, encode_frame
-from slatehoist.wire.links import Link, LinkServer
+from slatehoist.wire.links import Link, LinkServer, heartbeat_interval_s
 
 __all__ = [
     "FrameDecoder",
@@ -15,4 +15,5 @@
     "decode",
     "encode",
     "encode_frame",
+    "heartbeat_interval_s",
 ]
--- a/packages/wire/src/slatehoist/wire/links.py
+++ b/packages/wire/src/slatehoist/wire/links.py
@@ -27,9 +27,21 @@
 #: Seconds before a silent or refused link is dialled again.
 REDIAL_S = 0.3
 
+#: Heartbeats a second that one process sends, all its links together.
+MAX_HEARTBEATS_PER_S = 30.0
+
 Handler = Callable[[str, bytes], Awaitable[Any]]
 
 
+def heartbeat_interval_s(links: int) -> float:
+    """Give the seconds between heartbeats on each of a process's links.
+
+    Control has a budget, so that many links have slower heartbeats. What must be
+    known at once, like leaving, is told at once on all of them.
+    """
+    return max(HEARTBEAT_S, links / MAX_HEARTBEATS_PER_S)
+
+
 class Envelope(NamedTuple):
     """Outer form of every control message; ``ask`` is 0 for a note."""
 
@@ -254,9 +266,9 @@
         self._socket = pynng.Pair1()
         self._socket.dial(f"tcp://{self.address}", block=False)
         beats = asyncio.create_task(self._beat())
-        limit_s = self.interval_s * MISSED_HEARTBEATS
         try:
             while True:
+                limit_s = self.interval_s * MISSED_HEARTBEATS
                 msg = await asyncio.wait_for(self._socket.arecv_msg(), limit_s)
                 self._take_in(msg.bytes)
         finally:
@@ -289,7 +301,7 @@
         if self._socket is None:
             raise LinkDownError(f"link to {self.address} is down")
         data = encode(Envelope(kind, ask, msgspec.Raw(encode(msg))))
-        await asyncio.wait_for(self._socket.asend(data), self.interval_s)
+        await asyncio.wait_for(self._socket.asend(data), HEARTBEAT_S)
         self.traffic = self.traffic.plus_sent(len(data))
 
     def _hang_up(self) -> None:
