--- a/packages/daemon/src/slatehoist/daemon/sidecar/admission.py
+++ b/packages/daemon/src/slatehoist/daemon/sidecar/admission.py
@@ -9,8 +9,8 @@
 from slatehoist.routing import AdaptiveLimit, FairQueue, Ticket
 from slatehoist.wire.messages import AttemptRequest, NotRunReason
 
-#: Weight of the newest second in the smoothed rate of service.
-RATE_SMOOTHING = 0.2
+#: Weight of the newest request in the smoothed rate of one slot.
+RATE_SMOOTHING = 0.1
 #: Shortest time to come back that a refusal tells, in seconds.
 MIN_WAIT_S = 0.5
 
@@ -50,15 +50,19 @@
         self._max_wait_s = max_wait_s
         self._clock = clock
         self._suspect_running = False
-        self._rate = 0.0
-        self._served = 0.0
-        self._rated_at = clock()
+        self._slot_rate = 0.0
+        self._started_at: dict[str, float] = {}
 
     @property
     def load(self) -> float:
         """Give the requests running and waiting."""
         return self.running + len(self.queue)
 
+    @property
+    def rate(self) -> float:
+        """Give the tokens a second that all slots together would serve if in use."""
+        return self._slot_rate * self.limit.limit
+
     async def enter(
         self, req: AttemptRequest, deadline: float
     ) -> Result[Ticket, Refused]:
@@ -100,7 +104,7 @@
         self.running -= 1
         self._release_suspect(ticket.item[1])
         self.queue.settle(ticket, tokens)
-        self._served += tokens
+        self._rate_slot(ticket.item[1].attempt_id, tokens)
         self.pump()
 
     def pump(self) -> None:
@@ -113,17 +117,12 @@
             if ticket is None:
                 return
             self.running += 1
+            self._started_at[ticket.item[1].attempt_id] = now
             ticket.item[0].set_result(None)
 
     def tick(self) -> None:
-        """Refresh the rate of service and drop what is too late."""
+        """Drop what is too late."""
         now = self._clock()
-        span = now - self._rated_at
-        if span > 0:
-            rate = self._served / span
-            self._rate += RATE_SMOOTHING * (rate - self._rate)
-        self._served = 0.0
-        self._rated_at = now
         for late in self.queue.expire(now):
             self._answer_evicted(late, now)
         self.pump()
@@ -138,7 +137,20 @@
 
     def wait_s(self, member: str) -> float:
         """Estimate how long a new request of a member would wait, in seconds."""
-        return max(self.queue.expected_wait_s(member, self._rate), MIN_WAIT_S)
+        return max(self.queue.expected_wait_s(member, self.rate), MIN_WAIT_S)
+
+    def _rate_slot(self, attempt_id: str, tokens: float) -> None:
+        """Learn from one request how fast a slot serves.
+
+        Served tokens over time would fall while the endpoint is idle, and the next
+        burst would be refused for a queue that is gone in a moment.
+        """
+        seconds = self._clock() - self._started_at.pop(attempt_id)
+        if tokens <= 0 or seconds <= 0:
+            return
+        rate = tokens / seconds
+        weight = RATE_SMOOTHING if self._slot_rate else 1.0
+        self._slot_rate += weight * (rate - self._slot_rate)
 
     def _has_free_slot(self) -> bool:
         return self.running < self.limit.limit and not len(self.queue)
@@ -147,7 +159,7 @@
         """Tell whether a request would wait past its use, or too long in any case."""
         if deadline <= now:
             return True
-        wait_s = self.queue.expected_wait_s(req.member, self._rate)
+        wait_s = self.queue.expected_wait_s(req.member, self.rate)
         return wait_s > min(deadline - now, self._max_wait_s)
 
     def _answer_evicted(self, ticket: Ticket, now: float) -> None:
