--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 PY := .venv/bin/python
 PACKAGES := wire platform config coord routing experts daemon cli
 
-.PHONY: demo test lint format matrix bench-path bench-experts bench-routing bench-control
+.PHONY: mutations demo test lint format matrix bench-path bench-experts bench-routing bench-control
 
 .venv/installed: requirements.txt requirements-dev.txt
 	python3 -m venv .venv
@@ -24,6 +24,9 @@
 	.venv/bin/ruff check --fix -q .
 	.venv/bin/ruff format -q .
 
+mutations: .venv/installed
+	$(PY) tools/mutations.py
+
 matrix: .venv/installed
 	$(PY) tools/matrix.py
 
--- a/packages/daemon/src/slatehoist/daemon/sidecar/admission.py
+++ b/packages/daemon/src/slatehoist/daemon/sidecar/admission.py
@@ -116,6 +116,10 @@
                 self._answer_evicted(too_late, now)
             if ticket is None:
                 return
+            if ticket.item[0].done():
+                # Its caller went away, but its task has not run since.
+                self.queue.settle(ticket, 0.0)
+                continue
             self.running += 1
             self._started_at[ticket.item[1].attempt_id] = now
             ticket.item[0].set_result(None)
--- a/packages/daemon/tests/test_daemon_sidecar.py
+++ b/packages/daemon/tests/test_daemon_sidecar.py
@@ -75,6 +75,18 @@
         await asyncio.gather(waiting, return_exceptions=True)
         self.assertEqual(len(self.admission.queue), 0)
 
+    async def test_a_waiting_caller_that_has_just_gone_takes_no_slot(self):
+        first = (await self.enter("a")).unwrap()
+        await self.enter("b")
+        waiting = asyncio.ensure_future(self.enter("c"))
+        await asyncio.sleep(0)
+        waiting.cancel()
+        self.clock.now += 1.0
+        self.admission.leave(first, 10.0)
+        await asyncio.gather(waiting, return_exceptions=True)
+        self.assertEqual(self.admission.running, 1)
+        self.assertTrue((await self.enter("d")).is_ok())
+
 
 class AttemptTableTests(unittest.TestCase):
     def setUp(self):
--- a/tools/matrix.py
+++ b/tools/matrix.py
@@ -16,7 +16,7 @@
 from faults.cells import Cell, Violation
 
 #: Worlds that run at the same time; more of them starve each other's heartbeats.
-WORLDS = 4
+WORLDS = 6
 #: Seconds that one cell may take.
 CELL_TIMEOUT_S = 90.0
 
