Keep outcomes in a module of their own, collect claims, show refusals

Dead code is gone. A link waits for its heartbeat task before it closes the socket. The matrix's popularity is drawn anew instead of turned round, which the planner rightly learns to sit out.

--- a/packages/cli/src/slatehoist/cli/main.py
+++ b/packages/cli/src/slatehoist/cli/main.py
@@ -189,7 +189,8 @@
             print_json(status)
             return
         force = f"in force {status['in_force']} of {status['of']}"
-        print(f"revision {status['revision']}, {force}\n")
+        print(f"revision {status['revision']}, {force}")
+        print(f"refused at {status['entry']}, own member: {status['refused']}\n")
         rows = [
             [name, s["zone"], s["endpoint"], s["up"], s["takes_work"], s["load"]]
             for name, s in status["sidecars"].items()
--- a/packages/config/src/slatehoist/config/settings.py
+++ b/packages/config/src/slatehoist/config/settings.py
@@ -156,9 +156,6 @@
     max_wait_s: Annotated[
         Seconds, Field(description="longest wait in the queue that is accepted")
     ] = 3.0
-    checks_fence: Annotated[
-        bool, Field(description="whether the engine refuses old fencing numbers")
-    ] = False
     silence_s: Annotated[
         Seconds, Field(description="silence of the endpoint before it is given up")
     ] = 2.0
--- a/packages/daemon/src/slatehoist/daemon/entry/answers.py
+++ b/packages/daemon/src/slatehoist/daemon/entry/answers.py
@@ -84,7 +84,6 @@
         self._head: Head | None = None
         self._parts: list[bytes] = []
         self._stream: web.StreamResponse | None = None
-        self.first_byte_sent = False
 
     @property
     def started(self) -> bool:
@@ -124,7 +123,6 @@
             return
         if self._stream is None:
             await self._open_stream()
-        self.first_byte_sent = True
         await self._stream.write(data)
 
     async def finish(self) -> web.StreamResponse:
--- a/packages/daemon/src/slatehoist/daemon/entry/attempts.py
+++ b/packages/daemon/src/slatehoist/daemon/entry/attempts.py
@@ -107,7 +107,6 @@
             connector=aiohttp.TCPConnector(limit=0, force_close=True),
             auto_decompress=False,
         )
-        self.resumed = 0
 
     async def close(self) -> None:
         """Close all connections."""
@@ -130,7 +129,6 @@
         silent_queries = 0
         while progress.outcome is None and silent_queries < MAX_QUERIES:
             progress.heard = False
-            self.resumed += 1
             try:
                 async for piece in self._query(address, req, progress):
                     yield piece
--- a/packages/daemon/src/slatehoist/daemon/entry/callers.py
+++ b/packages/daemon/src/slatehoist/daemon/entry/callers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+from collections import Counter
 from collections.abc import Callable
 from typing import Required, TypedDict
 
@@ -80,6 +81,7 @@
         self._clock = clock
         self._tokens = {token.token: token for token in cfg.token}
         self.inflight = 0
+        self.refused: Counter[str] = Counter()
 
     def add_routes(self, app: web.Application) -> None:
         """Add the callers' paths to an application."""
@@ -276,6 +278,7 @@
         self._metrics.count(Metric.REQUESTS, member)
         self._metrics.timing(Metric.REQUEST_MS, seconds)
         if resp.status >= 400:
+            self.refused[member] += 1
             self._metrics.count(Metric.REFUSED, member)
         log.info(
             "request_end",
--- a/packages/daemon/src/slatehoist/daemon/entry/dispatch.py
+++ b/packages/daemon/src/slatehoist/daemon/entry/dispatch.py
@@ -11,11 +11,19 @@
 
 from slatehoist.config.settings import EntrySettings
 from slatehoist.daemon.background import Background
-from slatehoist.daemon.entry.answers import CallerAnswer, CallerError, Ran
+from slatehoist.daemon.entry.answers import CallerAnswer, CallerError
 from slatehoist.daemon.entry.attempts import AttemptClient, Outcome, Unknown
 from slatehoist.daemon.entry.directory import Directory, Neighbour
 from slatehoist.daemon.entry.guard import CrashGuard
 from slatehoist.daemon.entry.keyed import KeyedRequest, Replay
+from slatehoist.daemon.entry.outcomes import (
+    EAGER_SENDS,
+    FREE_REFUSALS,
+    Tries,
+    error_of,
+    is_unreachable,
+    no_endpoint_error,
+)
 from slatehoist.daemon.metrics import Metric, Metrics
 from slatehoist.daemon.tracing import traceparent, tracer
 from slatehoist.routing import (
@@ -24,7 +32,6 @@
     RetryBudget,
     Verdict,
     may_be_eager,
-    retry_after_s,
 )
 from slatehoist.wire.messages import (
     AttemptRequest,
@@ -33,34 +40,15 @@
     Final,
     Head,
     NotRun,
-    NotRunReason,
 )
 
 log = logging.getLogger(__name__)
 
 #: Sends of one request, counting those refused as not run at no cost.
 MAX_SENDS = 8
-#: First sends of a request that ask to be refused rather than queued.
-EAGER_SENDS = 2
 #: Seconds that a suspect waits until it looks for an endpoint without suspects again.
 SUSPECT_PAUSE_S = 0.2
-#: Refusals that cost the endpoint nothing: the request just goes elsewhere.
-FREE_REFUSALS = frozenset(
-    {
-        NotRunReason.DRAINING,
-        NotRunReason.WRONG_INCARNATION,
-        NotRunReason.TOMBSTONE,
-        NotRunReason.ENDPOINT_DOWN,
-        NotRunReason.SIDECAR_DOWN,
-        NotRunReason.SUSPECT_BUSY,
-        NotRunReason.BUSY,
-    }
-)
 
-_HTTP_UNAVAILABLE = 503
-_HTTP_TOO_MANY = 429
-_HTTP_BAD_GATEWAY = 502
-_HTTP_GATEWAY_TIMEOUT = 504
 _HTTP_UNPROCESSABLE = 422
 
 
@@ -134,7 +122,7 @@
             Claim of the request's idempotency key, if it has one.
         """
         self._budget(req.member).earn(self._clock())
-        tries = _Tries()
+        tries = Tries()
         while tries.sends < MAX_SENDS:
             refusal = self._refuse_suspect(req)
             if refusal is not None:
@@ -160,7 +148,7 @@
         return await answer.fail(self._final_error(tries))
 
     async def _next_neighbour(
-        self, req: CallerRequest, tries: "_Tries"
+        self, req: CallerRequest, tries: Tries
     ) -> Neighbour | None:
         """Choose where to send next; a suspect waits until it may run by itself."""
         while True:
@@ -189,10 +177,10 @@
             keyed.ended(outcome, answer)
         return await answer.finish()
 
-    def _final_error(self, tries: "_Tries") -> CallerError:
+    def _final_error(self, tries: Tries) -> CallerError:
         if tries.outcome is None:
-            return self._no_endpoint()
-        return tries.truthful(self._error_of(tries.outcome))
+            return no_endpoint_error(self._rng)
+        return tries.truthful(error_of(tries.outcome, self._rng))
 
     async def _try(
         self, neighbour: Neighbour, attempt: AttemptRequest, answer: CallerAnswer
@@ -216,16 +204,22 @@
     ) -> Outcome:
         outcome: Outcome = Unknown(attempt.attempt_id, "no_outcome")
         address = neighbour.instance.address
+        sent_at = self._clock()
+        first = True
         async for piece in self._client.follow(address, attempt):
             if isinstance(piece, Head):
                 answer.begin(piece)
             elif isinstance(piece, bytes):
+                if first:
+                    waited_s = self._clock() - sent_at
+                    self._metrics.timing(Metric.FIRST_TOKEN_MS, waited_s)
+                    first = False
                 await answer.write(piece)
             else:
                 outcome = piece
         if isinstance(outcome, Broken) and outcome.crash_id:
             await self._guard.report_crash(outcome.crash_id, outcome.digests)
-        elif isinstance(outcome, Unknown) or _is_unreachable(outcome):
+        elif isinstance(outcome, Unknown) or is_unreachable(outcome):
             neighbour.doubt()
         if isinstance(outcome, Unknown):
             self._metrics.count(Metric.UNKNOWN)
@@ -240,7 +234,7 @@
             self._background.spawn(cancel)
 
     def _attempt(
-        self, req: CallerRequest, neighbour: Neighbour, tries: "_Tries"
+        self, req: CallerRequest, neighbour: Neighbour, tries: Tries
     ) -> AttemptRequest:
         now = self._clock()
         verdict = self._guard.verdict(req.digest)
@@ -283,7 +277,7 @@
             return self._directory.sidecars.get(name), spacious
 
     def _may_retry(
-        self, req: CallerRequest, answer: CallerAnswer, tries: "_Tries"
+        self, req: CallerRequest, answer: CallerAnswer, tries: Tries
     ) -> bool:
         """Tell whether a request may be sent again after its last outcome."""
         outcome = tries.outcome
@@ -315,75 +309,6 @@
             "this request crashed endpoints and is refused; do not send it again",
         )
 
-    def _no_endpoint(self) -> CallerError:
-        return CallerError(
-            _HTTP_UNAVAILABLE,
-            "no_endpoint",
-            "no endpoint can take the request now",
-            Ran.NO,
-            retry_after_s(1.0, self._rng),
-        )
-
-    def _error_of(self, outcome: Outcome) -> CallerError:
-        if isinstance(outcome, NotRun):
-            return self._not_run_error(outcome)
-        if isinstance(outcome, Broken) and outcome.reason == BrokenReason.DEADLINE:
-            return CallerError(
-                _HTTP_GATEWAY_TIMEOUT, "deadline", "out of time", Ran.YES, None
-            )
-        return CallerError(
-            _HTTP_BAD_GATEWAY,
-            "outcome_unknown",
-            "the request may have run; do not repeat it unless it is idempotent",
-            Ran.UNKNOWN,
-            None,
-        )
-
-    def _not_run_error(self, outcome: NotRun) -> CallerError:
-        overload = outcome.reason in (NotRunReason.OVER_SHARE, NotRunReason.QUEUE_FULL)
-        return CallerError(
-            _HTTP_TOO_MANY if overload else _HTTP_UNAVAILABLE,
-            outcome.reason,
-            "the request did not run",
-            Ran.NO,
-            retry_after_s(outcome.retry_after_s, self._rng),
-        )
-
-
-class _Tries:
-    """What the sends of one request have met so far."""
-
-    def __init__(self) -> None:
-        self.sends = 0
-        self.tried: set[str] = set()
-        self.busy: set[str] = set()
-        self.suspect_busy: set[str] = set()
-        self.spacious = False
-        self.may_have_run = False
-        self.outcome: Outcome | None = None
-
-    def note(self, neighbour: Neighbour, outcome: Outcome, now: float) -> None:
-        """Take in the outcome of one send."""
-        name = neighbour.instance.name
-        self.sends += 1
-        self.tried.add(name)
-        self.outcome = outcome
-        if not isinstance(outcome, NotRun):
-            self.may_have_run = True
-        elif outcome.reason == NotRunReason.BUSY:
-            self.busy.add(name)
-            neighbour.hear_load(outcome.load, now)
-        elif outcome.reason == NotRunReason.SUSPECT_BUSY:
-            self.suspect_busy.add(name)
-        if self.sends == EAGER_SENDS:
-            self.tried -= self.busy
-
-    def truthful(self, error: CallerError) -> CallerError:
-        """Do not say "not run" of a request of which an earlier send may have run."""
-        if self.may_have_run and error.ran == Ran.NO:
-            return error._replace(ran=Ran.UNKNOWN)
-        return error
-
 
 async def _answer_found(
     found: CallerError | Replay, answer: CallerAnswer
@@ -394,11 +319,3 @@
     answer.begin(found.head)
     await answer.write(found.body)
     return await answer.finish()
-
-
-def _is_unreachable(outcome: Outcome) -> bool:
-    """Tell whether a sidecar was not the process that it was taken for."""
-    return isinstance(outcome, NotRun) and outcome.reason in (
-        NotRunReason.WRONG_INCARNATION,
-        NotRunReason.SIDECAR_DOWN,
-    )
--- a/packages/daemon/src/slatehoist/daemon/entry/keyed.py
+++ b/packages/daemon/src/slatehoist/daemon/entry/keyed.py
@@ -6,11 +6,11 @@
 """
 
 import logging
-import time
+from collections.abc import Callable
 from typing import NamedTuple
 
 from slatehoist.coord import Claim, ClaimBook, ClaimState
-from slatehoist.coord.claims import CLAIM_LIFETIME_S
+from slatehoist.coord.claims import CLAIM_LIFETIME_S, CLAIMS
 from slatehoist.daemon.background import Background
 from slatehoist.daemon.entry.answers import CallerAnswer, CallerError, Ran
 from slatehoist.daemon.entry.attempts import (
@@ -20,12 +20,16 @@
 )
 from slatehoist.daemon.entry.directory import Directory, Neighbour
 from slatehoist.platform import ObjectStore, PlatformError
+from slatehoist.routing import home_entry
 from slatehoist.wire.messages import AttemptState, Final, Head, NotRun
 
 log = logging.getLogger(__name__)
 
 #: Answers up to this many bytes are kept in the claim's row, others as objects.
 MAX_INLINE_BYTES = 32 * 1024
+#: Expired claims deleted at a time, and seconds between looks for them.
+MAX_COLLECTED = 500
+COLLECT_S = 600.0
 #: Times that a claim is written again after it was found free.
 MAX_TAKE_OVERS = 3
 #: Seconds after which a caller whose request still runs should ask again.
@@ -102,7 +106,7 @@
             instance=neighbour.instance.name,
             address=neighbour.instance.address,
             incarnation=neighbour.beat.incarnation,
-            expires=time.time() + CLAIM_LIFETIME_S,
+            expires=self._keeper.wall_clock() + CLAIM_LIFETIME_S,
             version=self._claim.version if self._claim else 0,
         )
         for _ in range(MAX_TAKE_OVERS):
@@ -139,6 +143,8 @@
     book : ClaimBook
     objects : ObjectStore
         Keeps the answers that are too large for a row.
+    wall_clock : callable
+        Time of day in seconds, for the expiry that rows carry.
     """
 
     def __init__(
@@ -148,8 +154,10 @@
         client: AttemptClient,
         directory: Directory,
         background: Background,
+        wall_clock: Callable[[], float],
     ) -> None:
         self.book = book
+        self.wall_clock = wall_clock
         self._objects = objects
         self._client = client
         self._directory = directory
@@ -171,6 +179,17 @@
             return OUTCOME_UNKNOWN
         return await self._ask_sidecar(standing)
 
+    async def collect(self) -> None:
+        """Delete the claims that have expired, at one entry for all."""
+        heard = [name for name, n in self._directory.entries.items() if n.up]
+        me = self._directory.me.name
+        if home_entry(CLAIMS, [me, *heard]) != me:
+            return
+        try:
+            await self.book.collect(self.wall_clock(), MAX_COLLECTED)
+        except PlatformError as exc:
+            log.info("claims_not_collected", extra={"why": exc})
+
     def record(self, claim: Claim, head: Head, body: bytes) -> None:
         """Write the answer into the claim's row, in the background."""
         self._background.spawn(self._record(claim, head, body))
--- /dev/null
+++ b/packages/daemon/src/slatehoist/daemon/entry/outcomes.py
@@ -0,0 +1,111 @@
+"""Outcomes of a request's sends, and the errors that its caller is told."""
+
+import random
+
+from slatehoist.daemon.entry.answers import CallerError, Ran
+from slatehoist.daemon.entry.attempts import Outcome
+from slatehoist.daemon.entry.directory import Neighbour
+from slatehoist.routing import retry_after_s
+from slatehoist.wire.messages import Broken, BrokenReason, NotRun, NotRunReason
+
+#: First sends of a request that ask to be refused rather than queued.
+EAGER_SENDS = 2
+#: Refusals that cost the endpoint nothing: the request just goes elsewhere.
+FREE_REFUSALS = frozenset(
+    {
+        NotRunReason.DRAINING,
+        NotRunReason.WRONG_INCARNATION,
+        NotRunReason.TOMBSTONE,
+        NotRunReason.ENDPOINT_DOWN,
+        NotRunReason.SIDECAR_DOWN,
+        NotRunReason.SUSPECT_BUSY,
+        NotRunReason.BUSY,
+    }
+)
+
+_HTTP_UNAVAILABLE = 503
+_HTTP_TOO_MANY = 429
+_HTTP_BAD_GATEWAY = 502
+_HTTP_GATEWAY_TIMEOUT = 504
+
+
+class Tries:
+    """What the sends of one request have met so far."""
+
+    def __init__(self) -> None:
+        self.sends = 0
+        self.tried: set[str] = set()
+        self.busy: set[str] = set()
+        self.suspect_busy: set[str] = set()
+        self.spacious = False
+        self.may_have_run = False
+        self.outcome: Outcome | None = None
+
+    def note(self, neighbour: Neighbour, outcome: Outcome, now: float) -> None:
+        """Take in the outcome of one send."""
+        name = neighbour.instance.name
+        self.sends += 1
+        self.tried.add(name)
+        self.outcome = outcome
+        if not isinstance(outcome, NotRun):
+            self.may_have_run = True
+        elif outcome.reason == NotRunReason.BUSY:
+            self.busy.add(name)
+            neighbour.hear_load(outcome.load, now)
+        elif outcome.reason == NotRunReason.SUSPECT_BUSY:
+            self.suspect_busy.add(name)
+        if self.sends == EAGER_SENDS:
+            self.tried -= self.busy
+
+    def truthful(self, error: CallerError) -> CallerError:
+        """Do not say "not run" of a request of which an earlier send may have run."""
+        if self.may_have_run and error.ran == Ran.NO:
+            return error._replace(ran=Ran.UNKNOWN)
+        return error
+
+
+def no_endpoint_error(rng: random.Random) -> CallerError:
+    """Give the error of a request that no endpoint can take."""
+    return CallerError(
+        _HTTP_UNAVAILABLE,
+        "no_endpoint",
+        "no endpoint can take the request now",
+        Ran.NO,
+        retry_after_s(1.0, rng),
+    )
+
+
+def error_of(outcome: Outcome, rng: random.Random) -> CallerError:
+    """Give the error that an outcome means for the caller."""
+    if isinstance(outcome, NotRun):
+        return _not_run_error(outcome, rng)
+    if isinstance(outcome, Broken) and outcome.reason == BrokenReason.DEADLINE:
+        return CallerError(
+            _HTTP_GATEWAY_TIMEOUT, "deadline", "out of time", Ran.YES, None
+        )
+    return CallerError(
+        _HTTP_BAD_GATEWAY,
+        "outcome_unknown",
+        "the request may have run; do not repeat it unless it is idempotent",
+        Ran.UNKNOWN,
+        None,
+    )
+
+
+def _not_run_error(outcome: NotRun, rng: random.Random) -> CallerError:
+    overload = outcome.reason == NotRunReason.OVER_SHARE
+    return CallerError(
+        _HTTP_TOO_MANY if overload else _HTTP_UNAVAILABLE,
+        outcome.reason,
+        "the request did not run",
+        Ran.NO,
+        retry_after_s(outcome.retry_after_s, rng),
+    )
+
+
+def is_unreachable(outcome: Outcome) -> bool:
+    """Tell whether a sidecar was not the process that it was taken for."""
+    return isinstance(outcome, NotRun) and outcome.reason in (
+        NotRunReason.WRONG_INCARNATION,
+        NotRunReason.SIDECAR_DOWN,
+    )
--- a/packages/daemon/src/slatehoist/daemon/entry/process.py
+++ b/packages/daemon/src/slatehoist/daemon/entry/process.py
@@ -3,6 +3,7 @@
 import asyncio
 import logging
 import random
+import time
 import uuid
 from collections.abc import Callable
 
@@ -18,7 +19,7 @@
 from slatehoist.daemon.entry.directory import Directory, Neighbour
 from slatehoist.daemon.entry.dispatch import Dispatcher
 from slatehoist.daemon.entry.guard import CrashGuard
-from slatehoist.daemon.entry.keyed import ClaimKeeper
+from slatehoist.daemon.entry.keyed import COLLECT_S, ClaimKeeper
 from slatehoist.daemon.entry.quotas import RENEW_S, TeamQuotas
 from slatehoist.daemon.entry.resource_api import ResourceApi
 from slatehoist.daemon.lifecycle import Lifecycle
@@ -76,6 +77,7 @@
         self.background.repeat(self._follow_instances, poll_s)
         self.background.repeat(self._follow_config, poll_s)
         self.background.repeat(self.quotas.renew, RENEW_S)
+        self.background.repeat(self.claims.collect, COLLECT_S)
         crash_poll_s = poll_s * CRASH_POLL_FACTOR
         self.background.repeat(self.guard.follow_table, crash_poll_s)
         await self._listen()
@@ -170,18 +172,19 @@
             self.clock,
             random.Random(),
         )
-        claims = ClaimKeeper(
+        self.claims = ClaimKeeper(
             ClaimBook(table, WriteBatcher(table)),
             HttpObjectStore(cfg.platform.objects, self._session),
             self._client,
             self.directory,
             self.background,
+            time.time,
         )
         self.callers = CallerApi(
             cfg,
             self.replica,
             self.dispatcher,
-            claims,
+            self.claims,
             self.quotas,
             self.metrics,
             lambda: self.lifecycle.takes_work,
@@ -215,7 +218,7 @@
         status = 200 if self.lifecycle.takes_work else 503
         return web.json_response({"state": self.lifecycle.state}, status=status)
 
-    def _status(self) -> dict:
+    def _status(self, member: str) -> dict:
         sidecars = {
             name: {
                 "zone": n.instance.zone,
@@ -227,7 +230,11 @@
             }
             for name, n in sorted(self.directory.sidecars.items())
         }
-        return {"entry": self.cfg.instance.name, "sidecars": sidecars}
+        return {
+            "entry": self.cfg.instance.name,
+            "refused": self.callers.refused[member],
+            "sidecars": sidecars,
+        }
 
     async def _follow_instances(self) -> None:
         """Follow the platform's list of instances."""
--- a/packages/daemon/src/slatehoist/daemon/entry/resource_api.py
+++ b/packages/daemon/src/slatehoist/daemon/entry/resource_api.py
@@ -51,7 +51,7 @@
         authenticate: Callable[[web.Request], TokenSettings],
         revisions: Callable,
         on_accepted: Callable,
-        status: Callable[[], dict],
+        status: Callable[[str], dict],
     ) -> None:
         self._store = store
         self._replica = replica
@@ -81,7 +81,7 @@
             "in_force": in_force,
             "of": len(revisions),
             "instances": revisions,
-            **self._status(),
+            **self._status(token.member),
         }
         return web.json_response(body)
 
--- a/packages/daemon/src/slatehoist/daemon/metrics.py
+++ b/packages/daemon/src/slatehoist/daemon/metrics.py
@@ -11,7 +11,6 @@
     REQUESTS = "entry.requests"
     REFUSED = "entry.refused"
     RETRIES = "entry.retries"
-    RESUMED = "entry.resumed"
     UNKNOWN = "entry.outcome_unknown"
     FIRST_TOKEN_MS = "entry.first_token_ms"
     REQUEST_MS = "entry.request_ms"
--- a/packages/daemon/src/slatehoist/daemon/sidecar/process.py
+++ b/packages/daemon/src/slatehoist/daemon/sidecar/process.py
@@ -266,6 +266,8 @@
         self._load = load
 
     def _send_metrics(self) -> None:
+        for member, shed in self.admission.shed_by_member.items():
+            self.metrics.gauge(Metric.SHED, shed, member)
         name = self.cfg.endpoint.name
         self.metrics.gauge(Metric.QUEUE, len(self.admission.queue), name)
         self.metrics.gauge(Metric.RUNNING, self.admission.running, name)
--- a/packages/routing/src/slatehoist/routing/affinity.py
+++ b/packages/routing/src/slatehoist/routing/affinity.py
@@ -1,7 +1,7 @@
 """Prefix affinity: which endpoints are thought to hold a prompt's prefix.
 
 Cache events come late and with gaps, so entries remember where they sent a prefix
-and treat events and the hit figures of answers as corrections.
+themselves.
 """
 
 from collections import OrderedDict
@@ -58,16 +58,3 @@
             self._holders.move_to_end(key)
         while len(self._holders) > self._max_prefixes:
             self._holders.popitem(last=False)
-
-    def note_evicted(self, keys: Sequence[int], endpoint: str) -> None:
-        """Forget prefixes that an endpoint no longer holds."""
-        for key in keys:
-            names = self._holders.get(key, [])
-            if endpoint in names:
-                names.remove(endpoint)
-
-    def forget_endpoint(self, endpoint: str) -> None:
-        """Forget all that a replaced endpoint held."""
-        for names in self._holders.values():
-            if endpoint in names:
-                names.remove(endpoint)
--- a/packages/routing/src/slatehoist/routing/fairness.py
+++ b/packages/routing/src/slatehoist/routing/fairness.py
@@ -196,10 +196,6 @@
         flow = self._members.flows.get(member)
         return flow.waiting_cost if flow is not None else 0.0
 
-    def waiting_by_member(self) -> dict[str, int]:
-        """Count the waiting tickets of each member."""
-        return {f.name: f.waiting for f in self._members.flows.values() if f.waiting}
-
     def _weight(self, member: str, team: str) -> float:
         return self._weights.get((member, team), 1.0)
 
--- a/packages/routing/src/slatehoist/routing/suspects.py
+++ b/packages/routing/src/slatehoist/routing/suspects.py
@@ -91,10 +91,6 @@
         self._convict(now)
         return True
 
-    def state(self) -> list[Crash]:
-        """Give the crashes remembered, for a peer or the table."""
-        return list(self._crashes.values())
-
     def _crashes_of(self, digest: str) -> list[Crash]:
         return [crash for crash in self._crashes.values() if digest in crash.digests]
 
--- a/packages/wire/src/slatehoist/wire/links.py
+++ b/packages/wire/src/slatehoist/wire/links.py
@@ -273,6 +273,7 @@
                 self._take_in(msg.bytes)
         finally:
             beats.cancel()
+            await asyncio.gather(beats, return_exceptions=True)
 
     async def _beat(self) -> None:
         while True:
--- a/packages/wire/src/slatehoist/wire/messages.py
+++ b/packages/wire/src/slatehoist/wire/messages.py
@@ -12,7 +12,6 @@
     """Why a sidecar refused an attempt before its endpoint saw it."""
 
     DRAINING = "draining"
-    QUEUE_FULL = "queue_full"
     DEADLINE = "deadline"
     OVER_SHARE = "over_share"
     WRONG_INCARNATION = "wrong_incarnation"
--- a/packages/wire/tests/test_wire_frames.py
+++ b/packages/wire/tests/test_wire_frames.py
@@ -6,17 +6,17 @@
 from slatehoist.wire import FrameDecoder, WireError, encode_frame
 from slatehoist.wire.messages import Accepted, Broken, Data, Final, Head, NotRun
 
+COUNTS = st.integers(0, 2**40)
+LOADS = st.floats(0, 1000)
 FRAMES = st.one_of(
     st.builds(Accepted, st.text(max_size=8)),
-    st.builds(NotRun, st.text(max_size=8), st.just("draining"), st.floats(0, 60)),
+    st.builds(
+        NotRun, st.text(max_size=8), st.just("draining"), st.floats(0, 60), LOADS
+    ),
     st.builds(Head, st.integers(100, 599), st.just({"a": "b"})),
-    st.builds(Data, st.integers(0, 2**40), st.binary(max_size=64)),
+    st.builds(Data, COUNTS, st.binary(max_size=64)),
     st.builds(
-        Final,
-        st.text(max_size=8),
-        st.integers(0, 9),
-        st.just("d"),
-        load=st.floats(0, 9),
+        Final, st.text(max_size=8), COUNTS, st.just("d"), tokens=COUNTS, load=LOADS
     ),
     st.builds(Broken, st.text(max_size=8), st.text(max_size=8)),
 )
--- a/standins/src/slatehoist_standins/ranks.py
+++ b/standins/src/slatehoist_standins/ranks.py
@@ -144,9 +144,9 @@
 
 
 async def shift(req: web.Request) -> web.Response:
-    """Turn the experts' popularity round, so that another map fits."""
+    """Draw the experts' popularity anew, so that another map fits."""
     group = req.app[GROUP]
-    group.popularity = group.popularity[::-1]
+    group.popularity = group.rng.permutation(group.popularity)
     return web.Response()
 
 
--- a/tools/faults/groups.py
+++ b/tools/faults/groups.py
@@ -12,6 +12,9 @@
 RANKS = 4
 SIDECARS = 2
 LEASE_S = 2.0
+#: Changes of popularity, and seconds between them, until a switch must have begun.
+SHIFTS = 4
+SHIFT_S = 8.0
 #: Seconds in which the group must step on after a fault.
 PROGRESS_S = 15.0
 #: Seconds of a freeze that outlasts the lease.
@@ -222,8 +225,7 @@
     standin, words, when = TRAPS[step]
     url = world.ranks_url if standin == "ranks" else world.platform_url
     await world.set_faults(url, trap={"match": words, "when": when})
-    await world.shift()
-    await until(lambda: world.trapped(url), what=f"the trap at {step}")
+    await shift_until(world, lambda: world.trapped(url), f"the trap at {step}")
     coordinator = await world.coordinator()
     other = next(n for n in ("sidecar-0", "sidecar-1") if n != coordinator)
     await inject(world, coordinator, other)
@@ -236,11 +238,22 @@
     check_steps(world)
     await world.heal()
     epoch = world.epoch()
-    await world.shift()
-    await until(lambda: world.epoch() > epoch, 30.0, "another switch")
+    await shift_until(world, lambda: world.epoch() > epoch, "another switch")
     check_steps(world)
 
 
+async def shift_until(world: GroupWorld, holds, what: str) -> None:
+    """Change the popularity until something holds, since not each change pays."""
+    for _ in range(SHIFTS):
+        await world.shift()
+        try:
+            await until(holds, SHIFT_S, what)
+        except TimeoutError:
+            continue
+        return
+    raise TimeoutError(f"waited in vain for {what}")
+
+
 def check_steps(world: GroupWorld) -> None:
     """Check that in every step all ranks used one map, and epochs only grew."""
     last = 0
