--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -17,19 +17,19 @@
     "incarnation": "(call|keyed)/replace:sidecar/running",
     "claim": "keyed/(none|kill:entry)/(twins|running)",
     "fence": "map/(freeze:coordinator|late:links)/(arm|go)",
-    "arm": "map/none/(armed|go|gone)",
+    "arm": "map/(freeze:member|late:links)/(go|gone)",
     "drain": "leave/none/(long|midstream)",
     "suspects": "poison/poison/(alone|among)",
 }
 
 
 def red_cells(mechanism: str) -> list[str]:
-    """Run a mechanism's cells without it, and list those that go red."""
+    """Run a mechanism's cells without it, and list those whose property breaks."""
     env = {**os.environ, "MUTATION": mechanism, "CELL": CELLS[mechanism]}
     run = subprocess.run(
         [sys.executable, str(MATRIX)], env=env, capture_output=True, text=True
     )
-    return re.findall(r"^RED (\S+):", run.stdout, re.MULTILINE)
+    return re.findall(r"^RED (\S+): violated", run.stdout, re.MULTILINE)
 
 
 def main() -> int:
