Bound the wait for a link's tasks when it closes

A run of the wire's tests did not come back after links began to wait for their heartbeat task without a limit; the cancelled send was held by nng.

--- a/packages/wire/src/slatehoist/wire/links.py
+++ b/packages/wire/src/slatehoist/wire/links.py
@@ -27,6 +27,8 @@
 #: Seconds before a silent or refused link is dialled again.
 REDIAL_S = 0.3
 
+#: Seconds to wait for a cancelled task; a send that nng holds may not end.
+CLOSE_S = 1.0
 #: Heartbeats a second that one process sends, all its links together.
 MAX_HEARTBEATS_PER_S = 30.0
 
@@ -111,7 +113,8 @@
         tasks = list(self._tasks)
         for task in tasks:
             task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        if tasks:
+            await asyncio.wait(tasks, timeout=CLOSE_S)
         if self._socket is not None:
             self._socket.close()
 
@@ -219,7 +222,7 @@
         self.shut()
         if self._task is not None:
             self._task.cancel()
-            await asyncio.gather(self._task, return_exceptions=True)
+            await asyncio.wait({self._task}, timeout=2 * CLOSE_S)
         self._hang_up()
 
     async def ask(
@@ -273,7 +276,7 @@
                 self._take_in(msg.bytes)
         finally:
             beats.cancel()
-            await asyncio.gather(beats, return_exceptions=True)
+            await asyncio.wait({beats}, timeout=CLOSE_S)
 
     async def _beat(self) -> None:
         while True:
