Keep a released claim's row, so that a stale take-over cannot fit a new claim

Cause: releasing deleted the row, and its version began again at 1. An entry that had read the old claim at version 1 could then take over the new one at version 1, and the request ran twice.

Also one list of an entry's neighbours in place of five, and a flag that nobody read is gone.

--- a/packages/coord/src/slatehoist/coord/claims.py
+++ b/packages/coord/src/slatehoist/coord/claims.py
@@ -32,6 +32,7 @@
     RUNNING = "running"
     FINISHED = "finished"
     UNKNOWN = "unknown"
+    RELEASED = "released"
 
 
 class Claim(NamedTuple):
@@ -108,21 +109,28 @@
         return claim._replace(version=claim.version + 1)
 
     async def release(self, claim: Claim) -> None:
-        """Delete the claim of a request that truly did not run."""
-        check = Check(CLAIMS, claim.key, claim.version)
-        try:
-            await self._batcher.write(check, Write(CLAIMS, claim.key, None))
-        except ConflictError:
-            pass
+        """Free the key of a request that truly did not run.
+
+        The row stays, so that its version goes on growing: a take-over that was
+        decided before the release must not fit a claim that was made after it.
+        """
+        await self.write(claim._replace(state=ClaimState.RELEASED))
 
     async def collect(self, wall_now: float, limit: int) -> int:
         """Delete claims that have expired; return how many."""
         rows = await self._table.scan(CLAIMS)
         expired = [row for row in rows if row.value["expires"] < wall_now][:limit]
         for row in expired:
-            await self.release(_claim(row))
+            await self._delete(_claim(row))
         return len(expired)
 
+    async def _delete(self, claim: Claim) -> None:
+        check = Check(CLAIMS, claim.key, claim.version)
+        try:
+            await self._batcher.write(check, Write(CLAIMS, claim.key, None))
+        except ConflictError:
+            pass
+
     async def _settle(self, claim: Claim, exc: Exception) -> Claim:
         """Read back what stands after a conflict or a lost answer."""
         standing = await self.get(claim.key)
--- a/packages/daemon/src/slatehoist/daemon/entry/directory.py
+++ b/packages/daemon/src/slatehoist/daemon/entry/directory.py
@@ -99,13 +99,17 @@
         links = subset_size(len(by_role["entry"]) + 1, len(by_role["sidecar"]))
         await self._follow(self.sidecars, by_role["sidecar"], links)
         await self._follow(self.entries, by_role["entry"], MAX_ENTRY_LINKS)
-        neighbours = [*self.sidecars.values(), *self.entries.values()]
+        neighbours = self.everyone()
         for neighbour in neighbours:
             neighbour.link.interval_s = heartbeat_interval_s(len(neighbours))
 
+    def everyone(self) -> list[Neighbour]:
+        """Give all processes that this entry has a link to."""
+        return [*self.entries.values(), *self.sidecars.values()]
+
     async def close(self) -> None:
         """Close all links."""
-        for neighbour in [*self.sidecars.values(), *self.entries.values()]:
+        for neighbour in self.everyone():
             await neighbour.link.close()
 
     def serving(self, model: str, service: str, member: str) -> list[Neighbour]:
@@ -134,7 +138,7 @@
         """Give the revision in force at each process that is heard."""
         heard = {
             neighbour.instance.name: neighbour.beat.revision
-            for neighbour in [*self.sidecars.values(), *self.entries.values()]
+            for neighbour in self.everyone()
             if neighbour.up and neighbour.beat is not None
         }
         heard[self.me.name] = self._replica.revision
--- a/packages/daemon/src/slatehoist/daemon/entry/keyed.py
+++ b/packages/daemon/src/slatehoist/daemon/entry/keyed.py
@@ -171,6 +171,8 @@
         self, standing: Claim, digest: str
     ) -> CallerError | Replay | None:
         """Find out what became of a claim; None if it can be taken over."""
+        if standing.state == ClaimState.RELEASED:
+            return None
         if standing.digest != digest:
             return KEY_REUSED
         if standing.state == ClaimState.FINISHED:
@@ -199,7 +201,7 @@
         self._background.spawn(self._write(claim._replace(state=ClaimState.UNKNOWN)))
 
     def release(self, claim: Claim) -> None:
-        """Delete the claim of a request that did not run, in the background."""
+        """Free the key of a request that did not run, in the background."""
         self._background.spawn(self._release(claim))
 
     async def _ask_sidecar(self, standing: Claim) -> CallerError | Replay | None:
--- a/packages/daemon/src/slatehoist/daemon/entry/process.py
+++ b/packages/daemon/src/slatehoist/daemon/entry/process.py
@@ -259,8 +259,7 @@
         self.metrics.gauge(Metric.REVISION, self.replica.revision)
 
     async def _sync_from_peers(self) -> None:
-        everyone = [*self.directory.entries.values(), *self.directory.sidecars.values()]
-        for neighbour in everyone:
+        for neighbour in self.directory.everyone():
             beat = neighbour.beat
             if neighbour.up and beat and beat.revision > self.replica.revision:
                 question = ConfigQuestion(self.replica.revision)
@@ -282,10 +281,7 @@
 
     async def _on_accepted(self) -> None:
         await self._sync()
-        for neighbour in [
-            *self.directory.entries.values(),
-            *self.directory.sidecars.values(),
-        ]:
+        for neighbour in self.directory.everyone():
             if neighbour.up and neighbour.beat:
                 changes = encode_changes(self.replica, neighbour.beat.revision)
                 self.background.spawn(neighbour.link.note("config", changes))
--- a/packages/daemon/src/slatehoist/daemon/sidecar/attempts.py
+++ b/packages/daemon/src/slatehoist/daemon/sidecar/attempts.py
@@ -50,7 +50,6 @@
         self.readers = 0
         self.tokens = 0
         self.endpoint_incarnation = ""
-        self.cancel_requested = False
         self.task: asyncio.Task | None = None
         self._bytes = 0
         self._digest = xxhash.xxh3_64(req.attempt_id.encode())
--- a/packages/daemon/src/slatehoist/daemon/sidecar/runner.py
+++ b/packages/daemon/src/slatehoist/daemon/sidecar/runner.py
@@ -67,7 +67,6 @@
 
     def cancel(self, attempt: Attempt) -> None:
         """Stop an attempt that nobody wants any more."""
-        attempt.cancel_requested = True
         if attempt.task is not None:
             attempt.task.cancel()
 
