--- a/packages/config/src/slatehoist/config/store.py
+++ b/packages/config/src/slatehoist/config/store.py
@@ -11,7 +11,7 @@
 from result import Err, Ok, Result
 
 from slatehoist.config.resources import Resource
-from slatehoist.platform import (
+from slatehoist.storage import (
     ABSENT,
     Check,
     ConflictError,
--- a/packages/coord/src/slatehoist/coord/batching.py
+++ b/packages/coord/src/slatehoist/coord/batching.py
@@ -8,7 +8,7 @@
 import asyncio
 from typing import NamedTuple
 
-from slatehoist.platform import Check, ConflictError, Table, Write
+from slatehoist.storage import Check, ConflictError, Table, Write
 
 #: Seconds that a write waits for others to share its transaction.
 WINDOW_S = 0.004
--- a/packages/coord/src/slatehoist/coord/claims.py
+++ b/packages/coord/src/slatehoist/coord/claims.py
@@ -10,7 +10,7 @@
 from typing import Any, NamedTuple
 
 from slatehoist.coord.batching import WriteBatcher
-from slatehoist.platform import (
+from slatehoist.storage import (
     ABSENT,
     Check,
     ConflictError,
--- a/packages/coord/src/slatehoist/coord/leases.py
+++ b/packages/coord/src/slatehoist/coord/leases.py
@@ -9,7 +9,7 @@
 import uuid
 from typing import NamedTuple
 
-from slatehoist.platform import (
+from slatehoist.storage import (
     ABSENT,
     Check,
     ConflictError,
--- a/packages/coord/src/slatehoist/coord/switch.py
+++ b/packages/coord/src/slatehoist/coord/switch.py
@@ -12,7 +12,7 @@
 from typing import NamedTuple, Protocol
 
 from slatehoist.coord.leases import Lease
-from slatehoist.platform import ABSENT, Check, ConflictError, Row, Table, Write
+from slatehoist.storage import ABSENT, Check, ConflictError, Row, Table, Write
 from slatehoist.wire import LinkDownError
 from slatehoist.wire.messages import MapOrder, MapReply
 
--- a/packages/coord/tests/test_coord_claims.py
+++ b/packages/coord/tests/test_coord_claims.py
@@ -2,7 +2,7 @@
 import unittest
 
 from slatehoist.coord import Claim, ClaimBook, ClaimState, WriteBatcher
-from slatehoist.platform import (
+from slatehoist.storage import (
     Check,
     ConflictError,
     MemoryTable,
--- a/packages/coord/tests/test_coord_leases.py
+++ b/packages/coord/tests/test_coord_leases.py
@@ -1,7 +1,7 @@
 import unittest
 
 from slatehoist.coord import LeaseKeeper
-from slatehoist.platform import MemoryTable, OutcomeUnknownError, StoreDownError
+from slatehoist.storage import MemoryTable, OutcomeUnknownError, StoreDownError
 
 LIFETIME_S = 10.0
 
--- a/packages/daemon/src/slatehoist/daemon/entry/guard.py
+++ b/packages/daemon/src/slatehoist/daemon/entry/guard.py
@@ -6,7 +6,7 @@
 
 from slatehoist.daemon.background import Background
 from slatehoist.daemon.entry.directory import Directory
-from slatehoist.platform import ABSENT, Check, PlatformError, Table, Write
+from slatehoist.storage import ABSENT, Check, PlatformError, Table, Write
 from slatehoist.routing import SuspectLedger, Verdict
 from slatehoist.wire import decode
 from slatehoist.wire.messages import CrashReport, SuspectCleared
--- a/packages/daemon/src/slatehoist/daemon/entry/keyed.py
+++ b/packages/daemon/src/slatehoist/daemon/entry/keyed.py
@@ -19,7 +19,7 @@
     Outcome,
 )
 from slatehoist.daemon.entry.directory import Directory, Neighbour
-from slatehoist.platform import ObjectStore, PlatformError
+from slatehoist.storage import ObjectStore, PlatformError
 from slatehoist.routing import home_entry
 from slatehoist.wire.messages import AttemptState, Final, Head, NotRun
 
--- a/packages/daemon/src/slatehoist/daemon/entry/process.py
+++ b/packages/daemon/src/slatehoist/daemon/entry/process.py
@@ -24,7 +24,7 @@
 from slatehoist.daemon.entry.resource_api import ResourceApi
 from slatehoist.daemon.lifecycle import Lifecycle
 from slatehoist.daemon.metrics import Metric, Metrics
-from slatehoist.platform import (
+from slatehoist.storage import (
     HttpInstanceList,
     HttpObjectStore,
     HttpTable,
--- a/packages/daemon/src/slatehoist/daemon/entry/resource_api.py
+++ b/packages/daemon/src/slatehoist/daemon/entry/resource_api.py
@@ -19,7 +19,7 @@
 from slatehoist.config.settings import TokenSettings
 from slatehoist.daemon.entry.answers import CallerError, error_response
 from slatehoist.daemon.entry.callers import RefusedError
-from slatehoist.platform import OutcomeUnknownError, StoreDownError
+from slatehoist.storage import OutcomeUnknownError, StoreDownError
 
 #: Seconds between comments on an idle watch.
 WATCH_COMMENT_S = 5.0
--- a/packages/daemon/src/slatehoist/daemon/sidecar/coordinator.py
+++ b/packages/daemon/src/slatehoist/daemon/sidecar/coordinator.py
@@ -16,7 +16,7 @@
 from slatehoist.daemon.metrics import Metric, Metrics
 from slatehoist.daemon.sidecar.peers import GroupPeers
 from slatehoist.experts import MoveCost, Planner, initial_placement
-from slatehoist.platform import PlatformError, Table
+from slatehoist.storage import PlatformError, Table
 from slatehoist.wire import LinkDownError
 
 log = logging.getLogger(__name__)
--- a/packages/daemon/src/slatehoist/daemon/sidecar/peers.py
+++ b/packages/daemon/src/slatehoist/daemon/sidecar/peers.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 
 from slatehoist.config import Kind, Replica
-from slatehoist.platform import Instance, InstanceList, PlatformError
+from slatehoist.storage import Instance, InstanceList, PlatformError
 from slatehoist.wire import Link, LinkDownError
 from slatehoist.wire.messages import (
     Heartbeat,
--- a/packages/daemon/src/slatehoist/daemon/sidecar/process.py
+++ b/packages/daemon/src/slatehoist/daemon/sidecar/process.py
@@ -21,7 +21,7 @@
 from slatehoist.daemon.sidecar.ranks import EngineRank, RankHost
 from slatehoist.daemon.sidecar.runner import AttemptRunner
 from slatehoist.daemon.sidecar.server import AttemptServer
-from slatehoist.platform import HttpInstanceList, HttpTable, HttpWeightStore
+from slatehoist.storage import HttpInstanceList, HttpTable, HttpWeightStore
 from slatehoist.routing import AdaptiveLimit, FairQueue
 from slatehoist.wire import LinkServer, decode
 from slatehoist.wire.messages import (
--- a/packages/daemon/src/slatehoist/daemon/sidecar/ranks.py
+++ b/packages/daemon/src/slatehoist/daemon/sidecar/ranks.py
@@ -11,7 +11,7 @@
 from slatehoist.coord import RankGate, RankState, RankUnreachableError, settle
 from slatehoist.daemon.background import Background
 from slatehoist.daemon.sidecar.peers import GroupPeers
-from slatehoist.platform import PlatformError, WeightStore
+from slatehoist.storage import PlatformError, WeightStore
 from slatehoist.wire import LinkDownError, decode
 from slatehoist.wire.messages import MapOrder, MapReply, RanksAnswer, RanksQuestion
 
--- /dev/null
+++ b/packages/gateway/src/slatehoist/gateway/__init__.py
@@ -0,0 +1,42 @@
+"""Gateway: forwards callers' requests straight to the endpoints."""
+
+from slatehoist.gateway.catalogue import Catalogue, RouteTable
+from slatehoist.gateway.codec import DeploymentSource, Forwarding, HeaderCodec
+from slatehoist.gateway.directory import EndpointDirectory
+from slatehoist.gateway.model import (
+    CallerLimits,
+    Configuration,
+    Endpoint,
+    EngineSpec,
+    Kind,
+    ReplyInfo,
+    RequestInfo,
+    Route,
+    Service,
+    Target,
+    Team,
+)
+from slatehoist.gateway.process import GatewayProcess
+from slatehoist.gateway.settings import GatewaySettings
+
+__all__ = [
+    "CallerLimits",
+    "Catalogue",
+    "Configuration",
+    "DeploymentSource",
+    "Endpoint",
+    "EndpointDirectory",
+    "EngineSpec",
+    "Forwarding",
+    "GatewayProcess",
+    "GatewaySettings",
+    "HeaderCodec",
+    "Kind",
+    "ReplyInfo",
+    "RequestInfo",
+    "Route",
+    "RouteTable",
+    "Service",
+    "Target",
+    "Team",
+]
--- /dev/null
+++ b/packages/gateway/src/slatehoist/gateway/directory.py
@@ -0,0 +1,98 @@
+"""Endpoints as the platform lists them, through outages of the list."""
+
+from collections.abc import Iterable
+
+from slatehoist.gateway.model import Endpoint
+
+
+class EndpointDirectory:
+    """Keep the endpoints that may be given work.
+
+    An endpoint that is missing from the list has left, unless the list itself was
+    away shortly before: its entries lapse meanwhile and are written again when it is
+    back.
+
+    Parameters
+    ----------
+    relist_s : float
+        Seconds after an outage of the list in which a missing endpoint is kept.
+    """
+
+    def __init__(self, relist_s: float) -> None:
+        self._relist_s = relist_s
+        self._endpoints: dict[str, Endpoint] = {}
+        self._by_service: dict[str, list[Endpoint]] = {}
+        self._outage = False
+        self._keep_until = float("-inf")
+        self.updated_at: float | None = None
+
+    def note_outage(self) -> None:
+        """Note that the list could not be read."""
+        self._outage = True
+
+    def update(self, listed: Iterable[Endpoint], now: float) -> "Changes":
+        """Take in a list that was read without an error."""
+        if self._outage:
+            self._outage = False
+            self._keep_until = now + self._relist_s
+        fresh = {endpoint.endpoint_id: endpoint for endpoint in listed}
+        missing = self._endpoints.keys() - fresh.keys()
+        if now < self._keep_until:
+            taken = {e.address for e in fresh.values()}
+            kept = {name for name in missing if self._endpoints[name].address not in taken}
+            fresh.update((name, self._endpoints[name]) for name in kept)
+            missing -= kept
+        changes = Changes(
+            added=[e for name, e in fresh.items() if name not in self._endpoints],
+            removed=[self._endpoints[name] for name in missing],
+            drained=[
+                e
+                for name, e in fresh.items()
+                if e.draining and name in self._endpoints
+                and not self._endpoints[name].draining
+            ],
+            restarted=[
+                e
+                for name, e in fresh.items()
+                if name in self._endpoints
+                and e.started_at_ms != self._endpoints[name].started_at_ms
+            ],
+        )
+        self._endpoints = fresh
+        self._index()
+        self.updated_at = now
+        return changes
+
+    def remove(self, endpoint_id: str) -> None:
+        """Forget an endpoint that is known to have left."""
+        if self._endpoints.pop(endpoint_id, None) is not None:
+            self._index()
+
+    def of_service(self, service: str) -> list[Endpoint]:
+        """Give the endpoints of a service that take new work."""
+        return self._by_service.get(service, [])
+
+    def _index(self) -> None:
+        self._by_service = {}
+        for endpoint in self._endpoints.values():
+            if not endpoint.draining:
+                self._by_service.setdefault(endpoint.service, []).append(endpoint)
+
+
+class Changes:
+    """Difference between two lists of endpoints."""
+
+    def __init__(
+        self,
+        added: list[Endpoint],
+        removed: list[Endpoint],
+        drained: list[Endpoint],
+        restarted: list[Endpoint],
+    ) -> None:
+        self.added = added
+        self.removed = removed
+        self.drained = drained
+        self.restarted = restarted
+
+    def __bool__(self) -> bool:
+        return bool(self.added or self.removed or self.drained or self.restarted)
--- /dev/null
+++ b/packages/gateway/src/slatehoist/gateway/process.py
@@ -0,0 +1,186 @@
+"""Gateway process: listeners, loops and the order in which it stops."""
+
+import asyncio
+import contextlib
+import logging
+import random
+from collections.abc import Callable
+
+from aiohttp import web
+from transitions import Machine
+
+from slatehoist.gateway.catalogue import Catalogue
+from slatehoist.gateway.codec import DeploymentSource, HeaderCodec
+from slatehoist.gateway.directory import EndpointDirectory
+from slatehoist.gateway.forwarding import Forwarder
+from slatehoist.gateway.gateway import Gateway
+from slatehoist.gateway.health import EndpointHealth
+from slatehoist.gateway.model import CallerLimits
+from slatehoist.gateway.settings import (
+    GRACE_MARGIN_S,
+    LEAVE_ROTATION_S,
+    RELIST_S,
+    TRUST_RATIO,
+    GatewaySettings,
+)
+from slatehoist.gateway.sync import ConfigurationSync, EndpointSync
+from slatehoist.gateway.upstream import Upstream
+from slatehoist.routing import LoadAwareChooser
+
+log = logging.getLogger(__name__)
+
+#: Seconds between looks at whether the last request has ended.
+_DRAIN_POLL_S = 0.05
+#: Pending connections that the listener holds; a burst of new callers arrives at once.
+_BACKLOG = 512
+
+
+class GatewayLifecycle:
+    """Phases of a gateway: starting, serving, draining, stopped."""
+
+    STATES = ["starting", "serving", "draining", "stopped"]
+
+    def __init__(self) -> None:
+        self._machine = Machine(
+            model=self, states=self.STATES, initial="starting", auto_transitions=False
+        )
+        self._machine.add_transition("serve", "starting", "serving")
+        self._machine.add_transition("drain", ["starting", "serving"], "draining")
+        self._machine.add_transition("stop", "*", "stopped")
+
+
+class GatewayProcess:
+    """One gateway instance.
+
+    Parameters
+    ----------
+    source : DeploymentSource
+    codec : HeaderCodec
+    clock : callable
+        Gives seconds that go on while the machine is suspended.
+    ready_path : str
+        Path of the readiness question.
+    """
+
+    def __init__(
+        self,
+        cfg: GatewaySettings,
+        source: DeploymentSource,
+        codec: HeaderCodec,
+        clock: Callable[[], float],
+        ready_path: str,
+        rng: random.Random,
+    ) -> None:
+        self._cfg = cfg
+        self._source = source
+        self._codec = codec
+        self._clock = clock
+        self._ready_path = ready_path
+        self._rng = rng
+        self._lifecycle = GatewayLifecycle()
+        self._catalogue = Catalogue(cfg.revoke_s * TRUST_RATIO)
+        self._directory = EndpointDirectory(RELIST_S)
+        self._health = EndpointHealth()
+        self._tasks: list[asyncio.Task] = []
+        self._runners: list[web.ServerRunner] = []
+
+    async def start(self) -> None:
+        """Begin to follow the platform and to serve."""
+        self._upstream = Upstream()
+        chooser = LoadAwareChooser(self._rng)
+        forwarder = Forwarder(
+            self._cfg,
+            self._codec,
+            self._directory,
+            self._health,
+            self._upstream,
+            chooser,
+            self._clock,
+        )
+        self._gateway = Gateway(
+            self._codec, self._catalogue, forwarder, self._rng, self._clock
+        )
+        loops = [
+            ConfigurationSync(self._source, self._catalogue, self._clock),
+            EndpointSync(self._source, self._directory, self._health, self._clock),
+        ]
+        self._tasks = [asyncio.create_task(loop.run()) for loop in loops]
+        for task in self._tasks:
+            task.add_done_callback(_log_failure)
+        await self._listen(self._cfg.ready_listen, self._ready)
+        self._front = await self._listen(self._cfg.listen, self._gateway.handle)
+        self._lifecycle.serve()
+        log.info("started", extra={"listen": self._cfg.listen, "zone": self._cfg.zone})
+
+    async def drain(self) -> None:
+        """Leave the rotation, finish what is in progress, then return."""
+        began = self._clock()
+        self._lifecycle.drain()
+        self._gateway.drain()
+        log.info("draining", extra={"active": self._gateway.active})
+        await asyncio.sleep(LEAVE_ROTATION_S)
+        for site in list(self._front.sites):
+            await site.stop()
+        last = began + self._cfg.grace_s - GRACE_MARGIN_S
+        while self._gateway.active and self._clock() < last:
+            await asyncio.sleep(_DRAIN_POLL_S)
+        log.info(
+            "drained",
+            extra={
+                "active": self._gateway.active,
+                "took_ms": round((self._clock() - began) * 1000),
+            },
+        )
+
+    async def stop(self) -> None:
+        """Stop at once."""
+        self._lifecycle.stop()
+        for task in self._tasks:
+            task.cancel()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(GRACE_MARGIN_S / 2):
+                for runner in self._runners:
+                    await runner.cleanup()
+                await self._upstream.close()
+        log.info("stopped", extra={"active": self._gateway.active})
+
+    @property
+    def ready(self) -> bool:
+        """Whether new callers should be sent here."""
+        if self._lifecycle.state != "serving":
+            return False
+        table = self._catalogue.table
+        if table is None or self._directory.updated_at is None:
+            return False
+        return not table.needs_credentials or self._catalogue.credentials_trusted(
+            self._clock()
+        )
+
+    async def _ready(self, req: web.BaseRequest) -> web.Response:
+        if req.path != self._ready_path:
+            return web.Response(status=404)
+        return web.Response(status=200 if self.ready else 503)
+
+    async def _listen(self, address: str, handler: Callable) -> web.ServerRunner:
+        server = web.Server(
+            handler,
+            handler_cancellation=True,
+            access_log=None,
+            keepalive_timeout=CallerLimits().idle_timeout_s,
+            max_line_size=CallerLimits().max_header_bytes,
+            max_field_size=CallerLimits().max_header_bytes,
+        )
+        runner = web.ServerRunner(server, handle_signals=False)
+        await runner.setup()
+        host, _, port = address.rpartition(":")
+        site = web.TCPSite(
+            runner, host, int(port), backlog=_BACKLOG, reuse_address=True
+        )
+        await site.start()
+        self._runners.append(runner)
+        return runner
+
+
+def _log_failure(task: asyncio.Task) -> None:
+    if not task.cancelled() and task.exception() is not None:
+        log.error("task_failed", exc_info=task.exception())
--- /dev/null
+++ b/packages/gateway/src/slatehoist/gateway/settings.py
@@ -0,0 +1,86 @@
+"""Settings of the gateway, with their defaults, units and sources."""
+
+from typing import NamedTuple
+
+
+class GatewaySettings(NamedTuple):
+    """Settings of one gateway instance; times in seconds.
+
+    Attributes
+    ----------
+    instance, zone : str
+        Name and availability zone of this instance.
+    listen, ready_listen : str
+        Addresses (``host:port``) for callers and for readiness questions.
+    metrics_listen : str
+        Address for metrics; empty for none.
+    drain_s : float
+        Time in which a leaving endpoint must get no more work.
+    grace_s : float
+        Time between SIGTERM and SIGKILL.
+    revoke_s : float
+        Time after which a revoked credential must not be accepted anywhere.
+    retry_ratio, retry_allowance, retry_window_s : float
+        Bound on repeats to a service by all instances together.
+    stall_s : float
+        Time for which endpoints wait for a peer of their group before they give up.
+    group_size_hint : int
+        Instances assumed to share the retry allowance until they are counted.
+    """
+
+    instance: str
+    zone: str
+    listen: str
+    ready_listen: str
+    metrics_listen: str = ""
+    drain_s: float = 2.0
+    grace_s: float = 8.0
+    revoke_s: float = 5.0
+    retry_ratio: float = 0.2
+    retry_allowance: float = 90.0
+    retry_window_s: float = 10.0
+    stall_s: float = 1.5
+
+
+#: Part of `revoke_s` for which credentials are trusted after the last read. The rest
+#: covers notifications of the store that are late by about a second.
+TRUST_RATIO = 0.7
+#: Seconds that a wait for configuration changes lasts. Each end confirms that the
+#: configuration is current, so it lies well below the time of trust.
+CONFIG_WAIT_S = 1.0
+#: Seconds between reads of the endpoint list: under half of the shortest drain time
+#: (2 s) that deployments state, so one lost read is borne.
+ENDPOINT_POLL_S = 0.8
+#: Seconds that a call to the store may take beyond its wait; slow days answer in 0.25 s.
+STORE_TIMEOUT_S = 0.9
+#: Seconds before a failed call to the store is repeated.
+STORE_RETRY_S = 0.3
+#: Seconds after an outage of the store within which lapsed endpoints list themselves
+#: again: about two by the platform's word, and one poll.
+RELIST_S = 2.8
+#: Seconds within which a connection to an endpoint must be made. A healthy one takes
+#: some milliseconds; a machine without power never answers.
+CONNECT_TIMEOUT_S = 0.4
+#: Seconds for which an idle connection to an endpoint is kept. Endpoints close idle
+#: ones themselves; a request sent at that moment could not be told from one that ran.
+POOL_IDLE_S = 4.0
+#: Least time left, in seconds, for which an attempt is made.
+MIN_ATTEMPT_S = 0.03
+#: Seconds beyond the stall time after which a silent stream is taken as lost.
+SILENCE_MARGIN_S = 0.3
+#: Times the latency objective after which a silent attempt that may be repeated is.
+REPEAT_AFTER_OBJECTIVES = 1.0
+#: Age of the configuration, in seconds, above which a lookup that finds nothing is
+#: answered "unavailable" rather than "not found", since it may just be out of date.
+STALE_LOOKUP_S = 2.5
+#: Seconds after SIGTERM for which new connections are still served: the platform asks
+#: for readiness each second and leaves an instance out after two misses.
+LEAVE_ROTATION_S = 3.2
+#: Part of the grace time that is left unused, for the process to end by itself.
+GRACE_MARGIN_S = 0.7
+#: Instances assumed to share the retry allowance. Deployments run up to about eight;
+#: the part must never add up to more than the allowance.
+ASSUMED_INSTANCES = 8
+#: Part of the retry ratio that is used, so that different windows of the instances
+#: cannot add up to more than the whole.
+RETRY_RATIO_USED = 0.75
--- /dev/null
+++ b/packages/gateway/src/slatehoist/gateway/upstream.py
@@ -0,0 +1,98 @@
+"""Requests to endpoints over kept connections."""
+
+import asyncio
+import functools
+from typing import NamedTuple
+
+import aiohttp
+from aiohttp.client_exceptions import ClientPayloadError
+from aiohttp.client_proto import ResponseHandler
+from multidict import CIMultiDict
+from yarl import URL
+
+from slatehoist.gateway.settings import CONNECT_TIMEOUT_S, POOL_IDLE_S
+
+#: Headers that the HTTP library would add and a request must not gain.
+_NO_AUTO_HEADERS = ("Accept", "Accept-Encoding", "User-Agent", "Content-Type")
+#: Longest response header line that is accepted, in bytes.
+_MAX_HEADER_BYTES = 16384
+
+
+class NotSentError(Exception):
+    """Report that a request did not reach the endpoint."""
+
+
+class BrokenReplyError(Exception):
+    """Report a response that is missing, cut off or not HTTP; the request may have run."""
+
+
+class UpstreamRequest(NamedTuple):
+    """Request as it goes to an endpoint."""
+
+    method: str
+    address: str
+    target: str
+    headers: CIMultiDict[str]
+    body: bytes
+
+
+class _StrictResponseHandler(ResponseHandler):
+    """Connection whose unframed responses are complete only after an orderly end."""
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        payload = self._payload
+        if exc is not None and payload is not None and not payload.is_eof():
+            payload.set_exception(ClientPayloadError(f"connection lost: {exc!r}"))
+        super().connection_lost(exc)
+
+
+class Upstream:
+    """Session with all endpoints; it never sends a request a second time."""
+
+    def __init__(self) -> None:
+        loop = asyncio.get_running_loop()
+        connector = aiohttp.TCPConnector(
+            limit=0, keepalive_timeout=POOL_IDLE_S, use_dns_cache=False
+        )
+        # aiohttp has no public way to replace the protocol of a connection.
+        connector._factory = functools.partial(_StrictResponseHandler, loop=loop)
+        self._session = aiohttp.ClientSession(
+            connector=connector,
+            auto_decompress=False,
+            skip_auto_headers=_NO_AUTO_HEADERS,
+            cookie_jar=aiohttp.DummyCookieJar(),
+            timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S),
+            max_field_size=_MAX_HEADER_BYTES,
+            max_line_size=_MAX_HEADER_BYTES,
+        )
+        # Otherwise a request whose kept connection was closed would be sent again
+        # without counting as a repeat.
+        self._session._retry_connection = False
+
+    async def send(self, req: UpstreamRequest) -> aiohttp.ClientResponse:
+        """Send a request and wait for the head of its response.
+
+        Raises
+        ------
+        NotSentError
+            If no connection was made.
+        BrokenReplyError
+            If there was no proper response.
+        """
+        url = URL(f"http://{req.address}{req.target}", encoded=True)
+        try:
+            return await self._session.request(
+                req.method,
+                url,
+                headers=req.headers,
+                data=req.body or None,
+                allow_redirects=False,
+            )
+        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as exc:
+            raise NotSentError(f"{req.address}: {exc}") from exc
+        except (aiohttp.ClientError, OSError, ValueError) as exc:
+            raise BrokenReplyError(f"{req.address}: {exc!r}") from exc
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self._session.close()
--- a/packages/routing/src/slatehoist/routing/__init__.py
+++ b/packages/routing/src/slatehoist/routing/__init__.py
@@ -10,7 +10,12 @@
     TokenBucket,
     home_entry,
 )
-from slatehoist.routing.retries import RetryBudget, retry_after_s
+from slatehoist.routing.retries import (
+    RetryBudget,
+    SharedRetryBudget,
+    retry_after_s,
+    return_delay_s,
+)
 from slatehoist.routing.selection import (
     Candidate,
     Chooser,
@@ -33,6 +38,7 @@
     "QuotaHome",
     "RetryBudget",
     "Share",
+    "SharedRetryBudget",
     "SuspectLedger",
     "Ticket",
     "TokenBucket",
@@ -42,5 +48,6 @@
     "may_be_eager",
     "prefix_keys",
     "retry_after_s",
+    "return_delay_s",
     "subset_size",
 ]
--- a/packages/routing/src/slatehoist/routing/retries.py
+++ b/packages/routing/src/slatehoist/routing/retries.py
@@ -1,6 +1,7 @@
 """Retry budgets and the time at which a refused caller should come back."""
 
 import random
+from collections import deque
 
 #: Seconds over which first tries earn retries.
 BUDGET_WINDOW_S = 10.0
@@ -62,3 +63,68 @@
     """
     wait_s = min(max(wait_s, MIN_RETRY_AFTER_S), MAX_RETRY_AFTER_S)
     return wait_s * (1 + RETURN_SPREAD * rng.random())
+
+
+#: Shortest time to come back that a caller with a deadline is told, in seconds.
+MIN_RETURN_S = 0.1
+#: Part of the time left within which a caller can still come back and be served.
+RETURN_RATIO = 1 / 3
+
+
+def return_delay_s(wait_s: float, left_s: float, rng: random.Random) -> float:
+    """Spread the return of refused callers, within what their deadlines leave.
+
+    Parameters
+    ----------
+    wait_s : float
+        Expected seconds until there is room.
+    left_s : float
+        Seconds until the caller's deadline.
+    """
+    delay_s = max(wait_s, MIN_RETURN_S) * (1 + RETURN_SPREAD * rng.random())
+    return max(min(delay_s, left_s * RETURN_RATIO), 0.0)
+
+
+class SharedRetryBudget:
+    """Bound the repeats that all instances send to a service in any window.
+
+    Each instance keeps to its own part: a ratio of its own first sends, which add up
+    over the instances, and an equal part of the allowance.
+
+    Parameters
+    ----------
+    ratio : float
+        Repeats allowed for each first send within the window.
+    allowance : float
+        Repeats allowed beyond that, by all instances together.
+    window_s : float
+        Length of the sliding window in seconds.
+    """
+
+    def __init__(self, ratio: float, allowance: float, window_s: float) -> None:
+        self._ratio = ratio
+        self._allowance = allowance
+        self._window_s = window_s
+        self._first: deque[float] = deque()
+        self._repeats: deque[float] = deque()
+
+    def record_first(self, now: float) -> None:
+        """Count the first send of a request."""
+        self._first.append(now)
+
+    def spend(self, now: float, instances: int) -> bool:
+        """Take one repeat, if the window has room for it.
+
+        Parameters
+        ----------
+        instances : int
+            Instances that share the allowance.
+        """
+        for times in (self._first, self._repeats):
+            while times and now - times[0] > self._window_s:
+                times.popleft()
+        limit = len(self._first) * self._ratio + self._allowance / max(instances, 1)
+        if len(self._repeats) + 1 > limit:
+            return False
+        self._repeats.append(now)
+        return True
--- a/packages/platform/src/slatehoist/platform/__init__.py
+++ b/packages/storage/src/slatehoist/storage/__init__.py
@@ -1,34 +1,39 @@
 """The platform's services: protocols, HTTP backends and in-memory backends."""
 
-from slatehoist.platform.base import (
+from slatehoist.storage.base import (
     ABSENT,
     Check,
+    Feed,
     Instance,
     InstanceList,
     ObjectStore,
     Row,
     Table,
+    WatchableTable,
     WeightStore,
     Write,
 )
-from slatehoist.platform.exceptions import (
+from slatehoist.storage.exceptions import (
     ConflictError,
+    HistoryLostError,
     OutcomeUnknownError,
     PlatformError,
     StoreDownError,
 )
-from slatehoist.platform.http import (
+from slatehoist.storage.http import (
     HttpInstanceList,
     HttpObjectStore,
     HttpTable,
     HttpWeightStore,
 )
-from slatehoist.platform.memory import MemoryInstanceList, MemoryTable
+from slatehoist.storage.memory import MemoryInstanceList, MemoryTable
 
 __all__ = [
     "ABSENT",
     "Check",
     "ConflictError",
+    "Feed",
+    "HistoryLostError",
     "HttpInstanceList",
     "HttpObjectStore",
     "HttpTable",
@@ -43,6 +48,7 @@
     "Row",
     "StoreDownError",
     "Table",
+    "WatchableTable",
     "WeightStore",
     "Write",
 ]
--- a/packages/platform/src/slatehoist/platform/base.py
+++ b/packages/storage/src/slatehoist/storage/base.py
@@ -36,6 +36,19 @@
     value: dict[str, Any] | None
 
 
+class Feed(NamedTuple):
+    """Rows of a table that changed after a version, and where to go on from.
+
+    Attributes
+    ----------
+    version : int
+        Version up to which all changes are contained.
+    """
+
+    rows: list[Row]
+    version: int
+
+
 class Instance(NamedTuple):
     """One instance in the platform's lagging list.
 
@@ -81,6 +94,21 @@
         """
 
 
+class WatchableTable(Table, Protocol):
+    """Table service whose changes can be waited for."""
+
+    async def changes(self, table: str, since: int, wait_s: float) -> Feed:
+        """Wait for rows that change after a version; none after the wait is over.
+
+        Raises
+        ------
+        HistoryLostError
+            If the service no longer knows what changed; read the rows anew.
+        StoreDownError
+            If the service refused the call or gave no answer.
+        """
+
+
 class ObjectStore(Protocol):
     """Store of named byte strings."""
 
--- a/packages/platform/src/slatehoist/platform/exceptions.py
+++ b/packages/storage/src/slatehoist/storage/exceptions.py
@@ -25,3 +25,7 @@
     def __init__(self, keys: list[tuple[str, str]]) -> None:
         super().__init__(f"conflict on {keys}")
         self.keys = keys
+
+
+class HistoryLostError(PlatformError):
+    """Report that changes since a version are no longer known to the service."""
--- a/packages/platform/src/slatehoist/platform/http.py
+++ b/packages/storage/src/slatehoist/storage/http.py
@@ -5,8 +5,8 @@
 import aiohttp
 import msgspec
 
-from slatehoist.platform.base import Check, Instance, Row, Write
-from slatehoist.platform.exceptions import (
+from slatehoist.storage.base import Check, Instance, Row, Write
+from slatehoist.storage.exceptions import (
     ConflictError,
     OutcomeUnknownError,
     StoreDownError,
--- a/packages/platform/src/slatehoist/platform/memory.py
+++ b/packages/storage/src/slatehoist/storage/memory.py
@@ -2,8 +2,8 @@
 
 from typing import Any
 
-from slatehoist.platform.base import Check, Instance, Row, Write
-from slatehoist.platform.exceptions import ConflictError
+from slatehoist.storage.base import Check, Instance, Row, Write
+from slatehoist.storage.exceptions import ConflictError
 
 
 class MemoryTable:
--- a/standins/src/slatehoist_standins/platform.py
+++ b/standins/src/slatehoist_standins/platform.py
@@ -9,7 +9,7 @@
 
 from aiohttp import web
 
-from slatehoist.platform import Check, ConflictError, Instance, MemoryTable, Write
+from slatehoist.storage import Check, ConflictError, Instance, MemoryTable, Write
 from slatehoist_standins.faults import with_faults
 
 TABLE = web.AppKey("table", MemoryTable)
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -1,7 +1,7 @@
 """Builders of test data for all packages."""
 
 from slatehoist.coord import RankState
-from slatehoist.platform import Instance
+from slatehoist.storage import Instance
 from slatehoist.routing import Candidate, Ticket
 from slatehoist.wire.messages import AttemptRequest, Heartbeat, MapReply
 
--- a/tools/bench_control.py
+++ b/tools/bench_control.py
@@ -19,7 +19,7 @@
 from slatehoist.coord import WriteBatcher
 from slatehoist.daemon.configsync import decode_changes, encode_changes
 from slatehoist.experts import FullReplanner, MoveCost, Planner, initial_placement
-from slatehoist.platform import Check, MemoryTable, Write
+from slatehoist.storage import Check, MemoryTable, Write
 from slatehoist.routing import (
     Candidate,
     FairQueue,
