Plan and switch expert maps by agents beside the ranks

Measured on the wire: seq does not move with arm, hold, disarm and go, so late orders are fenced by versions.

--- a/packages/gateway/src/slatehoist/gateway/process.py
+++ b/packages/gateway/src/slatehoist/gateway/process.py
@@ -121,6 +121,8 @@
         await asyncio.sleep(LEAVE_ROTATION_S)
         for site in list(self._front.sites):
             await site.stop()
+        # Closes idle connections now, and the others after their response.
+        self._front.server.pre_shutdown()
         last = began + self._cfg.grace_s - GRACE_MARGIN_S
         while self._gateway.active and self._clock() < last:
             await asyncio.sleep(_DRAIN_POLL_S)
--- /dev/null
+++ b/packages/maps/src/slatehoist/maps/agent.py
@@ -0,0 +1,418 @@
+"""Agent of one rank: tells its state, and coordinates the group if it leads.
+
+The agent of the lowest rank that is heard leads. That is no agreement: two may lead
+for a while, and the engines' own state keeps their switches apart (see `switch`).
+"""
+
+import asyncio
+import logging
+from collections.abc import Awaitable, Callable
+from typing import NamedTuple, Protocol
+
+from slatehoist.maps.demand import DemandWindow
+from slatehoist.maps.peers import Group, PeerSocket, PeerState
+from slatehoist.maps.placement import copies_by_rank, is_valid, skew
+from slatehoist.maps.planner import PlanLimits, plan
+from slatehoist.maps.rank import (
+    GroupSpec,
+    RankClient,
+    RankReport,
+    RankUnreachableError,
+)
+from slatehoist.maps.switch import (
+    EpochChangedError,
+    GroupView,
+    Result,
+    Switch,
+    next_version,
+)
+from slatehoist.storage import PlatformError
+
+log = logging.getLogger(__name__)
+
+#: Seconds between looks at the own rank: under one pass, so that no pass is missed.
+POLL_S = 0.06
+#: Polls between two readings of the counts.
+COUNTS_EVERY = 2
+#: Polls between two heartbeats to the whole group.
+HEARTBEAT_EVERY = 4
+#: Seconds between plans.
+PLAN_S = 0.1
+#: Seconds between reads of the list of peers while some are missing, and afterwards.
+#: Each read is a priced call to the store.
+PEERS_RETRY_S = 1.0
+PEERS_REFRESH_S = 15.0
+#: Seconds for which a hold may stand before its coordinator is taken as gone. A switch
+#: holds the group for some milliseconds, an undone one for half a second.
+HOLD_PATIENCE_S = 0.7
+#: Seconds without a pass, though there is work, after which silent ranks are asked
+#: directly whether they hold the group.
+STUCK_S = 0.6
+#: Seconds that a stopping agent gives to a switch in progress.
+STOP_PATIENCE_S = 2.0
+
+
+class AgentSettings(NamedTuple):
+    """Settings of an agent.
+
+    Attributes
+    ----------
+    listen : tuple of (str, int)
+        Address for datagrams of other agents, which use the same port.
+    rank_address : str
+        Address of the rank on this machine.
+    copies_per_rank : int
+        Copies that a rank makes for one plan. More would make the plan late.
+    least_gain : float
+        Fall of a set's norm, in mean rank loads, that a copy must bring.
+    least_skew_gain : float
+        Fall of the skew that a switch must bring.
+    """
+
+    listen: tuple[str, int]
+    rank_address: str
+    copies_per_rank: int = 1
+    least_gain: float = 0.05
+    least_skew_gain: float = 0.15
+
+
+class GroupSource(Protocol):
+    """Reads what an agent must know from the store."""
+
+    async def group_spec(self) -> GroupSpec | None:
+        """Give the geometry of the own service's groups; None if it has none."""
+
+    async def peer_hosts(self) -> list[str]:
+        """Give the hosts of the own service's servers."""
+
+
+class Agent:
+    """Agent of the rank on this machine.
+
+    Parameters
+    ----------
+    connect : callable
+        Gives the client of the rank at an address.
+    """
+
+    def __init__(
+        self,
+        cfg: AgentSettings,
+        source: GroupSource,
+        connect: Callable[[str], RankClient],
+        clock: Callable[[], float],
+    ) -> None:
+        self._cfg = cfg
+        self._source = source
+        self._connect = connect
+        self._clock = clock
+        self._own = connect(cfg.rank_address)
+        self._clients: dict[str, RankClient] = {cfg.rank_address: self._own}
+        self._group = Group(clock)
+        self._state: PeerState | None = None
+        self._experts: tuple[int, int, list[list[int]]] | None = None
+        self._counts: tuple[int, list[int]] | None = None
+        self._hosts: list[str] = []
+        self._spec: GroupSpec | None = None
+        self._demand: DemandWindow | None = None
+        self._stuck_since: tuple[int, float] | None = None
+        self._leads = False
+        self._stopping = False
+        self._polls = 0
+
+    async def run(self, stopping: asyncio.Event) -> None:
+        """Run until told to stop; a switch in progress is finished first."""
+        loop = asyncio.get_running_loop()
+        transport, self._socket = await loop.create_datagram_endpoint(
+            lambda: PeerSocket(self._on_state), local_addr=self._cfg.listen
+        )
+        log.info("started", extra={"rank_address": self._cfg.rank_address})
+        followers = [
+            asyncio.create_task(_repeat(step, interval_s))
+            for step, interval_s in ((self._poll, POLL_S), (self._follow_peers, 0.0))
+        ]
+        coordinator = asyncio.create_task(_repeat(self._coordinate, PLAN_S))
+        await stopping.wait()
+        self._stopping = True
+        log.info("stopping", extra={"leads": self._leads})
+        coordinator.cancel() if not self._switching else None
+        await asyncio.wait([coordinator], timeout=STOP_PATIENCE_S)
+        for task in (*followers, coordinator):
+            task.cancel()
+        transport.close()
+        log.info("stopped")
+
+    _switching = False
+
+    async def _poll(self) -> None:
+        """Look at the own rank and tell others."""
+        try:
+            report = await self._own.report()
+            experts = await self._own_experts(report)
+            counts = []
+            if self._polls % COUNTS_EVERY == 0:
+                counts = await self._new_counts()
+        except RankUnreachableError as exc:
+            if self._state is not None:
+                log.warning("rank_lost", extra={"why": str(exc)})
+            self._state = None
+            return
+        if self._state is None:
+            log.info("rank_found", extra={"group": report.group, "rank": report.rank})
+        self._polls += 1
+        self._state = _state(self._cfg.rank_address, report, experts)
+        now = self._clock()
+        self._group.observe(self._state, now)
+        self._tell(counts, now)
+
+    def _tell(self, counts: list[int], now: float) -> None:
+        leader = self._group.leader(now)
+        if leader == self._state.rank:
+            self._add_demand(counts, now)
+        elif counts and leader is not None:
+            state = _with_counts(self._state, counts)
+            self._socket.send(state, self._agents([self._group.address(leader)]))
+        if self._polls % HEARTBEAT_EVERY == 0:
+            self._socket.send(self._state, self._peer_addresses(now))
+
+    def _peer_addresses(self, now: float) -> list[tuple[str, int]]:
+        """Give the agents of the group, or of the whole service until it is known."""
+        members = self._group.fresh(now)
+        own_host = self._cfg.listen[0]
+        if members and len(members) == self._group.size:
+            return self._agents(
+                [m.address for m in members if m.rank != self._state.rank]
+            )
+        port = self._cfg.listen[1]
+        return [(host, port) for host in self._hosts if host != own_host]
+
+    def _agents(self, addresses: list[str]) -> list[tuple[str, int]]:
+        port = self._cfg.listen[1]
+        return [(address.rpartition(":")[0], port) for address in addresses]
+
+    def _on_state(self, state: PeerState) -> None:
+        own = self._state
+        if own is None or state.group != own.group or state.rank == own.rank:
+            return
+        now = self._clock()
+        self._group.observe(state, now)
+        if state.counts:
+            self._add_demand(state.counts, now)
+
+    def _add_demand(self, counts: list[int], now: float) -> None:
+        if self._demand is not None and counts:
+            self._demand.add(counts, now)
+
+    async def _own_experts(self, report: RankReport) -> list[list[int]]:
+        """Give the experts of the own rank, asked for when the map changes."""
+        known = self._experts
+        if known is None or known[:2] != (report.epoch, report.map_version):
+            version, experts = await self._own.experts()
+            known = self._experts = (report.epoch, version, experts)
+        return known[2]
+
+    async def _new_counts(self) -> list[int]:
+        """Give what was chosen since the last look."""
+        reading = await self._own.counts()
+        before = self._counts
+        self._counts = (reading.epoch, reading.counts)
+        if before is None or len(before[1]) != len(reading.counts):
+            return []
+        delta = [new - old for new, old in zip(reading.counts, before[1], strict=True)]
+        # Counts start anew when the rank does.
+        return delta if min(delta, default=0) >= 0 else []
+
+    async def _follow_peers(self) -> None:
+        """Keep the list of hosts that agents may run on."""
+        try:
+            if self._spec is None:
+                self._spec = await self._source.group_spec()
+                if self._spec is not None:
+                    self._demand = DemandWindow(self._spec.sets, self._spec.experts)
+            self._hosts = await self._source.peer_hosts()
+        except PlatformError as exc:
+            log.warning("peers_unknown", extra={"why": str(exc)})
+        complete = self._spec is not None and 0 < self._group.size == len(
+            self._group.fresh(self._clock())
+        )
+        await asyncio.sleep(PEERS_REFRESH_S if complete else PEERS_RETRY_S)
+
+    async def _coordinate(self) -> None:
+        """Settle what is unfinished, then plan and switch, if this agent leads."""
+        now = self._clock()
+        own = self._state
+        leads = own is not None and self._group.leader(now) == own.rank
+        if leads != self._leads:
+            self._leads = leads
+            log.info("leads" if leads else "follows", extra={"rank": own and own.rank})
+            if self._demand is not None:
+                self._demand.clear()
+        if not leads or self._stopping:
+            return
+        self._switching = True
+        try:
+            if not await self._settle(now):
+                await self._plan_and_switch(now)
+        except (EpochChangedError, RankUnreachableError) as exc:
+            log.warning("switch_failed", extra={"why": str(exc)})
+        finally:
+            self._switching = False
+
+    async def _settle(self, now: float) -> bool:
+        """Finish or undo a switch that was left; return whether there was one."""
+        holders = [
+            state.rank
+            for state in self._group.fresh(now)
+            if self._group.held_for_s(state.rank, now) > HOLD_PATIENCE_S
+        ]
+        if not holders:
+            await self._ask_silent_ranks(now)
+            return False
+        view = self._view(now, missing_allowed=True)
+        if view is None:
+            log.warning("hold_not_settled", extra={"holders": holders})
+            return True
+        switch = Switch(self._rank_clients(), self._state.rank, self._group)
+        verdict = await switch.settle(view, holders)
+        log.warning("hold_settled", extra={"holders": holders, "verdict": verdict})
+        return True
+
+    async def _ask_silent_ranks(self, now: float) -> None:
+        """Ask ranks whose agents are silent, while the group does not go on."""
+        own = self._state
+        if not (own.running or own.waiting) or not own.is_open:
+            self._stuck_since = None
+            return
+        if self._stuck_since is None or self._stuck_since[0] != own.step:
+            self._stuck_since = (own.step, now)
+            return
+        if now - self._stuck_since[1] < STUCK_S:
+            return
+        for rank in range(self._group.size):
+            address = self._group.address(rank)
+            if self._group.state(rank, now) is not None or address is None:
+                continue
+            try:
+                client = self._client(address)
+                report = await client.report()
+                _, experts = await client.experts()
+            except RankUnreachableError as exc:
+                log.info("rank_silent", extra={"rank": rank, "why": str(exc)})
+                continue
+            self._group.observe(_state(address, report, experts), self._clock())
+
+    def _view(self, now: float, missing_allowed: bool = False) -> GroupView | None:
+        """Give what is known of the whole group; None if ranks are missing or differ."""
+        states = self._group.fresh(now)
+        if not states or len(states) != self._group.size:
+            return None
+        epochs = {state.epoch for state in states}
+        versions = {state.map_version for state in states}
+        if len(epochs) != 1 or len(versions) != 1:
+            return None
+        sets = len(states[0].experts)
+        placement = [[list(s.experts[i]) for s in states] for i in range(sets)]
+        return GroupView(epochs.pop(), placement, [s.report() for s in states])
+
+    async def _plan_and_switch(self, now: float) -> None:
+        view = self._view(now)
+        if view is None or self._spec is None or self._demand is None:
+            return
+        if any(not r.is_open or r.held or r.armed for r in view.reports):
+            return
+        demand = self._demand.estimate()
+        if demand is None or not is_valid(
+            view.placement, self._spec.experts, self._spec.places
+        ):
+            return
+        spec = self._spec
+        limits = PlanLimits(
+            spec.places, spec.spare, self._cfg.copies_per_rank, self._cfg.least_gain
+        )
+        planned = plan(view.placement, demand, limits)
+        before, after = skew(view.placement, demand), skew(planned, demand)
+        if before - after < self._cfg.least_skew_gain:
+            return
+        copies = copies_by_rank(view.placement, planned)
+        known = [r.prepared or 0 for r in view.reports]
+        known += [r.map_version for r in view.reports]
+        version = next_version(known, self._state.rank)
+        log.info(
+            "switch_begun",
+            extra={
+                "version": version,
+                "skew": round(before, 2),
+                "expected": round(after, 2),
+                "copies": sum(copies),
+            },
+        )
+        switch = Switch(self._rank_clients(), self._state.rank, self._group)
+        result = await switch.run(view, planned, version, max(copies) * spec.copy_s)
+        log.info(
+            "switch_ended",
+            extra={
+                "version": version,
+                "result": result.value,
+                "took_ms": round((self._clock() - now) * 1000),
+            },
+        )
+        if result is Result.SWITCHED:
+            await self._await_map(version)
+
+    async def _await_map(self, version: int) -> None:
+        """Wait until the ranks report the new map, or for as long as one pass takes."""
+        for _ in range(AWAIT_POLLS):
+            states = self._group.fresh(self._clock())
+            if all(state.map_version == version for state in states):
+                return
+            await asyncio.sleep(POLL_S)
+
+    def _rank_clients(self) -> list[RankClient]:
+        return [
+            self._client(self._group.address(rank)) for rank in range(self._group.size)
+        ]
+
+    def _client(self, address: str) -> RankClient:
+        if address not in self._clients:
+            self._clients[address] = self._connect(address)
+        return self._clients[address]
+
+
+#: Polls for which a coordinator waits for the new map to show.
+AWAIT_POLLS = 8
+
+
+def _state(address: str, report: RankReport, experts: list[list[int]]) -> PeerState:
+    armed = report.armed
+    return PeerState(
+        address=address,
+        group=report.group,
+        epoch=report.epoch,
+        rank=report.rank,
+        size=report.size,
+        is_open=report.is_open,
+        step=report.step,
+        map_version=report.map_version,
+        prepared=report.prepared,
+        armed=None if armed is None else tuple(armed),
+        held=report.held,
+        running=report.running,
+        waiting=report.waiting,
+        experts=experts,
+    )
+
+
+def _with_counts(state: PeerState, counts: list[int]) -> PeerState:
+    fields = {name: getattr(state, name) for name in state.__struct_fields__}
+    return PeerState(**{**fields, "counts": counts})
+
+
+async def _repeat(step: Callable[[], Awaitable[None]], interval_s: float) -> None:
+    """Run a step again and again; an error is logged and does not end it."""
+    while True:
+        try:
+            await step()
+        except Exception:
+            log.exception("task_failed", extra={"task": step.__qualname__})
+            await asyncio.sleep(1.0)
+        await asyncio.sleep(interval_s)
--- /dev/null
+++ b/packages/maps/src/slatehoist/maps/demand.py
@@ -0,0 +1,77 @@
+"""Demand for experts, from the counts that ranks report."""
+
+from collections import deque
+from collections.abc import Sequence
+
+#: Length of a bucket in seconds: about one pass.
+BUCKET_S = 0.1
+#: Buckets that an estimate uses at least; fewer are one request's taste.
+LEAST_BUCKETS = 2
+#: Buckets that an estimate uses at most while demand stays the same.
+MOST_BUCKETS = 12
+#: Part of the demand of a set that must differ for it to count as another demand.
+#: Neighbouring buckets of steady demand differ by up to a third.
+CHANGE_RATIO = 0.35
+
+
+class DemandWindow:
+    """Estimate the demand over the time for which it has stayed the same.
+
+    Parameters
+    ----------
+    sets, experts : int
+    """
+
+    def __init__(self, sets: int, experts: int) -> None:
+        self._sets = sets
+        self._experts = experts
+        self._buckets: deque[list[float]] = deque(maxlen=MOST_BUCKETS)
+        self._bucket_at = float("-inf")
+
+    def add(self, delta: Sequence[float], now: float) -> None:
+        """Count what one rank's requests chose since its last report."""
+        if len(delta) != self._sets * self._experts:
+            raise ValueError(
+                f"{len(delta)} counts instead of {self._sets} x {self._experts}"
+            )
+        if now - self._bucket_at >= BUCKET_S:
+            self._buckets.append([0.0] * len(delta))
+            self._bucket_at = now
+        bucket = self._buckets[-1]
+        for index, value in enumerate(delta):
+            if value:
+                bucket[index] += value
+
+    def clear(self) -> None:
+        """Forget everything."""
+        self._buckets.clear()
+        self._bucket_at = float("-inf")
+
+    def estimate(self) -> list[list[float]] | None:
+        """Give the share of each expert by set; None if too little is known."""
+        full = [bucket for bucket in self._buckets if any(bucket)]
+        if len(full) < LEAST_BUCKETS:
+            return None
+        total = [sum(values) for values in zip(*full[-LEAST_BUCKETS:], strict=True)]
+        end = len(full) - LEAST_BUCKETS
+        while end > 0:
+            start = max(0, end - LEAST_BUCKETS)
+            older = [sum(values) for values in zip(*full[start:end], strict=True)]
+            if self._differ(older, total):
+                break
+            total = [a + b for a, b in zip(total, older, strict=True)]
+            end = start
+        return [self._share(total, index) for index in range(self._sets)]
+
+    def _share(self, counts: Sequence[float], index: int) -> list[float]:
+        part = counts[index * self._experts : (index + 1) * self._experts]
+        total = sum(part)
+        return [value / total for value in part] if total else list(part)
+
+    def _differ(self, older: Sequence[float], newer: Sequence[float]) -> bool:
+        for index in range(self._sets):
+            before, after = self._share(older, index), self._share(newer, index)
+            moved = sum(abs(a - b) for a, b in zip(before, after, strict=True)) / 2
+            if moved > CHANGE_RATIO:
+                return True
+        return False
--- /dev/null
+++ b/packages/maps/src/slatehoist/maps/peers.py
@@ -0,0 +1,166 @@
+"""States of a group's ranks, told from agent to agent in datagrams.
+
+A state is whole in each datagram and the next one replaces it, so a lost one costs
+nothing but time and no connection can fall silent. That is why they are datagrams and
+not messages over `pynng`, whose connections would need their own supervision.
+"""
+
+import asyncio
+import logging
+from collections.abc import Callable
+
+import msgspec
+
+from slatehoist.maps.rank import Armed, RankReport
+
+log = logging.getLogger(__name__)
+
+#: Seconds after which a state that was not renewed is no longer relied on: several
+#: heartbeats, since single datagrams are lost.
+FRESH_S = 0.7
+
+
+class PeerState(msgspec.Struct, array_like=True):
+    """What an agent tells of its rank.
+
+    Attributes
+    ----------
+    address : str
+        ``host:port`` at which the rank takes orders.
+    experts : list
+        Experts of the rank by set, in the map in use.
+    counts : list of int
+        Choices of each expert since the last state that had counts; empty if none
+        are told.
+    """
+
+    address: str
+    group: str
+    epoch: int
+    rank: int
+    size: int
+    is_open: bool
+    step: int
+    map_version: int
+    prepared: int | None
+    armed: tuple[int, int] | None
+    held: int | None
+    running: int
+    waiting: int
+    experts: list[list[int]]
+    counts: list[int] = []
+
+    def report(self) -> RankReport:
+        """Give the state as a report."""
+        return RankReport(
+            group=self.group,
+            epoch=self.epoch,
+            rank=self.rank,
+            size=self.size,
+            is_open=self.is_open,
+            step=self.step,
+            map_version=self.map_version,
+            prepared=self.prepared,
+            armed=None if self.armed is None else Armed(*self.armed),
+            held=self.held,
+            running=self.running,
+            waiting=self.waiting,
+        )
+
+
+class Group:
+    """Newest states of the ranks of one group.
+
+    Parameters
+    ----------
+    clock : callable
+        Gives seconds; only for how old the states are when they are asked for.
+    """
+
+    def __init__(self, clock: Callable[[], float]) -> None:
+        self._clock = clock
+        self._states: dict[int, tuple[PeerState, float]] = {}
+        self._held_since: dict[int, tuple[int, float]] = {}
+        self.name = ""
+        self.size = 0
+
+    def observe(self, state: PeerState, now: float) -> None:
+        """Take in a state; one of an older epoch is ignored."""
+        known = self._states.get(state.rank)
+        if known is not None and known[0].epoch > state.epoch:
+            return
+        self._states[state.rank] = (state, now)
+        self.name = state.group
+        self.size = state.size
+        if state.held is None:
+            self._held_since.pop(state.rank, None)
+        else:
+            since = self._held_since.get(state.rank)
+            if since is None or since[0] != state.held:
+                self._held_since[state.rank] = (state.held, now)
+
+    def report(self, rank: int) -> RankReport | None:
+        """Give the newest report of a rank if it is fresh."""
+        state = self.state(rank, self._clock())
+        return None if state is None else state.report()
+
+    def state(self, rank: int, now: float) -> PeerState | None:
+        """Give the newest state of a rank if it is fresh."""
+        known = self._states.get(rank)
+        if known is None or now - known[1] > FRESH_S:
+            return None
+        return known[0]
+
+    def address(self, rank: int) -> str | None:
+        """Give where a rank takes orders, as it was last told."""
+        known = self._states.get(rank)
+        return None if known is None else known[0].address
+
+    def fresh(self, now: float) -> list[PeerState]:
+        """Give the fresh states by rank."""
+        states = (self.state(rank, now) for rank in range(self.size))
+        return [state for state in states if state is not None]
+
+    def leader(self, now: float) -> int | None:
+        """Give the lowest rank whose agent is heard."""
+        states = self.fresh(now)
+        return states[0].rank if states else None
+
+    def held_for_s(self, rank: int, now: float) -> float:
+        """Give the seconds for which a rank has held the same pass."""
+        since = self._held_since.get(rank)
+        return 0.0 if since is None else now - since[1]
+
+
+class PeerSocket(asyncio.DatagramProtocol):
+    """Socket on which states come and go."""
+
+    def __init__(self, on_state: Callable[[PeerState], None]) -> None:
+        self._on_state = on_state
+        self._decoder = msgspec.msgpack.Decoder(PeerState)
+        self._transport: asyncio.DatagramTransport | None = None
+
+    def connection_made(self, transport: asyncio.DatagramTransport) -> None:
+        """Keep the transport."""
+        self._transport = transport
+
+    def datagram_received(self, data: bytes, addr: tuple) -> None:
+        """Take in a state."""
+        try:
+            state = self._decoder.decode(data)
+        except msgspec.DecodeError as exc:
+            log.warning("datagram_unreadable", extra={"from": addr[0], "why": str(exc)})
+            return
+        self._on_state(state)
+
+    def error_received(self, exc: Exception) -> None:
+        """Ignore that a peer is not there; its silence shows the same."""
+        log.debug("datagram_refused", extra={"why": repr(exc)})
+
+    def send(self, state: PeerState, addresses: list[tuple[str, int]]) -> None:
+        """Send a state to some peers."""
+        if self._transport is None or not addresses:
+            return
+        data = msgspec.msgpack.encode(state)
+        for address in addresses:
+            self._transport.sendto(data, address)
--- /dev/null
+++ b/packages/maps/src/slatehoist/maps/placement.py
@@ -0,0 +1,64 @@
+"""Placement of experts on the ranks of a group, with an even split among replicas.
+
+A placement lists, by set of layers and by rank, the experts that the rank holds. The
+ranks that hold an expert share its tokens evenly, so the load of a rank is the sum of
+the shares of its experts, and a pass waits for the most loaded rank of each set.
+"""
+
+from collections.abc import Sequence
+
+#: Experts by set and rank.
+Placement = list[list[list[int]]]
+#: Part of the tokens that goes to each expert, by set.
+Demand = Sequence[Sequence[float]]
+
+
+def initial_placement(sets: int, ranks: int, experts: int) -> Placement:
+    """Give the placement that a new group has: experts in turn."""
+    return [
+        [list(range(rank, experts, ranks)) for rank in range(ranks)]
+        for _ in range(sets)
+    ]
+
+
+def replica_counts(ranks: Sequence[Sequence[int]], experts: int) -> list[int]:
+    """Count the ranks that hold each expert of one set."""
+    counts = [0] * experts
+    for held in ranks:
+        for expert in held:
+            counts[expert] += 1
+    return counts
+
+
+def rank_loads(ranks: Sequence[Sequence[int]], demand: Sequence[float]) -> list[float]:
+    """Give the load of each rank in one set, in the unit of the demand."""
+    counts = replica_counts(ranks, len(demand))
+    return [sum(demand[e] / counts[e] for e in held) for held in ranks]
+
+
+def skew(placement: Placement, demand: Demand) -> float:
+    """Give the load of the most loaded rank over the mean, averaged over the sets."""
+    total = 0.0
+    for ranks, wanted in zip(placement, demand, strict=True):
+        mean = sum(wanted) / len(ranks)
+        total += max(rank_loads(ranks, wanted)) / mean if mean > 0 else 1.0
+    return total / len(placement)
+
+
+def copies_by_rank(old: Placement, new: Placement) -> list[int]:
+    """Count the experts that each rank must copy to go from one placement to another."""
+    counts = [0] * len(old[0])
+    for before, after in zip(old, new, strict=True):
+        for rank, (held, wanted) in enumerate(zip(before, after, strict=True)):
+            counts[rank] += len(set(wanted) - set(held))
+    return counts
+
+
+def is_valid(placement: Placement, experts: int, places: int) -> bool:
+    """Whether each expert is held somewhere and no rank holds too many or one twice."""
+    for ranks in placement:
+        if len({e for held in ranks for e in held}) != experts:
+            return False
+        if any(len(held) > places or len(set(held)) != len(held) for held in ranks):
+            return False
+    return True
