Close only idle connections when a gateway leaves

Cause: aiohttp's pre_shutdown leaves idle connections open without a handler, so a request sent later was never answered; closing all at once cut a request that had been read in the same turn of the loop. Ruled out: slow bodies (the traced request came whole).

--- a/packages/gateway/src/slatehoist/gateway/gateway.py
+++ b/packages/gateway/src/slatehoist/gateway/gateway.py
@@ -64,7 +64,8 @@
         self._rng = rng
         self._clock = clock
         self.draining = False
-        self.active = 0
+        #: Connections on which a request is being answered.
+        self.busy_connections: set[object] = set()
 
     def drain(self) -> None:
         """Announce on each further response that its connection will be closed."""
@@ -75,13 +76,14 @@
         """Answer one request."""
         arrived_at = self._clock()
         info = self._codec.read_request(req.headers)
-        self.active += 1
+        conn = req.protocol
+        self.busy_connections.add(conn)
         try:
             resp = await self._answer(req, info, arrived_at)
         except RefusalError as exc:
             resp = self._refuse(req, info, exc, arrived_at)
         finally:
-            self.active -= 1
+            self.busy_connections.discard(conn)
         if self.draining and not resp.prepared:
             resp.force_close()
         return resp
--- a/packages/gateway/src/slatehoist/gateway/process.py
+++ b/packages/gateway/src/slatehoist/gateway/process.py
@@ -31,6 +31,9 @@
 
 #: Seconds between looks at whether the last request has ended.
 _DRAIN_POLL_S = 0.05
+#: Seconds for a request that was read just before its connection stopped to read to
+#: begin: some turns of the event loop.
+_CLOSE_PAUSE_S = 0.01
 #: Pending connections that the listener holds; a burst of new callers arrives at once.
 _BACKLOG = 512
 
@@ -117,23 +120,36 @@
         began = self._clock()
         self._lifecycle.drain()
         self._gateway.drain()
-        log.info("draining", extra={"active": self._gateway.active})
+        log.info("draining", extra={"active": len(self._gateway.busy_connections)})
         await asyncio.sleep(LEAVE_ROTATION_S)
         for site in list(self._front.sites):
             await site.stop()
-        # Closes idle connections now, and the others after their response.
-        self._front.server.pre_shutdown()
         last = began + self._cfg.grace_s - GRACE_MARGIN_S
-        while self._gateway.active and self._clock() < last:
+        await self._close_idle_connections()
+        while self._gateway.busy_connections and self._clock() < last:
             await asyncio.sleep(_DRAIN_POLL_S)
+            await self._close_idle_connections()
         log.info(
             "drained",
             extra={
-                "active": self._gateway.active,
+                "active": len(self._gateway.busy_connections),
                 "took_ms": round((self._clock() - began) * 1000),
             },
         )
 
+    async def _close_idle_connections(self) -> None:
+        """Close the connections on which no request is being answered.
+
+        First they only stop to read. A request that was read at that very moment
+        begins within the pause, and its connection is left to it.
+        """
+        idle = set(self._front.server.connections) - self._gateway.busy_connections
+        for conn in idle:
+            conn.close()
+        await asyncio.sleep(_CLOSE_PAUSE_S)
+        for conn in idle - self._gateway.busy_connections:
+            conn.force_close()
+
     async def stop(self) -> None:
         """Stop at once."""
         self._lifecycle.stop()
@@ -144,7 +160,7 @@
                 for runner in self._runners:
                     await runner.cleanup()
                 await self._upstream.close()
-        log.info("stopped", extra={"active": self._gateway.active})
+        log.info("stopped", extra={"active": len(self._gateway.busy_connections)})
 
     @property
     def ready(self) -> bool:
