--- a/packages/daemon/src/slatehoist/daemon/entry/directory.py
+++ b/packages/daemon/src/slatehoist/daemon/entry/directory.py
@@ -7,8 +7,8 @@
 from slatehoist.config import Kind, Replica
 from slatehoist.daemon.background import Background
 from slatehoist.daemon.configsync import encode_changes
-from slatehoist.storage import Instance
 from slatehoist.routing import Candidate, Peer, choose_subset, subset_size
+from slatehoist.storage import Instance
 from slatehoist.wire import Link, heartbeat_interval_s
 from slatehoist.wire.messages import Heartbeat
 
--- a/packages/daemon/src/slatehoist/daemon/entry/guard.py
+++ b/packages/daemon/src/slatehoist/daemon/entry/guard.py
@@ -6,8 +6,8 @@
 
 from slatehoist.daemon.background import Background
 from slatehoist.daemon.entry.directory import Directory
-from slatehoist.storage import ABSENT, Check, PlatformError, Table, Write
 from slatehoist.routing import SuspectLedger, Verdict
+from slatehoist.storage import ABSENT, Check, PlatformError, Table, Write
 from slatehoist.wire import decode
 from slatehoist.wire.messages import CrashReport, SuspectCleared
 
--- a/packages/daemon/src/slatehoist/daemon/entry/keyed.py
+++ b/packages/daemon/src/slatehoist/daemon/entry/keyed.py
@@ -19,8 +19,8 @@
     Outcome,
 )
 from slatehoist.daemon.entry.directory import Directory, Neighbour
-from slatehoist.storage import ObjectStore, PlatformError
 from slatehoist.routing import home_entry
+from slatehoist.storage import ObjectStore, PlatformError
 from slatehoist.wire.messages import AttemptState, Final, Head, NotRun
 
 log = logging.getLogger(__name__)
--- a/packages/daemon/src/slatehoist/daemon/entry/process.py
+++ b/packages/daemon/src/slatehoist/daemon/entry/process.py
@@ -24,6 +24,7 @@
 from slatehoist.daemon.entry.resource_api import ResourceApi
 from slatehoist.daemon.lifecycle import Lifecycle
 from slatehoist.daemon.metrics import Metric, Metrics
+from slatehoist.routing import SuspectLedger
 from slatehoist.storage import (
     HttpInstanceList,
     HttpObjectStore,
@@ -31,7 +32,6 @@
     Instance,
     PlatformError,
 )
-from slatehoist.routing import SuspectLedger
 from slatehoist.wire import LinkDownError, LinkServer, decode
 from slatehoist.wire.messages import (
     ConfigAnswer,
--- a/packages/daemon/src/slatehoist/daemon/sidecar/process.py
+++ b/packages/daemon/src/slatehoist/daemon/sidecar/process.py
@@ -21,8 +21,8 @@
 from slatehoist.daemon.sidecar.ranks import EngineRank, RankHost
 from slatehoist.daemon.sidecar.runner import AttemptRunner
 from slatehoist.daemon.sidecar.server import AttemptServer
-from slatehoist.storage import HttpInstanceList, HttpTable, HttpWeightStore
 from slatehoist.routing import AdaptiveLimit, FairQueue
+from slatehoist.storage import HttpInstanceList, HttpTable, HttpWeightStore
 from slatehoist.wire import LinkServer, decode
 from slatehoist.wire.messages import (
     ConfigAnswer,
--- a/packages/gateway/src/slatehoist/gateway/catalogue.py
+++ b/packages/gateway/src/slatehoist/gateway/catalogue.py
@@ -18,7 +18,9 @@
             routes.sort(key=lambda route: len(route.prefix), reverse=True)
         self._services = {service.name: service for service in cfg.services}
         self._teams = {
-            credential: team for team in cfg.teams or () for credential in team.credentials
+            credential: team
+            for team in cfg.teams or ()
+            for credential in team.credentials
         }
 
     def route(self, host: str, path: str) -> Route | None:
--- a/packages/gateway/src/slatehoist/gateway/directory.py
+++ b/packages/gateway/src/slatehoist/gateway/directory.py
@@ -39,7 +39,9 @@
         missing = self._endpoints.keys() - fresh.keys()
         if now < self._keep_until:
             taken = {e.address for e in fresh.values()}
-            kept = {name for name in missing if self._endpoints[name].address not in taken}
+            kept = {
+                name for name in missing if self._endpoints[name].address not in taken
+            }
             fresh.update((name, self._endpoints[name]) for name in kept)
             missing -= kept
         changes = Changes(
@@ -48,7 +50,8 @@
             drained=[
                 e
                 for name, e in fresh.items()
-                if e.draining and name in self._endpoints
+                if e.draining
+                and name in self._endpoints
                 and not self._endpoints[name].draining
             ],
             restarted=[
--- a/packages/gateway/src/slatehoist/gateway/events.py
+++ b/packages/gateway/src/slatehoist/gateway/events.py
@@ -20,7 +20,11 @@
         """Take in bytes and give those of the events that are now whole."""
         self._rest += data
         end = max(
-            (at + len(mark) for mark in _DELIMITERS if (at := self._rest.rfind(mark)) >= 0),
+            (
+                at + len(mark)
+                for mark in _DELIMITERS
+                if (at := self._rest.rfind(mark)) >= 0
+            ),
             default=0,
         )
         whole, self._rest = self._rest[:end], self._rest[end:]
@@ -43,5 +47,5 @@
 def _last_id(events: bytes) -> str:
     for line in reversed(events.splitlines()):
         if line.startswith(_ID_FIELD):
-            return line[len(_ID_FIELD):].strip().decode("latin-1")
+            return line[len(_ID_FIELD) :].strip().decode("latin-1")
     return ""
--- a/packages/gateway/src/slatehoist/gateway/gateway.py
+++ b/packages/gateway/src/slatehoist/gateway/gateway.py
@@ -1,6 +1,5 @@
 """Reception of callers' requests: route, credential, deadline, final answer."""
 
-import asyncio
 import logging
 import random
 from collections.abc import Callable
@@ -10,7 +9,7 @@
 from slatehoist.gateway.catalogue import Catalogue, RouteTable, pick_service
 from slatehoist.gateway.codec import HeaderCodec
 from slatehoist.gateway.forwarding import Exchange, Forwarder
-from slatehoist.gateway.model import Kind, RequestInfo, Route, Service
+from slatehoist.gateway.model import Kind, RequestInfo, Route
 from slatehoist.gateway.settings import STALE_LOOKUP_S
 from slatehoist.routing import return_delay_s
 
@@ -98,7 +97,9 @@
         team = self._team(table, route, info)
         service = table.service(pick_service(route, self._rng))
         if service is None:
-            raise RefusalError(503, f"no service for route {route.name}", _CONFIG_WAIT_S)
+            raise RefusalError(
+                503, f"no service for route {route.name}", _CONFIG_WAIT_S
+            )
         body = await self._read_body(req, table.cfg.limits.max_body_bytes)
         limit_s = route.timeout_s
         if info.deadline_s is not None:
--- a/packages/gateway/src/slatehoist/gateway/health.py
+++ b/packages/gateway/src/slatehoist/gateway/health.py
@@ -23,8 +23,16 @@
 
 
 class _Record:
-    __slots__ = ("ejected_until", "ejection_s", "failure_ratio", "failures", "inflight",
-                 "reported", "reported_at", "own_at_report")
+    __slots__ = (
+        "ejected_until",
+        "ejection_s",
+        "failure_ratio",
+        "failures",
+        "inflight",
+        "reported",
+        "reported_at",
+        "own_at_report",
+    )
 
     def __init__(self) -> None:
         self.failures = 0
@@ -84,9 +92,7 @@
         record.reported_at = now
         record.own_at_report = record.inflight
 
-    def available(
-        self, endpoints: Sequence[Endpoint], now: float
-    ) -> list[Endpoint]:
+    def available(self, endpoints: Sequence[Endpoint], now: float) -> list[Endpoint]:
         """Leave out ejected endpoints, unless more than half would be."""
         healthy = [
             e for e in endpoints if now >= self.record(e.endpoint_id).ejected_until
--- a/packages/gateway/src/slatehoist/gateway/settings.py
+++ b/packages/gateway/src/slatehoist/gateway/settings.py
@@ -51,7 +51,8 @@
 #: Seconds between reads of the endpoint list: under half of the shortest drain time
 #: (2 s) that deployments state, so one lost read is borne.
 ENDPOINT_POLL_S = 0.8
-#: Seconds that a call to the store may take beyond its wait; slow days answer in 0.25 s.
+#: Seconds that a call to the store may take beyond its wait; on slow days it answers
+#: in a quarter of a second.
 STORE_TIMEOUT_S = 0.9
 #: Seconds before a failed call to the store is repeated.
 STORE_RETRY_S = 0.3
--- a/packages/gateway/src/slatehoist/gateway/upstream.py
+++ b/packages/gateway/src/slatehoist/gateway/upstream.py
@@ -23,7 +23,7 @@
 
 
 class BrokenReplyError(Exception):
-    """Report a response that is missing, cut off or not HTTP; the request may have run."""
+    """Report a missing, cut off or malformed response; the request may have run."""
 
 
 class UpstreamRequest(NamedTuple):
--- a/packages/maps/src/slatehoist/maps/agent.py
+++ b/packages/maps/src/slatehoist/maps/agent.py
@@ -268,7 +268,7 @@
         if not holders:
             await self._ask_silent_ranks(now)
             return False
-        view = self._view(now, missing_allowed=True)
+        view = self._view(now)
         if view is None:
             log.warning("hold_not_settled", extra={"holders": holders})
             return True
@@ -301,8 +301,8 @@
                 continue
             self._group.observe(_state(address, report, experts), self._clock())
 
-    def _view(self, now: float, missing_allowed: bool = False) -> GroupView | None:
-        """Give what is known of the whole group; None if ranks are missing or differ."""
+    def _view(self, now: float) -> GroupView | None:
+        """Give what is known of the group; None if ranks are missing or differ."""
         states = self._group.fresh(now)
         if not states or len(states) != self._group.size:
             return None
--- a/packages/maps/src/slatehoist/maps/placement.py
+++ b/packages/maps/src/slatehoist/maps/placement.py
@@ -46,7 +46,7 @@
 
 
 def copies_by_rank(old: Placement, new: Placement) -> list[int]:
-    """Count the experts that each rank must copy to go from one placement to another."""
+    """Count the experts that each rank must copy for a new placement."""
     counts = [0] * len(old[0])
     for before, after in zip(old, new, strict=True):
         for rank, (held, wanted) in enumerate(zip(before, after, strict=True)):
--- a/packages/maps/src/slatehoist/maps/planner.py
+++ b/packages/maps/src/slatehoist/maps/planner.py
@@ -87,7 +87,10 @@
     """Search in one set."""
 
     def __init__(
-        self, ranks: Sequence[Sequence[int]], demand: Sequence[float], limits: PlanLimits
+        self,
+        ranks: Sequence[Sequence[int]],
+        demand: Sequence[float],
+        limits: PlanLimits,
     ) -> None:
         self.ranks = [list(held) for held in ranks]
         self.changes = 0
@@ -139,7 +142,8 @@
             takers = [
                 rank
                 for rank in coolest
-                if expert not in self.ranks[rank] and self._may_take(rank, expert, copies_left)
+                if expert not in self.ranks[rank]
+                and self._may_take(rank, expert, copies_left)
             ][:MAX_RANKS_TRIED]
             for rank in takers:
                 evicted = self._evictable(rank, expert)
@@ -168,7 +172,8 @@
         # A replica that was copied for this plan is not given up again.
         old = [e for e in spare if e in self._before[rank]] or spare
         return min(
-            old, key=lambda e: self._demand[e] / (self._counts[e] * (self._counts[e] - 1))
+            old,
+            key=lambda e: self._demand[e] / (self._counts[e] * (self._counts[e] - 1)),
         )
 
     def _norm_after(self, change: _Change) -> float:
--- a/packages/maps/src/slatehoist/maps/switch.py
+++ b/packages/maps/src/slatehoist/maps/switch.py
@@ -165,9 +165,7 @@
     def _has(self, rank: int, epoch: int, version: int) -> bool:
         report = self._observer.report(rank)
         return (
-            report is not None
-            and report.epoch == epoch
-            and report.prepared == version
+            report is not None and report.epoch == epoch and report.prepared == version
         )
 
     async def _hold(self, epoch: int) -> int | None:
--- a/packages/observe/src/slatehoist/observe/logs.py
+++ b/packages/observe/src/slatehoist/observe/logs.py
@@ -51,8 +51,13 @@
         self._tokens -= 1
         if self._left_out:
             note = logging.makeLogRecord(
-                {"msg": "lines_left_out", "levelno": logging.WARNING,
-                 "levelname": "WARNING", "name": __name__, "count": self._left_out}
+                {
+                    "msg": "lines_left_out",
+                    "levelno": logging.WARNING,
+                    "levelname": "WARNING",
+                    "name": __name__,
+                    "count": self._left_out,
+                }
             )
             self._left_out = 0
             self._write(note)
@@ -82,7 +87,9 @@
         return True
 
 
-def configure_logging(level: str = "info", fd: int | None = None, **common: str) -> None:
+def configure_logging(
+    level: str = "info", fd: int | None = None, **common: str
+) -> None:
     """Send all events to standard output.
 
     Parameters
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -1,8 +1,8 @@
 """Builders of test data for all packages."""
 
 from slatehoist.coord import RankState
-from slatehoist.storage import Instance
 from slatehoist.routing import Candidate, Ticket
+from slatehoist.storage import Instance
 from slatehoist.wire.messages import AttemptRequest, Heartbeat, MapReply
 
 
--- a/tools/bench_control.py
+++ b/tools/bench_control.py
@@ -19,7 +19,6 @@
 from slatehoist.coord import WriteBatcher
 from slatehoist.daemon.configsync import decode_changes, encode_changes
 from slatehoist.experts import FullReplanner, MoveCost, Planner, initial_placement
-from slatehoist.storage import Check, MemoryTable, Write
 from slatehoist.routing import (
     Candidate,
     FairQueue,
@@ -30,6 +29,7 @@
     Ticket,
     choose_subset,
 )
+from slatehoist.storage import Check, MemoryTable, Write
 from slatehoist.wire import Link, LinkServer, decode, encode
 from slatehoist.wire.messages import ConfigAnswer, Heartbeat, MapOrder, MapReply
 
