Finish a switch whose coordinator's machine stands still

Cause: the group was held at the coordinator's own rank, which cannot be reached while its machine is frozen, so the group stood still for 4 s. Now it is held at another machine's rank and the coordinator arms itself first, so others can finish. Ruled out: asking the frozen machine's rank directly (tried, no answer).

--- a/packages/maps/src/slatehoist/maps/agent.py
+++ b/packages/maps/src/slatehoist/maps/agent.py
@@ -24,6 +24,7 @@
     GroupView,
     Result,
     Switch,
+    coordinator_of,
     next_version,
 )
 from slatehoist.storage import PlatformError
@@ -45,9 +46,12 @@
 #: Seconds for which a hold may stand before its coordinator is taken as gone. A switch
 #: holds the group for some milliseconds, an undone one for half a second.
 HOLD_PATIENCE_S = 0.7
-#: Seconds without a pass, though there is work, after which silent ranks are asked
-#: directly whether they hold the group.
-STUCK_S = 0.6
+#: Seconds without a pass, though there is work, after which ranks whose agents are
+#: silent are asked directly whether they hold the group. Passes take up to 0.3 s when
+#: a group is overloaded.
+STUCK_S = 0.4
+#: Seconds between such questions; they are priced, and held back group and answer.
+ASK_S = 0.3
 #: Seconds that a stopping agent gives to a switch in progress.
 STOP_PATIENCE_S = 2.0
 
@@ -116,6 +120,7 @@
         self._spec: GroupSpec | None = None
         self._demand: DemandWindow | None = None
         self._stuck_since: tuple[int, float] | None = None
+        self._asked_at = float("-inf")
         self._leads = False
         self._stopping = False
         self._polls = 0
@@ -162,7 +167,7 @@
         self._polls += 1
         self._state = _state(self._cfg.rank_address, report, experts)
         now = self._clock()
-        self._group.observe(self._state, now)
+        self._group.hear(self._state, now)
         self._tell(counts, now)
 
     def _tell(self, counts: list[int], now: float) -> None:
@@ -195,7 +200,7 @@
         if own is None or state.group != own.group or state.rank == own.rank:
             return
         now = self._clock()
-        self._group.observe(state, now)
+        self._group.hear(state, now)
         if state.counts:
             self._add_demand(state.counts, now)
 
@@ -260,23 +265,46 @@
 
     async def _settle(self, now: float) -> bool:
         """Finish or undo a switch that was left; return whether there was one."""
+        await self._ask_silent_ranks(now)
+        now = self._clock()
         holders = [
             state.rank
             for state in self._group.fresh(now)
-            if self._group.held_for_s(state.rank, now) > HOLD_PATIENCE_S
+            if state.held is not None and self._is_orphan(state.rank, now)
         ]
         if not holders:
-            await self._ask_silent_ranks(now)
             return False
+        reports = {state.rank: state.report() for state in self._group.fresh(now)}
         view = self._view(now)
-        if view is None:
-            log.warning("hold_not_settled", extra={"holders": holders})
-            return True
-        switch = Switch(self._rank_clients(), self._state.rank, self._group)
-        verdict = await switch.settle(view, holders)
-        log.warning("hold_settled", extra={"holders": holders, "verdict": verdict})
+        settlement = await self._switch().settle(
+            self._state.epoch, reports, holders, view and view.placement
+        )
+        log.warning(
+            "hold_settled",
+            extra={
+                "holders": holders,
+                "settlement": settlement.value,
+                "asked": sorted(reports),
+            },
+        )
         return True
 
+    def _switch(self) -> Switch:
+        """Give the switch of this group, held at a rank of another machine."""
+        own = self._state.rank
+        order = [(own + 1 + i) % self._group.size for i in range(self._group.size)]
+        now = self._clock()
+        holder = next((r for r in order if self._group.is_heard(r, now)), own)
+        return Switch(self._rank_clients(), own, holder, self._group)
+
+    def _is_orphan(self, rank: int, now: float) -> bool:
+        """Whether nobody seems to be at work on the switch that holds a rank."""
+        state = self._group.state(rank, now)
+        newest = state.armed[0] if state.armed else state.prepared or 0
+        if not self._group.is_heard(coordinator_of(newest), now):
+            return True
+        return self._group.held_for_s(rank, now) > HOLD_PATIENCE_S
+
     async def _ask_silent_ranks(self, now: float) -> None:
         """Ask ranks whose agents are silent, while the group does not go on."""
         own = self._state
@@ -286,11 +314,12 @@
         if self._stuck_since is None or self._stuck_since[0] != own.step:
             self._stuck_since = (own.step, now)
             return
-        if now - self._stuck_since[1] < STUCK_S:
+        if now - self._stuck_since[1] < STUCK_S or now - self._asked_at < ASK_S:
             return
+        self._asked_at = now
         for rank in range(self._group.size):
             address = self._group.address(rank)
-            if self._group.state(rank, now) is not None or address is None:
+            if self._group.is_heard(rank, now) or address is None:
                 continue
             try:
                 client = self._client(address)
@@ -346,8 +375,8 @@
                 "copies": sum(copies),
             },
         )
-        switch = Switch(self._rank_clients(), self._state.rank, self._group)
-        result = await switch.run(view, planned, version, max(copies) * spec.copy_s)
+        copy_s = max(copies) * spec.copy_s
+        result = await self._switch().run(view, planned, version, copy_s)
         log.info(
             "switch_ended",
             extra={
--- a/packages/maps/src/slatehoist/maps/peers.py
+++ b/packages/maps/src/slatehoist/maps/peers.py
@@ -15,9 +15,9 @@
 
 log = logging.getLogger(__name__)
 
-#: Seconds after which a state that was not renewed is no longer relied on: several
+#: Seconds after which a state that was not renewed is no longer relied on: two
 #: heartbeats, since single datagrams are lost.
-FRESH_S = 0.7
+FRESH_S = 0.55
 
 
 class PeerState(msgspec.Struct, array_like=True):
@@ -80,12 +80,18 @@
     def __init__(self, clock: Callable[[], float]) -> None:
         self._clock = clock
         self._states: dict[int, tuple[PeerState, float]] = {}
+        self._heard_at: dict[int, float] = {}
         self._held_since: dict[int, tuple[int, float]] = {}
         self.name = ""
         self.size = 0
 
+    def hear(self, state: PeerState, now: float) -> None:
+        """Take in a state that the rank's agent told, which shows that it lives."""
+        self._heard_at[state.rank] = now
+        self.observe(state, now)
+
     def observe(self, state: PeerState, now: float) -> None:
-        """Take in a state; one of an older epoch is ignored."""
+        """Take in a state, whoever it comes from; one of an older epoch is ignored."""
         known = self._states.get(state.rank)
         if known is not None and known[0].epoch > state.epoch:
             return
@@ -121,10 +127,14 @@
         states = (self.state(rank, now) for rank in range(self.size))
         return [state for state in states if state is not None]
 
+    def is_heard(self, rank: int, now: float) -> bool:
+        """Whether the agent of a rank has been heard lately."""
+        return now - self._heard_at.get(rank, float("-inf")) <= FRESH_S
+
     def leader(self, now: float) -> int | None:
         """Give the lowest rank whose agent is heard."""
-        states = self.fresh(now)
-        return states[0].rank if states else None
+        heard = (rank for rank in range(self.size) if self.is_heard(rank, now))
+        return next(heard, None)
 
     def held_for_s(self, rank: int, now: float) -> float:
         """Give the seconds for which a rank has held the same pass."""
