Arm the coordinator's rank last and only when the holding rank's agent grants it

Cause: a coordinator's machine that froze between hold and arm left its rank's state unknown, so nobody could release the group (seen: held 4.0 s, 'impossible'). Gateways also learn load and pace of ranks from their agents, move streams off a rank that holds up its group, and the planner counts a slow rank's load by its pace.

--- a/packages/gateway/src/slatehoist/gateway/directory.py
+++ b/packages/gateway/src/slatehoist/gateway/directory.py
@@ -22,6 +22,7 @@
         self._relist_s = relist_s
         self._endpoints: dict[str, Endpoint] = {}
         self._by_service: dict[str, list[Endpoint]] = {}
+        self._by_address: dict[str, Endpoint] = {}
         self._outage = False
         self._keep_until = float("-inf")
         self.updated_at: float | None = None
@@ -75,8 +76,13 @@
         """Give the endpoints of a service that take new work."""
         return self._by_service.get(service, [])
 
+    def at(self, address: str) -> Endpoint | None:
+        """Give the endpoint at an address."""
+        return self._by_address.get(address)
+
     def _index(self) -> None:
         self._by_service = {}
+        self._by_address = {e.address: e for e in self._endpoints.values()}
         for endpoint in self._endpoints.values():
             if not endpoint.draining:
                 self._by_service.setdefault(endpoint.service, []).append(endpoint)
--- a/packages/gateway/src/slatehoist/gateway/forwarding.py
+++ b/packages/gateway/src/slatehoist/gateway/forwarding.py
@@ -129,6 +129,7 @@
         self._chooser = chooser
         self._clock = clock
         self._budgets: dict[str, SharedRetryBudget] = {}
+        self._relays: dict[str, set[asyncio.Timeout]] = {}
         self.instances = ASSUMED_INSTANCES
         self.draining = False
 
@@ -200,7 +201,7 @@
             reported_load=record.reported,
             own_at_report=record.own_at_report,
             report_age_s=now - record.reported_at,
-            concurrency=max(endpoint.concurrency, 1),
+            concurrency=max(endpoint.concurrency / record.pace, 1),
         )
 
     async def _attempt(
@@ -305,16 +306,19 @@
         """Pass on events as they come, whole ones only where a stream can go on."""
         splitter = EventSplitter()
         silence_s = self._cfg.stall_s + SILENCE_MARGIN_S
+        loop = asyncio.get_running_loop()
+        relays = self._relays.setdefault(endpoint.endpoint_id, set())
         try:
-            while True:
-                async with asyncio.timeout(silence_s):
-                    chunk = await reply.content.readany()
-                if not chunk:
-                    break
-                events = splitter.feed(chunk) if exchange.route.resumable else chunk
-                if events:
-                    await self._write(exchange, reply, events)
+            async with asyncio.timeout(silence_s) as relay:
+                if self._may_move(exchange):
+                    relays.add(relay)
+                while chunk := await reply.content.readany():
+                    relay.reschedule(loop.time() + silence_s)
+                    events = splitter.feed(chunk) if exchange.route.resumable else chunk
+                    if events:
+                        await self._write(exchange, reply, events)
         finally:
+            relays.discard(relay)
             exchange.last_event_id = splitter.last_event_id or exchange.last_event_id
         await self._write(exchange, reply, splitter.rest)
         await exchange.stream.write_eof()
@@ -333,6 +337,21 @@
         if data:
             await exchange.stream.write(data)
 
+    def _may_move(self, exchange: Exchange) -> bool:
+        """Whether a stream may be continued elsewhere by choice."""
+        return (
+            exchange.route.resumable
+            and exchange.attempts + 1 < exchange.route.max_attempts
+        )
+
+    def move_streams(self, endpoint_id: str) -> int:
+        """Continue elsewhere the streams of an endpoint that holds up its group."""
+        relays = self._relays.pop(endpoint_id, set())
+        now = asyncio.get_running_loop().time()
+        for relay in relays:
+            relay.reschedule(now)
+        return len(relays)
+
     def _note_failure(self, endpoint: Endpoint) -> None:
         if self._health.failed(endpoint.endpoint_id, self._clock()):
             log.warning(
--- a/packages/gateway/src/slatehoist/gateway/health.py
+++ b/packages/gateway/src/slatehoist/gateway/health.py
@@ -22,6 +22,13 @@
 FAILURE_GAIN = 0.15
 
 
+#: Pace from which on an endpoint gets no work while others are there. In a lock-step
+#: group it would make all the others wait.
+AVOIDED_PACE = 1.4
+#: Seconds for which a stated pace is believed.
+PACE_FRESH_S = 1.0
+
+
 class _Record:
     __slots__ = (
         "ejected_until",
@@ -32,6 +39,8 @@
         "reported",
         "reported_at",
         "own_at_report",
+        "pace",
+        "paced_at",
     )
 
     def __init__(self) -> None:
@@ -43,6 +52,8 @@
         self.reported = 0.0
         self.reported_at = float("-inf")
         self.own_at_report = 0
+        self.pace = 1.0
+        self.paced_at = float("-inf")
 
 
 class EndpointHealth:
@@ -92,10 +103,22 @@
         record.reported_at = now
         record.own_at_report = record.inflight
 
+    def observe_pace(self, endpoint_id: str, pace: float, now: float) -> None:
+        """Note how slow an endpoint says it is."""
+        record = self.record(endpoint_id)
+        record.pace = pace
+        record.paced_at = now
+
+    def pace(self, endpoint_id: str, now: float) -> float:
+        """Give how many times as long as usual an endpoint needs."""
+        record = self.record(endpoint_id)
+        return record.pace if now - record.paced_at <= PACE_FRESH_S else 1.0
+
     def available(self, endpoints: Sequence[Endpoint], now: float) -> list[Endpoint]:
         """Leave out ejected endpoints, unless more than half would be."""
         healthy = [
             e for e in endpoints if now >= self.record(e.endpoint_id).ejected_until
         ]
+        healthy = [e for e in healthy if self.pace(e.endpoint_id, now) < AVOIDED_PACE]
         least = len(endpoints) * (1 - MAX_EJECTED_RATIO)
         return healthy if healthy and len(healthy) >= least else list(endpoints)
--- a/packages/gateway/src/slatehoist/gateway/process.py
+++ b/packages/gateway/src/slatehoist/gateway/process.py
@@ -19,10 +19,12 @@
 from slatehoist.gateway.settings import (
     GRACE_MARGIN_S,
     LEAVE_ROTATION_S,
+    MOVING_PACE,
     RELIST_S,
     TRUST_RATIO,
     GatewaySettings,
 )
+from slatehoist.gateway.statuses import StatusFeed
 from slatehoist.gateway.sync import ConfigurationSync, EndpointSync
 from slatehoist.gateway.upstream import Upstream
 from slatehoist.routing import LoadAwareChooser
@@ -108,6 +110,17 @@
             EndpointSync(self._source, self._directory, self._health, self._clock),
         ]
         self._tasks = [asyncio.create_task(loop.run()) for loop in loops]
+        self._forwarder = forwarder
+        if self._cfg.status_listen is not None:
+            feed = StatusFeed(
+                self._cfg.instance,
+                self._cfg.status_listen,
+                self._directory,
+                self._health,
+                self._on_pace,
+                self._clock,
+            )
+            self._tasks.append(asyncio.create_task(feed.run(self._engine_services)))
         for task in self._tasks:
             task.add_done_callback(_log_failure)
         await self._listen(self._cfg.ready_listen, self._ready)
@@ -115,6 +128,21 @@
         self._lifecycle.serve()
         log.info("started", extra={"listen": self._cfg.listen, "zone": self._cfg.zone})
 
+    def _engine_services(self) -> list[str]:
+        table = self._catalogue.table
+        services = table.cfg.services if table else ()
+        return [service.name for service in services if service.engine]
+
+    def _on_pace(self, endpoint_id: str, pace: float) -> None:
+        if pace < MOVING_PACE:
+            return
+        moved = self._forwarder.move_streams(endpoint_id)
+        if moved:
+            log.warning(
+                "streams_moved",
+                extra={"endpoint": endpoint_id, "pace": pace, "streams": moved},
+            )
+
     async def drain(self) -> None:
         """Leave the rotation, finish what is in progress, then return."""
         began = self._clock()
--- a/packages/gateway/src/slatehoist/gateway/settings.py
+++ b/packages/gateway/src/slatehoist/gateway/settings.py
@@ -14,6 +14,8 @@
         Addresses (``host:port``) for callers and for readiness questions.
     metrics_listen : str
         Address for metrics; empty for none.
+    status_listen : tuple of (str, int) or None
+        Address for statuses of ranks; None if there are no agents.
     drain_s : float
         Time in which a leaving endpoint must get no more work.
     grace_s : float
@@ -33,6 +35,7 @@
     listen: str
     ready_listen: str
     metrics_listen: str = ""
+    status_listen: tuple[str, int] | None = None
     drain_s: float = 2.0
     grace_s: float = 8.0
     revoke_s: float = 5.0
@@ -71,6 +74,10 @@
 SILENCE_MARGIN_S = 0.3
 #: Times the latency objective after which a silent attempt that may be repeated is.
 REPEAT_AFTER_OBJECTIVES = 1.0
+#: Pace from which on streams are moved away from an endpoint. Moving costs a read of
+#: the prompt at another one; a rank that needs three times as long holds up a whole
+#: group by more than that in two passes.
+MOVING_PACE = 3.0
 #: Age of the configuration, in seconds, above which a lookup that finds nothing is
 #: answered "unavailable" rather than "not found", since it may just be out of date.
 STALE_LOOKUP_S = 2.5
--- /dev/null
+++ b/packages/gateway/src/slatehoist/gateway/statuses.py
@@ -0,0 +1,91 @@
+"""Status of ranks as their agents tell it, for the choice of an endpoint.
+
+Datagrams, since each status replaces the one before and a lost one costs nothing.
+"""
+
+import asyncio
+import logging
+from collections.abc import Callable
+
+import msgspec
+
+from slatehoist.gateway.directory import EndpointDirectory
+from slatehoist.gateway.health import EndpointHealth
+from slatehoist.maps import RENEWAL_S, RankStatus, Subscription
+
+log = logging.getLogger(__name__)
+
+
+class StatusFeed(asyncio.DatagramProtocol):
+    """Subscribe to the agents beside the endpoints of lock-step groups.
+
+    Parameters
+    ----------
+    listen : tuple of (str, int)
+        Own address; agents use the same port.
+    on_slow : callable
+        Called with an endpoint's id and its pace at each status.
+    """
+
+    def __init__(
+        self,
+        instance: str,
+        listen: tuple[str, int],
+        directory: EndpointDirectory,
+        health: EndpointHealth,
+        on_status: Callable[[str, float], None],
+        clock: Callable[[], float],
+    ) -> None:
+        self._listen = listen
+        self._directory = directory
+        self._health = health
+        self._on_status = on_status
+        self._clock = clock
+        self._subscription = msgspec.msgpack.encode(Subscription(instance))
+        self._decoder = msgspec.msgpack.Decoder(RankStatus)
+        self._transport: asyncio.DatagramTransport | None = None
+
+    async def run(self, services: Callable[[], list[str]]) -> None:
+        """Keep the subscriptions until cancelled.
+
+        Parameters
+        ----------
+        services : callable
+            Gives the services whose endpoints have agents beside them.
+        """
+        loop = asyncio.get_running_loop()
+        self._transport, _ = await loop.create_datagram_endpoint(
+            lambda: self, local_addr=self._listen
+        )
+        try:
+            while True:
+                self._subscribe(services())
+                await asyncio.sleep(RENEWAL_S)
+        finally:
+            self._transport.close()
+
+    def _subscribe(self, services: list[str]) -> None:
+        for service in services:
+            for endpoint in self._directory.of_service(service):
+                host = endpoint.address.rpartition(":")[0]
+                self._transport.sendto(self._subscription, (host, self._listen[1]))
+
+    def datagram_received(self, data: bytes, addr: tuple) -> None:
+        """Take in a status."""
+        try:
+            status = self._decoder.decode(data)
+        except msgspec.DecodeError as exc:
+            log.warning("datagram_unreadable", extra={"from": addr[0], "why": str(exc)})
+            return
+        endpoint = self._directory.at(status.address)
+        if endpoint is None:
+            return
+        name = endpoint.endpoint_id
+        now = self._clock()
+        self._health.observe_load(name, status.running, status.waiting, now)
+        self._health.observe_pace(name, status.pace, now)
+        self._on_status(name, status.pace)
+
+    def error_received(self, exc: Exception) -> None:
+        """Ignore that an agent is not there; its silence shows the same."""
+        log.debug("datagram_refused", extra={"why": repr(exc)})
--- a/packages/maps/src/slatehoist/maps/__init__.py
+++ b/packages/maps/src/slatehoist/maps/__init__.py
@@ -11,6 +11,7 @@
     RankReport,
     RankUnreachableError,
 )
+from slatehoist.maps.status import RENEWAL_S, RankStatus, Subscription
 from slatehoist.maps.switch import GroupView, Result, Switch
 
 __all__ = [
@@ -25,8 +26,11 @@
     "RankClient",
     "RankCounts",
     "RankReport",
+    "RankStatus",
     "RankUnreachableError",
+    "RENEWAL_S",
     "Result",
+    "Subscription",
     "Switch",
     "plan",
 ]
--- a/packages/maps/src/slatehoist/maps/agent.py
+++ b/packages/maps/src/slatehoist/maps/agent.py
@@ -5,12 +5,21 @@
 """
 
 import asyncio
+import functools
 import logging
 from collections.abc import Awaitable, Callable
 from typing import NamedTuple, Protocol
 
 from slatehoist.maps.demand import DemandWindow
-from slatehoist.maps.peers import Group, PeerSocket, PeerState
+from slatehoist.maps.peers import (
+    Address,
+    GrantAnswer,
+    GrantQuestion,
+    Group,
+    Message,
+    PeerSocket,
+    PeerState,
+)
 from slatehoist.maps.placement import copies_by_rank, is_valid, skew
 from slatehoist.maps.planner import PlanLimits, plan
 from slatehoist.maps.rank import (
@@ -19,6 +28,7 @@
     RankReport,
     RankUnreachableError,
 )
+from slatehoist.maps.status import SUBSCRIPTION_S, RankStatus
 from slatehoist.maps.switch import (
     EpochChangedError,
     GroupView,
@@ -26,6 +36,7 @@
     Switch,
     coordinator_of,
     next_version,
+    switch_version,
 )
 from slatehoist.storage import PlatformError
 
@@ -37,6 +48,8 @@
 COUNTS_EVERY = 2
 #: Polls between two heartbeats to the whole group.
 HEARTBEAT_EVERY = 4
+#: Polls between two statuses to the gateways.
+STATUS_EVERY = 2
 #: Seconds between plans.
 PLAN_S = 0.1
 #: Seconds between reads of the list of peers while some are missing, and afterwards.
@@ -52,6 +65,9 @@
 STUCK_S = 0.4
 #: Seconds between such questions; they are priced, and held back group and answer.
 ASK_S = 0.3
+#: Seconds between repeats of a question for a grant; an answer takes some milliseconds
+#: and the group stands still meanwhile.
+GRANT_RETRY_S = 0.03
 #: Seconds that a stopping agent gives to a switch in progress.
 STOP_PATIENCE_S = 2.0
 
@@ -121,6 +137,11 @@
         self._demand: DemandWindow | None = None
         self._stuck_since: tuple[int, float] | None = None
         self._asked_at = float("-inf")
+        self._subscribers: dict[Address, float] = {}
+        self._grants: dict[tuple[int, int], asyncio.Future] = {}
+        self._granted: tuple[int, int] | None = None
+        self._settling = False
+        self._background: set[asyncio.Task] = set()
         self._leads = False
         self._stopping = False
         self._polls = 0
@@ -129,7 +150,7 @@
         """Run until told to stop; a switch in progress is finished first."""
         loop = asyncio.get_running_loop()
         transport, self._socket = await loop.create_datagram_endpoint(
-            lambda: PeerSocket(self._on_state), local_addr=self._cfg.listen
+            lambda: PeerSocket(self._on_message), local_addr=self._cfg.listen
         )
         log.info("started", extra={"rank_address": self._cfg.rank_address})
         followers = [
@@ -169,6 +190,8 @@
         now = self._clock()
         self._group.hear(self._state, now)
         self._tell(counts, now)
+        if self._polls % STATUS_EVERY == 0:
+            self._tell_subscribers(now)
 
     def _tell(self, counts: list[int], now: float) -> None:
         leader = self._group.leader(now)
@@ -195,6 +218,60 @@
         port = self._cfg.listen[1]
         return [(address.rpartition(":")[0], port) for address in addresses]
 
+    def _on_message(self, message: Message, sender: Address) -> None:
+        match message:
+            case PeerState():
+                self._on_state(message)
+            case GrantQuestion():
+                self._background.add(asyncio.create_task(self._answer(message, sender)))
+            case GrantAnswer():
+                fut = self._grants.get((message.version, message.step))
+                if fut is not None and not fut.done():
+                    fut.set_result(message.granted)
+            case _:
+                self._on_subscription(sender)
+
+    async def _answer(self, question: GrantQuestion, sender: Address) -> None:
+        """Grant a coordinator to arm its own rank, if this rank waits for that.
+
+        The own rank is asked anew: it must hold the group for that very switch, and
+        nobody must be settling it.
+        """
+        key = (question.version, question.step)
+        granted = key == self._granted
+        if not granted and not self._settling:
+            try:
+                report = await self._own.report()
+            except RankUnreachableError as exc:
+                log.warning("grant_not_answered", extra={"why": str(exc)})
+                return
+            armed = None if report.armed is None else tuple(report.armed)
+            granted = report.held == question.step and armed == key
+            granted = granted and not self._settling
+            if granted:
+                self._granted = key
+        self._socket.send(GrantAnswer(*key, granted), [sender])
+
+    async def _ask_grant(self, holder: int, version: int, step: int) -> bool:
+        """Ask the holding rank's agent; it is asked until it answers or is silent."""
+        key = (version, step)
+        own = self._state
+        if holder == own.rank:
+            return True
+        question = GrantQuestion(own.group, own.rank, version, step)
+        fut = self._grants[key] = asyncio.get_running_loop().create_future()
+        try:
+            while True:
+                address = self._group.address(holder)
+                self._socket.send(question, self._agents([address]))
+                await asyncio.wait([fut], timeout=GRANT_RETRY_S)
+                if fut.done():
+                    return fut.result()
+                if not self._group.is_heard(holder, self._clock()):
+                    return False
+        finally:
+            del self._grants[key]
+
     def _on_state(self, state: PeerState) -> None:
         own = self._state
         if own is None or state.group != own.group or state.rank == own.rank:
@@ -204,6 +281,19 @@
         if state.counts:
             self._add_demand(state.counts, now)
 
+    def _on_subscription(self, address: Address) -> None:
+        self._subscribers[address] = self._clock() + SUBSCRIPTION_S
+
+    def _tell_subscribers(self, now: float) -> None:
+        for address, until in list(self._subscribers.items()):
+            if until < now:
+                del self._subscribers[address]
+        state = self._state
+        status = RankStatus(
+            state.address, state.is_open, state.running, state.waiting, state.pace
+        )
+        self._socket.send(status, list(self._subscribers))
+
     def _add_demand(self, counts: list[int], now: float) -> None:
         if self._demand is not None and counts:
             self._demand.add(counts, now)
@@ -265,6 +355,7 @@
 
     async def _settle(self, now: float) -> bool:
         """Finish or undo a switch that was left; return whether there was one."""
+        self._background = {task for task in self._background if not task.done()}
         await self._ask_silent_ranks(now)
         now = self._clock()
         holders = [
@@ -275,10 +366,22 @@
         if not holders:
             return False
         reports = {state.rank: state.report() for state in self._group.fresh(now)}
-        view = self._view(now)
-        settlement = await self._switch().settle(
-            self._state.epoch, reports, holders, view and view.placement
-        )
+        states = self._group.last_states()
+        sets = len(self._state.experts)
+        placement = [[list(s.experts[i]) for s in states] for i in range(sets)]
+        version = switch_version(reports.values())
+        self._settling = True
+        try:
+            settlement = await self._switch().settle(
+                self._state.epoch,
+                reports,
+                holders,
+                placement,
+                granted=holders != [self._state.rank]
+                or self._granted == (version, self._state.held),
+            )
+        finally:
+            self._settling = False
         log.warning(
             "hold_settled",
             extra={
@@ -295,13 +398,18 @@
         order = [(own + 1 + i) % self._group.size for i in range(self._group.size)]
         now = self._clock()
         holder = next((r for r in order if self._group.is_heard(r, now)), own)
-        return Switch(self._rank_clients(), own, holder, self._group)
+        return Switch(
+            self._rank_clients(),
+            own,
+            holder,
+            self._group,
+            functools.partial(self._ask_grant, holder),
+        )
 
     def _is_orphan(self, rank: int, now: float) -> bool:
         """Whether nobody seems to be at work on the switch that holds a rank."""
-        state = self._group.state(rank, now)
-        newest = state.armed[0] if state.armed else state.prepared or 0
-        if not self._group.is_heard(coordinator_of(newest), now):
+        version = switch_version(s.report() for s in self._group.fresh(now))
+        if not self._group.is_heard(coordinator_of(version), now):
             return True
         return self._group.held_for_s(rank, now) > HOLD_PATIENCE_S
 
@@ -358,8 +466,10 @@
         limits = PlanLimits(
             spec.places, spec.spare, self._cfg.copies_per_rank, self._cfg.least_gain
         )
-        planned = plan(view.placement, demand, limits)
-        before, after = skew(view.placement, demand), skew(planned, demand)
+        pace = [report.pace for report in view.reports]
+        planned = plan(view.placement, demand, limits, pace)
+        before = skew(view.placement, demand, pace)
+        after = skew(planned, demand, pace)
         if before - after < self._cfg.least_skew_gain:
             return
         copies = copies_by_rank(view.placement, planned)
@@ -428,6 +538,7 @@
         running=report.running,
         waiting=report.waiting,
         experts=experts,
+        pace=report.pace,
     )
 
 
--- a/packages/maps/src/slatehoist/maps/peers.py
+++ b/packages/maps/src/slatehoist/maps/peers.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from slatehoist.maps.rank import Armed, RankReport
+from slatehoist.maps.status import RankStatus, Subscription
 
 log = logging.getLogger(__name__)
 
@@ -20,7 +21,7 @@
 FRESH_S = 0.55
 
 
-class PeerState(msgspec.Struct, array_like=True):
+class PeerState(msgspec.Struct, array_like=True, tag=0):
     """What an agent tells of its rank.
 
     Attributes
@@ -48,6 +49,7 @@
     running: int
     waiting: int
     experts: list[list[int]]
+    pace: float = 1.0
     counts: list[int] = []
 
     def report(self) -> RankReport:
@@ -65,9 +67,31 @@
             held=self.held,
             running=self.running,
             waiting=self.waiting,
+            pace=self.pace,
         )
 
 
+class GrantQuestion(msgspec.Struct, array_like=True, tag=3):
+    """Whether a coordinator may arm its own rank, asked of the holding rank's agent."""
+
+    group: str
+    rank: int
+    version: int
+    step: int
+
+
+class GrantAnswer(msgspec.Struct, array_like=True, tag=4):
+    """Answer to a `GrantQuestion`."""
+
+    version: int
+    step: int
+    granted: bool
+
+
+Message = PeerState | Subscription | GrantQuestion | GrantAnswer
+Address = tuple[str, int]
+
+
 class Group:
     """Newest states of the ranks of one group.
 
@@ -117,6 +141,10 @@
             return None
         return known[0]
 
+    def last_states(self) -> list[PeerState]:
+        """Give the last known states by rank, however old."""
+        return [self._states[rank][0] for rank in sorted(self._states)]
+
     def address(self, rank: int) -> str | None:
         """Give where a rank takes orders, as it was last told."""
         known = self._states.get(rank)
@@ -143,11 +171,14 @@
 
 
 class PeerSocket(asyncio.DatagramProtocol):
-    """Socket on which states come and go."""
-
-    def __init__(self, on_state: Callable[[PeerState], None]) -> None:
-        self._on_state = on_state
-        self._decoder = msgspec.msgpack.Decoder(PeerState)
+    """Socket on which agents talk to each other."""
+
+    def __init__(
+        self,
+        on_message: Callable[[Message, Address], None],
+    ) -> None:
+        self._on_message = on_message
+        self._decoder = msgspec.msgpack.Decoder(Message)
         self._transport: asyncio.DatagramTransport | None = None
 
     def connection_made(self, transport: asyncio.DatagramTransport) -> None:
@@ -157,20 +188,20 @@
     def datagram_received(self, data: bytes, addr: tuple) -> None:
         """Take in a state."""
         try:
-            state = self._decoder.decode(data)
+            message = self._decoder.decode(data)
         except msgspec.DecodeError as exc:
             log.warning("datagram_unreadable", extra={"from": addr[0], "why": str(exc)})
             return
-        self._on_state(state)
+        self._on_message(message, addr[:2])
 
     def error_received(self, exc: Exception) -> None:
         """Ignore that a peer is not there; its silence shows the same."""
         log.debug("datagram_refused", extra={"why": repr(exc)})
 
-    def send(self, state: PeerState, addresses: list[tuple[str, int]]) -> None:
-        """Send a state to some peers."""
+    def send(self, message: Message | RankStatus, addresses: list[Address]) -> None:
+        """Send a message to some peers or subscribers."""
         if self._transport is None or not addresses:
             return
-        data = msgspec.msgpack.encode(state)
+        data = msgspec.msgpack.encode(message)
         for address in addresses:
             self._transport.sendto(data, address)
--- a/packages/maps/src/slatehoist/maps/placement.py
+++ b/packages/maps/src/slatehoist/maps/placement.py
@@ -36,12 +36,23 @@
     return [sum(demand[e] / counts[e] for e in held) for held in ranks]
 
 
-def skew(placement: Placement, demand: Demand) -> float:
-    """Give the load of the most loaded rank over the mean, averaged over the sets."""
+def skew(
+    placement: Placement, demand: Demand, pace: Sequence[float] | None = None
+) -> float:
+    """Give the load of the most loaded rank over the mean, averaged over the sets.
+
+    Parameters
+    ----------
+    pace : sequence of float, optional
+        Times that each rank needs as long as usual; its load counts as often.
+    """
     total = 0.0
     for ranks, wanted in zip(placement, demand, strict=True):
         mean = sum(wanted) / len(ranks)
-        total += max(rank_loads(ranks, wanted)) / mean if mean > 0 else 1.0
+        loads = rank_loads(ranks, wanted)
+        if pace is not None:
+            loads = [load * times for load, times in zip(loads, pace, strict=True)]
+        total += max(loads) / mean if mean > 0 else 1.0
     return total / len(placement)
 
 
--- a/packages/maps/src/slatehoist/maps/planner.py
+++ b/packages/maps/src/slatehoist/maps/planner.py
@@ -47,6 +47,8 @@
 
     Attributes
     ----------
+    rank : int
+        Rank that takes the replica; -1 if one is only given up.
     evicted : int
         Expert that leaves the rank; -1 if there is a free place.
     source : int
@@ -59,17 +61,25 @@
     source: int
 
 
-def plan(placement: Placement, demand: Demand, limits: PlanLimits) -> Placement:
+def plan(
+    placement: Placement,
+    demand: Demand,
+    limits: PlanLimits,
+    pace: Sequence[float] | None = None,
+) -> Placement:
     """Give a better placement, equal to the old one if no copy is worth it.
 
     Parameters
     ----------
     placement : list, shape (sets, ranks, experts held)
     demand : sequence, shape (sets, experts)
+    pace : sequence of float, optional
+        Times that each rank needs as long as usual.
     """
+    pace = [1.0] * len(placement[0]) if pace is None else list(pace)
     copies_left = [limits.copies_per_rank] * len(placement[0])
     planners = [
-        _SetPlanner(ranks, wanted, limits)
+        _SetPlanner(ranks, wanted, limits, pace)
         for ranks, wanted in zip(placement, demand, strict=True)
     ]
     active = [planner for planner in planners if planner.has_demand]
@@ -91,7 +101,9 @@
         ranks: Sequence[Sequence[int]],
         demand: Sequence[float],
         limits: PlanLimits,
+        pace: Sequence[float],
     ) -> None:
+        self._pace = pace
         self.ranks = [list(held) for held in ranks]
         self.changes = 0
         self._before = [set(held) for held in ranks]
@@ -100,7 +112,7 @@
         self.has_demand = mean > 0
         self._demand = [value / mean for value in demand] if mean > 0 else list(demand)
         self._counts = replica_counts(ranks, len(demand))
-        self._loads = rank_loads(ranks, self._demand)
+        self._loads = self._paced_loads()
         self._norm = _norm(self._loads)
         self._best: tuple[float, _Change | None] | None = None
         self._best_copies: list[int] = []
@@ -115,16 +127,17 @@
     def apply(self, copies_left: list[int]) -> None:
         """Make the best change."""
         _, change = self._best
-        if change.expert not in self._before[change.rank]:
-            copies_left[change.rank] -= 1
-        held = self.ranks[change.rank]
-        if change.evicted >= 0:
-            held.remove(change.evicted)
-        held.append(change.expert)
+        if change.rank >= 0:
+            if change.expert not in self._before[change.rank]:
+                copies_left[change.rank] -= 1
+            held = self.ranks[change.rank]
+            if change.evicted >= 0:
+                held.remove(change.evicted)
+            held.append(change.expert)
         if change.source >= 0:
             self.ranks[change.source].remove(change.expert)
         self._counts = replica_counts(self.ranks, len(self._demand))
-        self._loads = rank_loads(self.ranks, self._demand)
+        self._loads = self._paced_loads()
         self._norm = _norm(self._loads)
         self._best = None
         self.changes += 1
@@ -139,6 +152,11 @@
         coolest = sorted(range(len(self.ranks)), key=self._loads.__getitem__)
         best: tuple[float, _Change | None] = (0.0, None)
         for expert in experts:
+            if self._counts[expert] > 1:
+                change = _Change(expert, -1, -1, hottest)
+                gain = self._norm - self._norm_after(change)
+                if gain > best[0]:
+                    best = (gain, change)
             takers = [
                 rank
                 for rank in coolest
@@ -176,6 +194,10 @@
             key=lambda e: self._demand[e] / (self._counts[e] * (self._counts[e] - 1)),
         )
 
+    def _paced_loads(self) -> list[float]:
+        loads = rank_loads(self.ranks, self._demand)
+        return [load * times for load, times in zip(loads, self._pace, strict=True)]
+
     def _norm_after(self, change: _Change) -> float:
         loads = list(self._loads)
         self._shift(loads, change.expert, added=change.rank, dropped=change.source)
@@ -189,11 +211,11 @@
         after = count + (added >= 0) - (dropped >= 0)
         for rank, held in enumerate(self.ranks):
             if expert in held:
-                loads[rank] -= demand / count
+                loads[rank] -= self._pace[rank] * demand / count
                 if rank != dropped:
-                    loads[rank] += demand / after
+                    loads[rank] += self._pace[rank] * demand / after
         if added >= 0:
-            loads[added] += demand / after
+            loads[added] += self._pace[added] * demand / after
 
 
 def _norm(loads: Sequence[float]) -> float:
--- a/packages/maps/src/slatehoist/maps/rank.py
+++ b/packages/maps/src/slatehoist/maps/rank.py
@@ -52,6 +52,8 @@
         Version whose experts have been copied.
     held : int or None
         Pass that the group does not begin until it is released.
+    pace : float
+        Times that the rank needs as long as usual; over 1 if it is slow.
     """
 
     group: str
@@ -66,6 +68,7 @@
     held: int | None = None
     running: int = 0
     waiting: int = 0
+    pace: float = 1.0
 
 
 class RankCounts(NamedTuple):
--- a/packages/maps/src/slatehoist/maps/switch.py
+++ b/packages/maps/src/slatehoist/maps/switch.py
@@ -4,26 +4,25 @@
 held before the first rank is armed and released after the last one is, so no pass can
 begin while ranks differ. Nothing depends on the store, or on who coordinates:
 
-- The group is held at another machine's rank than the coordinator's, so that a
-  coordinator whose machine stands still can be replaced.
-- The coordinator arms its own rank first, and the others only after that was answered.
-  If any other rank is armed, the coordinator's rank is too, even if it cannot be asked.
-- Whoever finds a switch left behind finishes it if a rank is armed: arms may be given
-  twice and by two processes. Otherwise it fences the coordinator's own rank, after
-  which no other rank will be armed, and releases the group.
+- The group is held at another machine's rank than the coordinator's. A coordinator
+  arms its own rank last, and only after the agent of the holding rank has granted it.
+  So that agent can undo the switch of a coordinator whose machine stands still, though
+  that machine's rank cannot be asked.
 - An order without an answer may be carried out seconds later. A late arm is fenced off
-  by preparing a newer version at that rank, since a rank has one prepared version.
+  by preparing a newer version at that rank, since a rank has one prepared version and
+  none can be prepared while one is armed. Whether the coordinator's own rank can be
+  fenced decides whether a switch that was left is undone or finished.
 - Versions are unique to their coordinator, and tell who it was.
 """
 
 import asyncio
 import logging
-from collections.abc import Mapping, Sequence
+from collections.abc import Awaitable, Callable, Iterable, Mapping, Sequence
 from enum import StrEnum
 from typing import NamedTuple, Protocol
 
 from slatehoist.maps.placement import Placement
-from slatehoist.maps.rank import Answer, Armed, RankClient, RankReport
+from slatehoist.maps.rank import Answer, RankClient, RankReport
 
 log = logging.getLogger(__name__)
 
@@ -52,6 +51,13 @@
     return version % VERSION_STRIDE
 
 
+def switch_version(reports: Iterable[RankReport]) -> int:
+    """Give the version of the switch that is under way."""
+    reports = list(reports)
+    armed = [report.armed.version for report in reports if report.armed]
+    return max(armed or [report.prepared or 0 for report in reports])
+
+
 class EpochChangedError(Exception):
     """Report that the group was formed anew; all orders have become void."""
 
@@ -63,13 +69,13 @@
     NOT_PREPARED = "not_prepared"
     NOT_HELD = "not_held"
     UNDONE = "undone"
+    ABANDONED = "abandoned"
 
 
 class Settlement(StrEnum):
     """What became of a switch that was left."""
 
     FINISHED = "finished"
-    ABANDONED = "abandoned"
     UNDONE = "undone"
     IMPOSSIBLE = "impossible"
 
@@ -108,6 +114,9 @@
         Rank of the coordinator.
     holder : int
         Rank at which the group is held; on another machine.
+    grant : callable
+        Asks the holder's agent whether the coordinator may arm its own rank for a
+        version and a step.
     """
 
     def __init__(
@@ -116,10 +125,12 @@
         own_rank: int,
         holder: int,
         observer: GroupObserver,
+        grant: Callable[[int, int], Awaitable[bool]],
     ) -> None:
         self._ranks = ranks
         self._own_rank = own_rank
         self._holder = holder
+        self._grant = grant
         self._observer = observer
 
     async def run(
@@ -140,13 +151,16 @@
             return Result.NOT_HELD
         # From here on the group may only be released once all ranks agree. Whoever is
         # interrupted leaves it held, and another process settles it.
-        armed = await self._arm_all(epoch, version, step)
+        others = self._all_but(self._own_rank)
+        armed = await self._arm(others, epoch, version, step)
+        if armed:
+            if not await self._grant(version, step):
+                # Its agent has undone this switch, or will if it is not released.
+                return Result.ABANDONED
+            armed = await self._arm([self._own_rank], epoch, version, step)
         if not armed:
-            if await self._is_past(step):
-                # Somebody took this switch for left behind, and finished it.
-                return Result.SWITCHED
             fence = next_version([version], self._own_rank)
-            await self._disarm_all(epoch, {version}, fence, view.placement)
+            await self._undo(others, epoch, version, fence, view.placement)
         await self._until_answered(self._holder, "release", epoch, step)
         return Result.SWITCHED if armed else Result.UNDONE
 
@@ -188,10 +202,6 @@
             report is not None and report.epoch == epoch and report.prepared == version
         )
 
-    async def _is_past(self, step: int) -> bool:
-        report = await self._ranks[self._own_rank].report()
-        return report.step >= step
-
     async def _hold(self, epoch: int) -> int | None:
         """Hold the next pass; give its step."""
         own = self._ranks[self._own_rank]
@@ -207,67 +217,52 @@
             step = report.step + 1
         return None
 
-    async def _arm_all(self, epoch: int, version: int, step: int) -> bool:
-        """Arm the own rank, then the others; tell whether none refused."""
-        answer = await self._until_answered(self._own_rank, "arm", epoch, version, step)
-        if answer is Answer.REFUSED:
-            return False
-        return await self._arm(self._others(), epoch, version, step)
-
-    def _others(self) -> list[int]:
-        return [rank for rank in range(len(self._ranks)) if rank != self._own_rank]
+    def _all_but(self, excluded: int) -> list[int]:
+        return [rank for rank in range(len(self._ranks)) if rank != excluded]
 
     async def _arm(
         self, ranks: Sequence[int], epoch: int, version: int, step: int
     ) -> bool:
+        """Arm some ranks; tell whether none refused."""
         answers = await asyncio.gather(
             *(self._until_answered(rank, "arm", epoch, version, step) for rank in ranks)
         )
         return all(answer is not Answer.REFUSED for answer in answers)
 
-    async def _disarm_all(
-        self, epoch: int, versions: set[int], fence: int, placement: Placement
-    ) -> None:
-        """Take back all arms, and fence off those that may yet be carried out."""
-        await asyncio.gather(
-            *(
-                self._disarm(rank, epoch, versions, fence, placement)
-                for rank in range(len(self._ranks))
-            )
-        )
-
-    async def _disarm(
+    async def _undo(
         self,
-        rank: int,
+        ranks: Sequence[int],
         epoch: int,
-        versions: set[int],
+        version: int,
         fence: int,
         placement: Placement,
+    ) -> None:
+        """Take back arms, and fence off those that may yet be carried out."""
+        await asyncio.gather(
+            *(self._undo_one(rank, epoch, version, fence, placement) for rank in ranks)
+        )
+
+    async def _undo_one(
+        self, rank: int, epoch: int, version: int, fence: int, placement: Placement
     ) -> None:
         while True:
-            for version in versions:
-                answer = await self._until_answered(rank, "disarm", epoch, version)
-                if answer is Answer.REFUSED:
-                    await self._require_epoch(rank, epoch)
-            if await self._fence(rank, epoch, fence, placement):
+            await self._until_answered(rank, "disarm", epoch, version)
+            if await self._fence(rank, epoch, version, fence, placement):
                 return
             await asyncio.sleep(RETRY_S)
 
     async def _fence(
-        self, rank: int, epoch: int, fence: int, placement: Placement
+        self, rank: int, epoch: int, version: int, fence: int, placement: Placement
     ) -> bool:
-        """Make late arms of older versions fail at a rank; False if it is armed."""
+        """Make late arms of a version fail at a rank; False if it is armed."""
         answer = await self._until_answered(rank, "prepare", epoch, fence, placement)
         if answer is not Answer.REFUSED:
             return True
-        await self._require_epoch(rank, epoch)
-        report = await self._ranks[rank].report()
-        return report.armed is None and (report.prepared or 0) >= fence
-
-    async def _require_epoch(self, rank: int, epoch: int) -> None:
         report = await self._ranks[rank].report()
         if report.epoch != epoch:
             raise EpochChangedError(f"epoch {report.epoch} instead of {epoch}")
+        # A rank that has prepared a newer version cannot be armed for this one.
+        return (report.prepared or 0) > version
 
     async def _until_answered(self, rank: int, order: str, epoch: int, *args) -> Answer:
         """Give an order until it is answered; all of them may be repeated."""
@@ -286,7 +281,8 @@
         epoch: int,
         reports: Mapping[int, RankReport],
         holders: Sequence[int],
-        placement: Placement | None,
+        placement: Placement,
+        granted: bool,
     ) -> Settlement:
         """Finish or undo a switch that its coordinator has left.
 
@@ -296,80 +292,29 @@
             Reports of the ranks that can be asked.
         holders : sequence of int
             Ranks that hold the group for a coordinator that is gone.
-        placement : list or None
-            Map in use, if it is known.
+        placement : list
+            Map in use.
+        granted : bool
+            Whether the agent of this rank, if it is the holder, has let the
+            coordinator arm its own rank; True if it cannot know.
         """
-        step = min(reports[rank].held for rank in holders)
-        armed = {r.armed for r in reports.values() if r.armed}
-        if len(armed) == 1:
-            settlement = await self._finish(epoch, reports, armed.pop(), step)
-        elif not armed:
-            settlement = await self._abandon(epoch, reports, placement)
+        holder = holders[0]
+        step = reports[holder].held
+        version = switch_version(reports.values())
+        coordinator = coordinator_of(version)
+        fence = next_version([version], self._own_rank)
+        others = self._all_but(coordinator)
+        if coordinator in reports:
+            undone = await self._fence(coordinator, epoch, version, fence, placement)
+        elif not granted:
+            undone = True
         else:
-            settlement = await self._undo(epoch, reports, holders, placement)
-        if settlement is not Settlement.IMPOSSIBLE:
-            for rank in holders:
-                held = reports[rank].held
-                await self._until_answered(rank, "release", epoch, held)
-        return settlement
-
-    async def _finish(
-        self, epoch: int, reports: Mapping[int, RankReport], armed: Armed, step: int
-    ) -> Settlement:
-        """Arm the ranks that are not armed yet."""
-        if armed.step != step:
-            return Settlement.IMPOSSIBLE
-        coordinator = coordinator_of(armed.version)
-        missing = [
-            rank
-            for rank in range(len(self._ranks))
-            if rank != coordinator and (rank not in reports or not reports[rank].armed)
-        ]
-        if coordinator in reports and not reports[coordinator].armed:
-            # It armed itself first, so this report is older than the others.
-            missing.append(coordinator)
-        if await self._arm(missing, epoch, armed.version, armed.step):
-            return Settlement.FINISHED
-        return Settlement.IMPOSSIBLE
-
-    async def _abandon(
-        self,
-        epoch: int,
-        reports: Mapping[int, RankReport],
-        placement: Placement | None,
-    ) -> Settlement:
-        """Keep the coordinator of the newest version from arming anything."""
-        newest = max(report.prepared or 0 for report in reports.values())
-        coordinator = coordinator_of(newest)
-        if coordinator not in reports or placement is None:
-            return Settlement.IMPOSSIBLE
-        fence = next_version([newest], self._own_rank)
-        if await self._fence(coordinator, epoch, fence, placement):
-            return Settlement.ABANDONED
-        return Settlement.IMPOSSIBLE
-
-    async def _undo(
-        self,
-        epoch: int,
-        reports: Mapping[int, RankReport],
-        holders: Sequence[int],
-        placement: Placement | None,
-    ) -> Settlement:
-        """Take back arms of several coordinators.
-
-        A further rank is held meanwhile, so that none of them, should it come back,
-        can release the group in the middle.
-        """
-        free = [rank for rank, report in reports.items() if report.held is None]
-        if placement is None or not free or len(reports) < len(self._ranks):
             return Settlement.IMPOSSIBLE
-        guard = free[0]
-        step = min(reports[rank].held for rank in holders)
-        if await self._until_answered(guard, "hold", epoch, step) is Answer.REFUSED:
+        if undone:
+            await self._undo(others, epoch, version, fence, placement)
+        elif not await self._arm(others, epoch, version, step):
             return Settlement.IMPOSSIBLE
-        versions = {r.armed.version for r in reports.values() if r.armed}
-        known = [r.prepared or 0 for r in reports.values()]
-        fence = next_version([*known, *versions], self._own_rank)
-        await self._disarm_all(epoch, versions, fence, placement)
-        await self._until_answered(guard, "release", epoch, step)
-        return Settlement.UNDONE
+        for rank in holders:
+            held = reports[rank].held
+            await self._until_answered(rank, "release", epoch, held)
+        return Settlement.UNDONE if undone else Settlement.FINISHED
