--- a/packages/gateway/src/slatehoist/gateway/process.py
+++ b/packages/gateway/src/slatehoist/gateway/process.py
@@ -83,8 +83,8 @@
         self._ready_path = ready_path
         self._rng = rng
         self._lifecycle = GatewayLifecycle()
-        self._catalogue = Catalogue(cfg.revoke_s * TRUST_RATIO)
-        self._directory = EndpointDirectory(RELIST_S)
+        self.catalogue = Catalogue(cfg.revoke_s * TRUST_RATIO)
+        self.directory = EndpointDirectory(RELIST_S)
         self._health = EndpointHealth()
         self._tasks: list[asyncio.Task] = []
         self._runners: list[web.ServerRunner] = []
@@ -96,18 +96,18 @@
         forwarder = Forwarder(
             self._cfg,
             self._codec,
-            self._directory,
+            self.directory,
             self._health,
             self._upstream,
             chooser,
             self._clock,
         )
         self._gateway = Gateway(
-            self._codec, self._catalogue, forwarder, self._rng, self._clock
+            self._codec, self.catalogue, forwarder, self._rng, self._clock
         )
         loops = [
-            ConfigurationSync(self._source, self._catalogue, self._clock),
-            EndpointSync(self._source, self._directory, self._health, self._clock),
+            ConfigurationSync(self._source, self.catalogue, self._clock),
+            EndpointSync(self._source, self.directory, self._health, self._clock),
         ]
         self._tasks = [asyncio.create_task(loop.run()) for loop in loops]
         self._forwarder = forwarder
@@ -115,7 +115,7 @@
             feed = StatusFeed(
                 self._cfg.instance,
                 self._cfg.status_listen,
-                self._directory,
+                self.directory,
                 self._health,
                 self._on_pace,
                 self._clock,
@@ -129,7 +129,7 @@
         log.info("started", extra={"listen": self._cfg.listen, "zone": self._cfg.zone})
 
     def _engine_services(self) -> list[str]:
-        table = self._catalogue.table
+        table = self.catalogue.table
         services = table.cfg.services if table else ()
         return [service.name for service in services if service.engine]
 
@@ -143,6 +143,12 @@
                 extra={"endpoint": endpoint_id, "pace": pace, "streams": moved},
             )
 
+    @property
+    def address(self) -> str:
+        """Address on which callers are served."""
+        host, port = self._front.addresses[0]
+        return f"{host}:{port}"
+
     async def drain(self) -> None:
         """Leave the rotation, finish what is in progress, then return."""
         began = self._clock()
@@ -195,10 +201,10 @@
         """Whether new callers should be sent here."""
         if self._lifecycle.state != "serving":
             return False
-        table = self._catalogue.table
-        if table is None or self._directory.updated_at is None:
+        table = self.catalogue.table
+        if table is None or self.directory.updated_at is None:
             return False
-        return not table.needs_credentials or self._catalogue.credentials_trusted(
+        return not table.needs_credentials or self.catalogue.credentials_trusted(
             self._clock()
         )
 
