--- a/packages/maps/src/slatehoist/maps/switch.py
+++ b/packages/maps/src/slatehoist/maps/switch.py
@@ -30,7 +30,7 @@
 #: fewer ranks than this.
 VERSION_STRIDE = 128
 #: Seconds between repeats of an order that got no answer.
-RETRY_S = 0.05
+RETRY_S = 0.01
 #: Passes that a hold may be too late for before the switch is put off.
 MAX_HOLD_TRIES = 4
 #: Seconds between looks at whether all ranks have prepared.
