See a change of demand within one pass, and give up plans that it outdates

Cause: streams that run across a shift of popularity are late; the reaction took a second: two passes to see it, the plan in progress to finish, 100 ms to notice the end of the copies.

--- a/packages/maps/src/slatehoist/maps/agent.py
+++ b/packages/maps/src/slatehoist/maps/agent.py
@@ -20,7 +20,7 @@
     PeerSocket,
     PeerState,
 )
-from slatehoist.maps.placement import copies_by_rank, is_valid, skew
+from slatehoist.maps.placement import Placement, copies_by_rank, is_valid, skew
 from slatehoist.maps.planner import PlanLimits, plan
 from slatehoist.maps.rank import (
     GroupSpec,
@@ -43,16 +43,20 @@
 
 log = logging.getLogger(__name__)
 
-#: Seconds between looks at the own rank: under one pass, so that no pass is missed.
-POLL_S = 0.06
-#: Polls between two readings of the counts.
+#: Seconds between looks at the own rank. A pass takes 50 ms and more, and the end of a
+#: copy should be known well before the next one ends.
+POLL_S = 0.04
+#: Polls between two readings of the counts: about one pass.
 COUNTS_EVERY = 2
 #: Polls between two heartbeats to the whole group.
-HEARTBEAT_EVERY = 4
+HEARTBEAT_EVERY = 6
 #: Polls between two statuses to the gateways.
-STATUS_EVERY = 2
-#: Seconds between plans.
-PLAN_S = 0.1
+STATUS_EVERY = 3
+#: Seconds between plans: about one pass.
+PLAN_S = 0.06
+#: Skew of a planned placement under newer demand from which on it is given up before
+#: it is in use. A plan's own skew lies at 1.2 to 1.6.
+OUTDATED_SKEW = 2.1
 #: Seconds between reads of the list of peers while some are missing, and afterwards.
 #: Each read is a priced call to the store.
 PEERS_RETRY_S = 1.0
@@ -189,16 +193,18 @@
         self._polls += 1
         self._state = _state(self._cfg.rank_address, report, experts)
         now = self._clock()
+        known = self._group.report(report.rank)
         self._group.hear(self._state, now)
-        self._tell(counts, now)
+        changed = known is None or _switching_part(known) != _switching_part(report)
+        self._tell(counts, changed, now)
         if self._polls % STATUS_EVERY == 0:
             self._tell_subscribers(now)
 
-    def _tell(self, counts: list[int], now: float) -> None:
+    def _tell(self, counts: list[int], changed: bool, now: float) -> None:
         leader = self._group.leader(now)
         if leader == self._state.rank:
             self._add_demand(counts, now)
-        elif counts and leader is not None:
+        elif (counts or changed) and leader is not None:
             state = _with_counts(self._state, counts)
             self._socket.send(state, self._agents([self._group.address(leader)]))
         if self._polls % HEARTBEAT_EVERY == 0:
@@ -487,7 +493,13 @@
             },
         )
         copy_s = max(copies) * spec.copy_s
-        result = await self._switch().run(view, planned, version, copy_s)
+        result = await self._switch().run(
+            view,
+            planned,
+            version,
+            copy_s,
+            functools.partial(self._is_outdated, planned, pace),
+        )
         log.info(
             "switch_ended",
             extra={
@@ -499,6 +511,11 @@
         if result is Result.SWITCHED:
             await self._await_map(version)
 
+    def _is_outdated(self, planned: Placement, pace: list[float]) -> bool:
+        """Whether the demand that a placement was planned for is over."""
+        demand = self._demand.estimate()
+        return demand is not None and skew(planned, demand, pace) > OUTDATED_SKEW
+
     async def _await_map(self, version: int) -> None:
         """Wait until the ranks report the new map, or for as long as one pass takes."""
         for _ in range(AWAIT_POLLS):
@@ -519,7 +536,12 @@
 
 
 #: Polls for which a coordinator waits for the new map to show.
-AWAIT_POLLS = 8
+AWAIT_POLLS = 12
+
+
+def _switching_part(report: RankReport) -> tuple:
+    """Give what of a report a coordinator waits for."""
+    return report.epoch, report.map_version, report.prepared, report.armed, report.held
 
 
 def _state(address: str, report: RankReport, experts: list[list[int]]) -> PeerState:
--- a/packages/maps/src/slatehoist/maps/demand.py
+++ b/packages/maps/src/slatehoist/maps/demand.py
@@ -5,8 +5,9 @@
 
 #: Length of a bucket in seconds: about one pass.
 BUCKET_S = 0.1
-#: Buckets that an estimate uses at least; fewer are one request's taste.
-LEAST_BUCKETS = 2
+#: Buckets that an estimate uses at least. One pass of a whole group shows a change of
+#: demand well enough; waiting for a second costs more than it tells.
+LEAST_BUCKETS = 1
 #: Buckets that an estimate uses at most while demand stays the same.
 MOST_BUCKETS = 12
 #: Part of the demand of a set that must differ for it to count as another demand.
--- a/packages/maps/src/slatehoist/maps/switch.py
+++ b/packages/maps/src/slatehoist/maps/switch.py
@@ -34,7 +34,9 @@
 #: Passes that a hold may be too late for before the switch is put off.
 MAX_HOLD_TRIES = 4
 #: Seconds between looks at whether all ranks have prepared.
-PREPARED_POLL_S = 0.03
+PREPARED_POLL_S = 0.02
+#: Seconds between looks at whether the placement is still wanted.
+OUTDATED_POLL_S = 0.1
 #: Times the expected copy time after which preparing is given up.
 PREPARE_PATIENCE = 2.0
 #: Seconds of patience beyond that: orders may be carried out late.
@@ -78,6 +80,7 @@
 
     SWITCHED = "switched"
     NOT_PREPARED = "not_prepared"
+    OUTDATED = "outdated"
     NOT_HELD = "not_held"
     UNDONE = "undone"
     ABANDONED = "abandoned"
@@ -150,7 +153,12 @@
         self._observer = observer
 
     async def run(
-        self, view: GroupView, placement: Placement, version: int, copy_s: float
+        self,
+        view: GroupView,
+        placement: Placement,
+        version: int,
+        copy_s: float,
+        is_outdated: Callable[[], bool] = lambda: False,
     ) -> Result:
         """Switch the group to a placement.
 
@@ -158,9 +166,19 @@
         ----------
         copy_s : float
             Expected seconds until all ranks have copied what they need.
+        is_outdated : callable
+            Tells whether the placement is no longer wanted.
         """
         epoch = view.epoch
-        if not await self._prepare(epoch, version, placement, copy_s):
+        preparing = asyncio.ensure_future(
+            self._prepare(epoch, version, placement, copy_s)
+        )
+        while not preparing.done():
+            await asyncio.wait([preparing], timeout=OUTDATED_POLL_S)
+            if not preparing.done() and is_outdated():
+                preparing.cancel()
+                return Result.OUTDATED
+        if not preparing.result():
             return Result.NOT_PREPARED
         step = await self._hold(epoch, view.last_step)
         if step is None:
