--- a/packages/gateway/src/slatehoist/gateway/forwarding.py
+++ b/packages/gateway/src/slatehoist/gateway/forwarding.py
@@ -92,6 +92,8 @@
         self.attempts = 0
         self.tried: set[str] = set()
         self.may_have_run = False
+        #: Whether it was refused because the endpoints' group does not run.
+        self.group_closed = False
         self.failure: Reply | None = None
         self.stream: web.StreamResponse | None = None
         self.last_event_id = info.last_event_id
@@ -147,6 +149,9 @@
             now = self._clock()
             if exchange.ends_at - now < MIN_ATTEMPT_S:
                 return None
+            if self._is_closed(exchange, now):
+                exchange.group_closed = True
+                return None
             endpoint = self._choose(exchange, now)
             if endpoint is None:
                 return None
@@ -158,6 +163,12 @@
             if not self._goes_on(exchange, outcome, budget):
                 return None
 
+    def _is_closed(self, exchange: Exchange, now: float) -> bool:
+        if exchange.service.engine is None:
+            return False
+        listed = self._directory.of_service(exchange.service.name)
+        return self._health.is_closed(listed, now)
+
     def _goes_on(
         self, exchange: Exchange, outcome: Outcome, budget: SharedRetryBudget
     ) -> bool:
--- a/packages/gateway/src/slatehoist/gateway/gateway.py
+++ b/packages/gateway/src/slatehoist/gateway/gateway.py
@@ -19,6 +19,9 @@
 _CONFIG_WAIT_S = 0.5
 #: Expected seconds until an endpoint is found again or has room.
 _ENDPOINT_WAIT_S = 0.3
+#: Expected seconds until a group runs again that lost a rank: servers restart within
+#: about a second, and the group forms in 0.6 s after the last of them.
+_GROUP_WAIT_S = 1.2
 #: Deadline, in seconds, of a caller that states none on an unknown route.
 _DEFAULT_DEADLINE_S = 8.0
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
@@ -170,6 +173,8 @@
             self._log_end(exchange, "outcome_unknown", now)
             raise RefusalError(502, "the outcome is unknown")
         self._log_end(exchange, "not_run", now)
+        if exchange.group_closed:
+            raise RefusalError(503, "the group of endpoints is forming", _GROUP_WAIT_S)
         raise RefusalError(503, "no endpoint took the request", _ENDPOINT_WAIT_S)
 
     def _log_end(self, exchange: Exchange, event: str, now: float) -> None:
--- a/packages/gateway/src/slatehoist/gateway/health.py
+++ b/packages/gateway/src/slatehoist/gateway/health.py
@@ -25,8 +25,8 @@
 #: Pace from which on an endpoint gets no work while others are there. In a lock-step
 #: group it would make all the others wait.
 AVOIDED_PACE = 1.4
-#: Seconds for which a stated pace is believed.
-PACE_FRESH_S = 1.0
+#: Seconds for which a status is believed: some more than the time between two.
+STATUS_FRESH_S = 0.5
 
 
 class _Record:
@@ -41,6 +41,7 @@
         "own_at_report",
         "pace",
         "paced_at",
+        "is_open",
     )
 
     def __init__(self) -> None:
@@ -54,6 +55,7 @@
         self.own_at_report = 0
         self.pace = 1.0
         self.paced_at = float("-inf")
+        self.is_open = True
 
 
 class EndpointHealth:
@@ -103,16 +105,25 @@
         record.reported_at = now
         record.own_at_report = record.inflight
 
-    def observe_pace(self, endpoint_id: str, pace: float, now: float) -> None:
-        """Note how slow an endpoint says it is."""
+    def observe_status(
+        self, endpoint_id: str, is_open: bool, pace: float, now: float
+    ) -> None:
+        """Note whether an endpoint's group runs, and how slow the endpoint is."""
         record = self.record(endpoint_id)
+        record.is_open = is_open
         record.pace = pace
         record.paced_at = now
 
+    def is_closed(self, endpoints: Sequence[Endpoint], now: float) -> bool:
+        """Whether the groups of all endpoints whose status is known do not run."""
+        records = [self.record(e.endpoint_id) for e in endpoints]
+        fresh = [r.is_open for r in records if now - r.paced_at <= STATUS_FRESH_S]
+        return bool(fresh) and not any(fresh)
+
     def pace(self, endpoint_id: str, now: float) -> float:
         """Give how many times as long as usual an endpoint needs."""
         record = self.record(endpoint_id)
-        return record.pace if now - record.paced_at <= PACE_FRESH_S else 1.0
+        return record.pace if now - record.paced_at <= STATUS_FRESH_S else 1.0
 
     def available(self, endpoints: Sequence[Endpoint], now: float) -> list[Endpoint]:
         """Leave out ejected endpoints, unless more than half would be."""
--- a/packages/gateway/src/slatehoist/gateway/statuses.py
+++ b/packages/gateway/src/slatehoist/gateway/statuses.py
@@ -16,6 +16,10 @@
 log = logging.getLogger(__name__)
 
 
+#: Seconds between looks for endpoints while none are known.
+FIRST_S = 0.05
+
+
 class StatusFeed(asyncio.DatagramProtocol):
     """Subscribe to the agents beside the endpoints of lock-step groups.
 
@@ -23,7 +27,7 @@
     ----------
     listen : tuple of (str, int)
         Own address; agents use the same port.
-    on_slow : callable
+    on_status : callable
         Called with an endpoint's id and its pace at each status.
     """
 
@@ -59,16 +63,20 @@
         )
         try:
             while True:
-                self._subscribe(services())
-                await asyncio.sleep(RENEWAL_S)
+                subscribed = self._subscribe(services())
+                await asyncio.sleep(RENEWAL_S if subscribed else FIRST_S)
         finally:
             self._transport.close()
 
-    def _subscribe(self, services: list[str]) -> None:
+    def _subscribe(self, services: list[str]) -> int:
+        """Ask all agents for their status; give how many there are."""
+        count = 0
         for service in services:
             for endpoint in self._directory.of_service(service):
                 host = endpoint.address.rpartition(":")[0]
                 self._transport.sendto(self._subscription, (host, self._listen[1]))
+                count += 1
+        return count
 
     def datagram_received(self, data: bytes, addr: tuple) -> None:
         """Take in a status."""
@@ -83,7 +91,7 @@
         name = endpoint.endpoint_id
         now = self._clock()
         self._health.observe_load(name, status.running, status.waiting, now)
-        self._health.observe_pace(name, status.pace, now)
+        self._health.observe_status(name, status.is_open, status.pace, now)
         self._on_status(name, status.pace)
 
     def error_received(self, exc: Exception) -> None:
--- a/packages/gateway/src/slatehoist/gateway/sync.py
+++ b/packages/gateway/src/slatehoist/gateway/sync.py
@@ -54,6 +54,7 @@
         self._clock = clock
         self._dependency = Dependency("configuration")
         self._version: int | None = None
+        self._wait_s = CONFIG_WAIT_S
 
     async def run(self) -> None:
         """Follow the configuration until cancelled."""
@@ -61,11 +62,14 @@
             try:
                 await self._step()
                 self._dependency.ok()
+                self._wait_s = CONFIG_WAIT_S
             except HistoryLostError:
                 log.info("history_lost", extra={"store_version": self._version})
                 self._version = None
             except PlatformError as exc:
                 self._dependency.failed(exc)
+                # The next success should confirm at once that nothing has changed.
+                self._wait_s = 0.0
                 await asyncio.sleep(STORE_RETRY_S)
 
     async def _step(self) -> None:
@@ -74,7 +78,7 @@
             cfg, version = await self._source.configuration()
         else:
             cfg, version = await self._source.next_configuration(
-                self._version, CONFIG_WAIT_S
+                self._version, self._wait_s
             )
         self._version = version
         if cfg is not None:
--- a/packages/maps/src/slatehoist/maps/agent.py
+++ b/packages/maps/src/slatehoist/maps/agent.py
@@ -97,7 +97,7 @@
     listen: tuple[str, int]
     rank_address: str
     copies_per_rank: int = 1
-    least_gain: float = 0.05
+    least_gain: float = 0.03
     least_skew_gain: float = 0.15
 
 
