Hold requests shortly while a group forms

Cause: callers have one return, and it fell into the 0.6 s in which a group forms after its last rank is back. Statuses of endpoints that came later arrived only with the next renewal.

--- a/packages/gateway/src/slatehoist/gateway/forwarding.py
+++ b/packages/gateway/src/slatehoist/gateway/forwarding.py
@@ -12,10 +12,12 @@
 from slatehoist.gateway.codec import Forwarding, HeaderCodec
 from slatehoist.gateway.directory import EndpointDirectory
 from slatehoist.gateway.events import EventSplitter
-from slatehoist.gateway.health import EndpointHealth
+from slatehoist.gateway.health import EndpointHealth, GroupState
 from slatehoist.gateway.model import Endpoint, Kind, RequestInfo, Route, Service
 from slatehoist.gateway.settings import (
     ASSUMED_INSTANCES,
+    FORMING_POLL_S,
+    FORMING_WAIT_S,
     MIN_ATTEMPT_S,
     REPEAT_AFTER_OBJECTIVES,
     RETRY_RATIO_USED,
@@ -149,7 +151,7 @@
             now = self._clock()
             if exchange.ends_at - now < MIN_ATTEMPT_S:
                 return None
-            if self._is_closed(exchange, now):
+            if not await self._group_runs(exchange):
                 exchange.group_closed = True
                 return None
             endpoint = self._choose(exchange, now)
@@ -163,11 +165,20 @@
             if not self._goes_on(exchange, outcome, budget):
                 return None
 
-    def _is_closed(self, exchange: Exchange, now: float) -> bool:
+    async def _group_runs(self, exchange: Exchange) -> bool:
+        """Wait for a group that forms; tell whether it runs.
+
+        A caller has few returns, and most would be used up while a group forms.
+        """
         if exchange.service.engine is None:
-            return False
-        listed = self._directory.of_service(exchange.service.name)
-        return self._health.is_closed(listed, now)
+            return True
+        last = min(self._clock() + FORMING_WAIT_S, exchange.ends_at)
+        while True:
+            listed = self._directory.of_service(exchange.service.name)
+            state = self._health.group_state(listed, self._clock())
+            if state is not GroupState.FORMING or self._clock() >= last:
+                return state is GroupState.OPEN
+            await asyncio.sleep(FORMING_POLL_S)
 
     def _goes_on(
         self, exchange: Exchange, outcome: Outcome, budget: SharedRetryBudget
--- a/packages/gateway/src/slatehoist/gateway/health.py
+++ b/packages/gateway/src/slatehoist/gateway/health.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Sequence
+from enum import StrEnum
 
 from slatehoist.gateway.model import Endpoint
 
@@ -29,6 +30,18 @@
 STATUS_FRESH_S = 0.5
 
 
+class GroupState(StrEnum):
+    """Whether lock-step groups run.
+
+    ``forming`` ones have all their ranks back and will run in less than a second;
+    ``closed`` ones wait for a rank.
+    """
+
+    OPEN = "open"
+    FORMING = "forming"
+    CLOSED = "closed"
+
+
 class _Record:
     __slots__ = (
         "ejected_until",
@@ -114,11 +127,17 @@
         record.pace = pace
         record.paced_at = now
 
-    def is_closed(self, endpoints: Sequence[Endpoint], now: float) -> bool:
-        """Whether the groups of all endpoints whose status is known do not run."""
-        records = [self.record(e.endpoint_id) for e in endpoints]
-        fresh = [r.is_open for r in records if now - r.paced_at <= STATUS_FRESH_S]
-        return bool(fresh) and not any(fresh)
+    def group_state(self, endpoints: Sequence[Endpoint], now: float) -> GroupState:
+        """Judge whether the groups of some endpoints run, by their fresh statuses."""
+        told: dict[str, bool] = {}
+        for endpoint in endpoints:
+            record = self.record(endpoint.endpoint_id)
+            if now - record.paced_at <= STATUS_FRESH_S:
+                told[endpoint.address] = record.is_open
+        if not told or any(told.values()):
+            return GroupState.OPEN
+        everyone = {endpoint.address for endpoint in endpoints}
+        return GroupState.FORMING if told.keys() == everyone else GroupState.CLOSED
 
     def pace(self, endpoint_id: str, now: float) -> float:
         """Give how many times as long as usual an endpoint needs."""
--- a/packages/gateway/src/slatehoist/gateway/settings.py
+++ b/packages/gateway/src/slatehoist/gateway/settings.py
@@ -74,6 +74,11 @@
 SILENCE_MARGIN_S = 0.3
 #: Times the latency objective after which a silent attempt that may be repeated is.
 REPEAT_AFTER_OBJECTIVES = 1.0
+#: Seconds for which a request waits for a group that has all its ranks: it forms in
+#: 0.6 s by the platform's sheet, and statuses are some tenths of a second late.
+FORMING_WAIT_S = 1.0
+#: Seconds between looks at such a group.
+FORMING_POLL_S = 0.03
 #: Pace from which on streams are moved away from an endpoint. Moving costs a read of
 #: the prompt at another one; a rank that needs three times as long holds up a whole
 #: group by more than that in two passes.
--- a/packages/gateway/src/slatehoist/gateway/statuses.py
+++ b/packages/gateway/src/slatehoist/gateway/statuses.py
@@ -16,8 +16,8 @@
 log = logging.getLogger(__name__)
 
 
-#: Seconds between looks for endpoints while none are known.
-FIRST_S = 0.05
+#: Seconds between looks for new endpoints.
+LOOK_S = 0.1
 
 
 class StatusFeed(asyncio.DatagramProtocol):
@@ -62,21 +62,30 @@
             lambda: self, local_addr=self._listen
         )
         try:
+            renewed_at, known = float("-inf"), set()
             while True:
-                subscribed = self._subscribe(services())
-                await asyncio.sleep(RENEWAL_S if subscribed else FIRST_S)
+                hosts = self._hosts(services())
+                now = self._clock()
+                if now - renewed_at >= RENEWAL_S:
+                    self._subscribe(hosts)
+                    renewed_at = now
+                else:
+                    self._subscribe(hosts - known)
+                known = hosts
+                await asyncio.sleep(LOOK_S)
         finally:
             self._transport.close()
 
-    def _subscribe(self, services: list[str]) -> int:
-        """Ask all agents for their status; give how many there are."""
-        count = 0
-        for service in services:
-            for endpoint in self._directory.of_service(service):
-                host = endpoint.address.rpartition(":")[0]
-                self._transport.sendto(self._subscription, (host, self._listen[1]))
-                count += 1
-        return count
+    def _hosts(self, services: list[str]) -> set[str]:
+        return {
+            endpoint.address.rpartition(":")[0]
+            for service in services
+            for endpoint in self._directory.of_service(service)
+        }
+
+    def _subscribe(self, hosts: set[str]) -> None:
+        for host in hosts:
+            self._transport.sendto(self._subscription, (host, self._listen[1]))
 
     def datagram_received(self, data: bytes, addr: tuple) -> None:
         """Take in a status."""
