--- a/packages/gateway/src/slatehoist/gateway/forwarding.py
+++ b/packages/gateway/src/slatehoist/gateway/forwarding.py
@@ -30,6 +30,7 @@
     Upstream,
     UpstreamRequest,
 )
+from slatehoist.observe import GatewayMetrics
 from slatehoist.routing import Candidate, Chooser, SharedRetryBudget
 
 log = logging.getLogger(__name__)
@@ -123,6 +124,7 @@
         health: EndpointHealth,
         upstream: Upstream,
         chooser: Chooser,
+        metrics: GatewayMetrics,
         clock: Callable[[], float],
     ) -> None:
         self._cfg = cfg
@@ -131,6 +133,7 @@
         self._health = health
         self._upstream = upstream
         self._chooser = chooser
+        self._metrics = metrics
         self._clock = clock
         self._budgets: dict[str, SharedRetryBudget] = {}
         self._relays: dict[str, set[asyncio.Timeout]] = {}
@@ -158,6 +161,7 @@
             if endpoint is None:
                 return None
             outcome, resp = await self._attempt(exchange, endpoint)
+            self._metrics.attempts.labels(outcome.value).inc()
             self._log_attempt(exchange, endpoint, outcome, now)
             if outcome is Outcome.DELIVERED:
                 return resp
@@ -306,6 +310,7 @@
             exchange.failure = Reply(reply.status, reply.headers, body)
             return Outcome.FAILED, None
         self._health.succeeded(endpoint.endpoint_id)
+        self._note_first_byte(exchange)
         reply.release()
         return await self._deliver(exchange, Reply(reply.status, reply.headers, body))
 
@@ -356,6 +361,7 @@
             if self.draining:
                 exchange.stream.force_close()
             await exchange.stream.prepare(exchange.req)
+            self._note_first_byte(exchange)
         if data:
             await exchange.stream.write(data)
 
@@ -372,8 +378,14 @@
         now = asyncio.get_running_loop().time()
         for relay in relays:
             relay.reschedule(now)
+        self._metrics.moved_streams.inc(len(relays))
         return len(relays)
 
+    def _note_first_byte(self, exchange: Exchange) -> None:
+        kind = exchange.route.kind.value
+        took_s = self._clock() - exchange.arrived_at
+        self._metrics.first_byte.labels(kind).observe(took_s)
+
     def _note_failure(self, endpoint: Endpoint) -> None:
         if self._health.failed(endpoint.endpoint_id, self._clock()):
             log.warning(
--- a/packages/gateway/src/slatehoist/gateway/gateway.py
+++ b/packages/gateway/src/slatehoist/gateway/gateway.py
@@ -11,6 +11,7 @@
 from slatehoist.gateway.forwarding import Exchange, Forwarder
 from slatehoist.gateway.model import Kind, RequestInfo, Route
 from slatehoist.gateway.settings import STALE_LOOKUP_S
+from slatehoist.observe import GatewayMetrics
 from slatehoist.routing import return_delay_s
 
 log = logging.getLogger(__name__)
@@ -57,12 +58,14 @@
         codec: HeaderCodec,
         catalogue: Catalogue,
         forwarder: Forwarder,
+        metrics: GatewayMetrics,
         rng: random.Random,
         clock: Callable[[], float],
     ) -> None:
         self._codec = codec
         self._catalogue = catalogue
         self._forwarder = forwarder
+        self._metrics = metrics
         self._rng = rng
         self._clock = clock
         self.draining = False
@@ -111,7 +114,12 @@
             req, body, info, route, service, team, arrived_at, arrived_at + limit_s
         )
         resp = await self._forwarder.forward(exchange)
-        return resp if resp is not None else self._give_up(exchange)
+        if resp is None:
+            return self._give_up(exchange)
+        took_s = self._clock() - arrived_at
+        self._metrics.duration.labels(route.kind.value).observe(took_s)
+        self._metrics.answers.labels(str(resp.status), "endpoint").inc()
+        return resp
 
     def _route(self, table: RouteTable, req: web.BaseRequest) -> Route:
         host = req.headers.get("Host", "").partition(":")[0]
@@ -165,6 +173,7 @@
             return exchange.stream
         if exchange.failure is not None:
             self._log_end(exchange, "failure_passed_on", now)
+            self._metrics.answers.labels(str(exchange.failure.status), "endpoint").inc()
             return self._forwarder.response(exchange.failure)
         if exchange.ends_at - now < _ALMOST_OVER_S and exchange.may_have_run:
             self._log_end(exchange, "timed_out", now)
@@ -214,6 +223,7 @@
                 "config_age_ms": _milliseconds(self._catalogue.age_s(now)),
             },
         )
+        self._metrics.answers.labels(str(refusal.status), "gateway").inc()
         headers = self._codec.own_headers(info.request_id, delay_s)
         return web.Response(status=refusal.status, headers=headers, text=refusal.reason)
 
--- a/packages/gateway/src/slatehoist/gateway/process.py
+++ b/packages/gateway/src/slatehoist/gateway/process.py
@@ -27,10 +27,13 @@
 from slatehoist.gateway.statuses import StatusFeed
 from slatehoist.gateway.sync import ConfigurationSync, EndpointSync
 from slatehoist.gateway.upstream import Upstream
+from slatehoist.observe import GatewayMetrics, serve_metrics
 from slatehoist.routing import LoadAwareChooser
 
 log = logging.getLogger(__name__)
 
+#: Path of the metrics.
+METRICS_PATH = "/metrics"
 #: Seconds between looks at whether the last request has ended.
 _DRAIN_POLL_S = 0.05
 #: Seconds for a request that was read just before its connection stopped to read to
@@ -86,6 +89,7 @@
         self.catalogue = Catalogue(cfg.revoke_s * TRUST_RATIO)
         self.directory = EndpointDirectory(RELIST_S)
         self._health = EndpointHealth()
+        self._metrics = GatewayMetrics()
         self._tasks: list[asyncio.Task] = []
         self._runners: list[web.ServerRunner] = []
 
@@ -100,10 +104,16 @@
             self._health,
             self._upstream,
             chooser,
+            self._metrics,
             self._clock,
         )
         self._gateway = Gateway(
-            self._codec, self.catalogue, forwarder, self._rng, self._clock
+            self._codec,
+            self.catalogue,
+            forwarder,
+            self._metrics,
+            self._rng,
+            self._clock,
         )
         loops = [
             ConfigurationSync(self._source, self.catalogue, self._clock),
@@ -125,9 +135,26 @@
             task.add_done_callback(_log_failure)
         await self._listen(self._cfg.ready_listen, self._ready)
         self._front = await self._listen(self._cfg.listen, self._gateway.handle)
+        if self._cfg.metrics_listen is not None:
+            self._runners.append(
+                await serve_metrics(
+                    self._metrics.registry,
+                    *self._cfg.metrics_listen,
+                    METRICS_PATH,
+                    self._refresh_metrics,
+                )
+            )
         self._lifecycle.serve()
         log.info("started", extra={"listen": self._cfg.listen, "zone": self._cfg.zone})
 
+    def _refresh_metrics(self) -> None:
+        table = self.catalogue.table
+        self._metrics.config_version.set(self.catalogue.version)
+        self._metrics.config_age.set(self.catalogue.age_s(self._clock()))
+        for service in table.cfg.services if table else ():
+            count = len(self.directory.of_service(service.name))
+            self._metrics.endpoints.labels(service.name).set(count)
+
     def _engine_services(self) -> list[str]:
         table = self.catalogue.table
         services = table.cfg.services if table else ()
--- a/packages/gateway/src/slatehoist/gateway/settings.py
+++ b/packages/gateway/src/slatehoist/gateway/settings.py
@@ -12,8 +12,8 @@
         Name and availability zone of this instance.
     listen, ready_listen : str
         Addresses (``host:port``) for callers and for readiness questions.
-    metrics_listen : str
-        Address for metrics; empty for none.
+    metrics_listen : tuple of (str, int) or None
+        Address for metrics; None for none.
     status_listen : tuple of (str, int) or None
         Address for statuses of ranks; None if there are no agents.
     drain_s : float
@@ -34,7 +34,7 @@
     zone: str
     listen: str
     ready_listen: str
-    metrics_listen: str = ""
+    metrics_listen: tuple[str, int] | None = None
     status_listen: tuple[str, int] | None = None
     drain_s: float = 2.0
     grace_s: float = 8.0
--- a/packages/maps/src/slatehoist/maps/agent.py
+++ b/packages/maps/src/slatehoist/maps/agent.py
@@ -39,10 +39,13 @@
     next_version,
     switch_version,
 )
+from slatehoist.observe import AgentMetrics, serve_metrics
 from slatehoist.storage import PlatformError
 
 log = logging.getLogger(__name__)
 
+#: Path of the metrics.
+METRICS_PATH = "/metrics"
 #: Seconds between looks at the own rank. A pass takes 50 ms and more, and the end of a
 #: copy should be known well before the next one ends.
 POLL_S = 0.04
@@ -92,6 +95,8 @@
         Fall of a set's norm, in mean rank loads, that a copy must bring.
     least_skew_gain : float
         Fall of the skew that a switch must bring.
+    metrics_listen : tuple of (str, int) or None
+        Address for metrics; None for none.
     """
 
     listen: tuple[str, int]
@@ -99,6 +104,7 @@
     copies_per_rank: int = 1
     least_gain: float = 0.03
     least_skew_gain: float = 0.15
+    metrics_listen: tuple[str, int] | None = None
 
 
 class GroupSource(Protocol):
@@ -148,6 +154,9 @@
         self._settling = False
         self._background: set[asyncio.Task] = set()
         self._leads = False
+        self._switching = False
+        self._metrics = AgentMetrics()
+        self._demand_at = clock()
         self._stopping = False
         self._polls = 0
 
@@ -157,6 +166,13 @@
         transport, self._socket = await loop.create_datagram_endpoint(
             lambda: PeerSocket(self._on_message), local_addr=self._cfg.listen
         )
+        if self._cfg.metrics_listen is not None:
+            await serve_metrics(
+                self._metrics.registry,
+                *self._cfg.metrics_listen,
+                METRICS_PATH,
+                self._refresh_metrics,
+            )
         log.info("started", extra={"rank_address": self._cfg.rank_address})
         followers = [
             asyncio.create_task(_repeat(step, interval_s))
@@ -173,7 +189,11 @@
         transport.close()
         log.info("stopped")
 
-    _switching = False
+    def _refresh_metrics(self) -> None:
+        now = self._clock()
+        self._metrics.leads.set(self._leads)
+        self._metrics.peers.set(len(self._group.fresh(now)))
+        self._metrics.demand_age.set(now - self._demand_at)
 
     async def _poll(self) -> None:
         """Look at the own rank and tell others."""
@@ -302,6 +322,7 @@
     def _add_demand(self, counts: list[int], now: float) -> None:
         if self._demand is not None and counts:
             self._demand.add(counts, now)
+            self._demand_at = now
 
     async def _own_experts(self, report: RankReport) -> list[list[int]]:
         """Give the experts of the own rank, asked for when the map changes."""
@@ -387,6 +408,7 @@
             )
         finally:
             self._settling = False
+        self._metrics.settled.labels(settlement.value).inc()
         log.warning(
             "hold_settled",
             extra={
@@ -477,6 +499,7 @@
         planned = plan(view.placement, demand, limits, pace)
         before = skew(view.placement, demand, pace)
         after = skew(planned, demand, pace)
+        self._metrics.skew.set(before)
         if before - after < self._cfg.least_skew_gain:
             return
         copies = copies_by_rank(view.placement, planned)
@@ -492,6 +515,7 @@
                 "copies": sum(copies),
             },
         )
+        self._metrics.copies.inc(sum(copies))
         copy_s = max(copies) * spec.copy_s
         result = await self._switch().run(
             view,
@@ -500,6 +524,7 @@
             copy_s,
             functools.partial(self._is_outdated, planned, pace),
         )
+        self._metrics.switches.labels(result.value).inc()
         log.info(
             "switch_ended",
             extra={
--- a/packages/observe/src/slatehoist/observe/__init__.py
+++ b/packages/observe/src/slatehoist/observe/__init__.py
@@ -1,5 +1,12 @@
 """Event logs and metrics of the processes."""
 
 from slatehoist.observe.logs import BoundedHandler, configure_logging
+from slatehoist.observe.metrics import AgentMetrics, GatewayMetrics, serve_metrics
 
-__all__ = ["BoundedHandler", "configure_logging"]
+__all__ = [
+    "AgentMetrics",
+    "BoundedHandler",
+    "GatewayMetrics",
+    "configure_logging",
+    "serve_metrics",
+]
