--- a/packages/cli/src/slatehoist/cli/main.py
+++ b/packages/cli/src/slatehoist/cli/main.py
@@ -21,6 +21,7 @@
     print_table,
     resource_row,
 )
+from slatehoist.cli.trace import story, tell
 from slatehoist.config import Manifest, parse_manifests
 
 EXIT_REFUSED = 1
@@ -246,12 +247,38 @@
         ]
 
 
+@cappa.command(help="Tell the story of a request from logs of processes.")
+@dataclass
+class Trace:
+    """Arguments of ``slatehoist trace``."""
+
+    request: Annotated[str, cappa.Arg(help="Id of the request.")]
+    files: Annotated[list[str], cappa.Arg(help="Logs; any number of processes.")]
+    around: Annotated[
+        float, cappa.Arg(long="--around", help="Seconds before and after it.")
+    ] = 1.0
+
+    def __call__(self) -> None:
+        """Join the logs and print the story."""
+        lines: list[str] = []
+        for path in self.files:
+            try:
+                with open(path, encoding="utf-8", errors="replace") as file:
+                    lines += file
+            except OSError as exc:
+                _fail(EXIT_BAD_FILE, f"cannot read {path}: {exc.strerror}")
+        events = story(lines, self.request, self.around)
+        if not events:
+            _fail(EXIT_BAD_FILE, f"no line tells of request {self.request}")
+        print("\n".join(tell(events)))
+
+
 @cappa.command(name="slatehoist", help="Operators' command line.")
 @dataclass
 class Operator:
     """Arguments of ``slatehoist``."""
 
-    command: cappa.Subcommands[Apply | Get | Delete | Watch | Status | Explain]
+    command: cappa.Subcommands[Apply | Get | Delete | Watch | Status | Explain | Trace]
 
 
 def _print_resources(documents: list[dict], output: str) -> None:
--- /dev/null
+++ b/packages/cli/tests/test_cli_trace.py
@@ -0,0 +1,37 @@
+"""The story of a request is joined from logs of several processes."""
+
+import json
+import unittest
+
+from slatehoist.cli.trace import story, tell
+
+
+def make_line(time: float, instance: str, event: str, **fields) -> str:
+    """Write a line as a process does, behind a collector's prefix."""
+    doc = {"time": time, "instance": instance, "event": event, **fields}
+    return f"  {time:.4f} {instance} {json.dumps(doc)}\n"
+
+
+class TraceTests(unittest.TestCase):
+    LINES = [
+        make_line(1.0, "front-1", "attempt", request="a", outcome="broken"),
+        make_line(1.2, "front-2", "refused", request="b"),
+        make_line(0.9, "front-1", "endpoints_changed", removed=["e"]),
+        make_line(1.1, "side-1", "switch_ended", result="switched"),
+        make_line(9.0, "front-1", "draining"),
+        "no event\n",
+        '{"half": \n',
+    ]
+
+    def test_own_lines_and_what_was_believed_meanwhile(self):
+        events = story(self.LINES, "a", 0.5)
+        names = [event.name for event in events]
+        self.assertEqual(names, ["endpoints_changed", "attempt", "switch_ended"])
+        self.assertIn('outcome="broken"', tell(events)[1])
+
+    def test_unknown_request_has_no_story(self):
+        self.assertEqual(story(self.LINES, "zzz", 1.0), [])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/packages/gateway/tests/gateway_builders.py
@@ -0,0 +1,43 @@
+"""Builders of test data for the gateway."""
+
+from slatehoist.gateway import (
+    Configuration,
+    Endpoint,
+    Kind,
+    Route,
+    Service,
+    Target,
+    Team,
+)
+
+
+def make_endpoint(name: str, **fields) -> Endpoint:
+    """Build an endpoint."""
+    values = {"service": "app", "address": f"10.0.0.1:{name[-1]}", "zone": "a"}
+    return Endpoint(name, **{**values, "concurrency": 6, **fields})
+
+
+def make_route(prefix: str = "/a/", **fields) -> Route:
+    """Build a route."""
+    values = {
+        "name": prefix,
+        "host": "h",
+        "prefix": prefix,
+        "kind": Kind.SAFE,
+        "timeout_s": 1.0,
+        "objective_s": 0.4,
+        "priority": 1,
+        "targets": (Target("app", 1.0),),
+        "max_attempts": 2,
+    }
+    return Route(**{**values, **fields})
+
+
+def make_configuration(version: int, **fields) -> Configuration:
+    """Build a configuration."""
+    values = {
+        "routes": (make_route(),),
+        "services": (Service("app"),),
+        "teams": (Team("t", ("key",)),),
+    }
+    return Configuration(version, **{**values, **fields})
--- /dev/null
+++ b/packages/gateway/tests/test_gateway_decisions.py
@@ -0,0 +1,186 @@
+"""Decisions of the gateway: no network, time as an argument."""
+
+import random
+import unittest
+
+from gateway_builders import make_configuration, make_endpoint, make_route
+from hypothesis import given
+from hypothesis import strategies as st
+
+from slatehoist.gateway import Catalogue, EndpointDirectory, RouteTable, Target
+from slatehoist.gateway.catalogue import pick_service
+from slatehoist.gateway.events import EventSplitter
+from slatehoist.gateway.health import EJECT_FAILURES, EndpointHealth, GroupState
+from slatehoist.gateway.settings import RETRY_RATIO_USED
+from slatehoist.routing import SharedRetryBudget, return_delay_s
+
+
+class CatalogueTests(unittest.TestCase):
+    def test_longest_prefix_of_the_host_is_chosen(self):
+        routes = tuple(make_route(prefix) for prefix in ("/", "/a/", "/a/b/"))
+        table = RouteTable(make_configuration(1, routes=routes))
+        self.assertEqual(table.route("H", "/a/b/c").prefix, "/a/b/")
+        self.assertEqual(table.route("h", "/a/x").prefix, "/a/")
+        self.assertIsNone(table.route("other", "/a/x"))
+
+    def test_version_never_goes_back(self):
+        catalogue = Catalogue(3.0)
+        self.assertTrue(catalogue.offer(make_configuration(7)).adopted)
+        self.assertFalse(catalogue.offer(make_configuration(5)).adopted)
+        self.assertEqual(catalogue.version, 7)
+
+    def test_credentials_are_trusted_from_the_start_of_the_read(self):
+        catalogue = Catalogue(3.0)
+        self.assertFalse(catalogue.credentials_trusted(0.0))
+        catalogue.offer(make_configuration(1))
+        catalogue.confirm(10.0)
+        catalogue.confirm(9.0)
+        self.assertTrue(catalogue.credentials_trusted(12.9))
+        self.assertFalse(catalogue.credentials_trusted(13.0))
+
+    def test_split_follows_the_weights(self):
+        route = make_route(targets=(Target("a", 90.0), Target("b", 10.0)))
+        rng = random.Random(1)
+        chosen = [pick_service(route, rng) for _ in range(2000)]
+        self.assertAlmostEqual(chosen.count("b") / 2000, 0.1, delta=0.03)
+
+
+class DirectoryTests(unittest.TestCase):
+    def test_missing_endpoint_has_left(self):
+        directory = EndpointDirectory(2.5)
+        directory.update([make_endpoint("e1"), make_endpoint("e2")], 0.0)
+        changes = directory.update([make_endpoint("e1")], 1.0)
+        self.assertEqual([e.endpoint_id for e in changes.removed], ["e2"])
+        self.assertEqual(len(directory.of_service("app")), 1)
+
+    def test_entries_that_lapsed_in_an_outage_are_kept_until_they_could_be_back(self):
+        directory = EndpointDirectory(2.5)
+        directory.update([make_endpoint("e1"), make_endpoint("e2")], 0.0)
+        directory.note_outage()
+        directory.update([make_endpoint("e1")], 10.0)
+        self.assertEqual(len(directory.of_service("app")), 2)
+        directory.update([make_endpoint("e1")], 12.6)
+        self.assertEqual(len(directory.of_service("app")), 1)
+
+    def test_kept_entry_yields_to_another_one_at_its_address(self):
+        directory = EndpointDirectory(2.5)
+        directory.update([make_endpoint("e1")], 0.0)
+        directory.note_outage()
+        directory.update([make_endpoint("e2", address="10.0.0.1:1")], 1.0)
+        names = [e.endpoint_id for e in directory.of_service("app")]
+        self.assertEqual(names, ["e2"])
+
+    def test_draining_endpoint_gets_nothing_also_after_an_outage(self):
+        directory = EndpointDirectory(2.5)
+        directory.update([make_endpoint("e1")], 0.0)
+        directory.update([make_endpoint("e1", draining=True)], 1.0)
+        directory.note_outage()
+        directory.update([], 2.0)
+        self.assertEqual(directory.of_service("app"), [])
+
+    def test_start_under_the_same_id_is_told(self):
+        directory = EndpointDirectory(2.5)
+        directory.update([make_endpoint("e1", started_at_ms=1)], 0.0)
+        changes = directory.update([make_endpoint("e1", started_at_ms=2)], 1.0)
+        self.assertEqual([e.endpoint_id for e in changes.restarted], ["e1"])
+
+
+class HealthTests(unittest.TestCase):
+    def setUp(self):
+        self.health = EndpointHealth()
+        self.endpoints = [make_endpoint(f"e{i}") for i in range(4)]
+
+    def fail(self, name, now=0.0):
+        for _ in range(EJECT_FAILURES):
+            self.health.failed(name, now)
+
+    def names(self, now):
+        return [e.endpoint_id for e in self.health.available(self.endpoints, now)]
+
+    def test_failing_endpoint_is_left_out_for_a_while(self):
+        self.fail("e0")
+        self.assertEqual(self.names(0.5), ["e1", "e2", "e3"])
+        self.assertEqual(len(self.names(1.0)), 4)
+
+    def test_at_most_half_of_the_endpoints_are_left_out(self):
+        for name in ("e0", "e1", "e2"):
+            self.fail(name)
+        self.assertEqual(len(self.names(0.5)), 4)
+
+    def test_slow_rank_gets_nothing_while_it_says_so(self):
+        self.health.observe_status("e1", True, 12.0, 0.0)
+        self.assertNotIn("e1", self.names(0.2))
+        self.assertIn("e1", self.names(2.0))
+
+    def test_group_is_forming_once_all_its_ranks_are_heard(self):
+        for name in ("e0", "e1", "e2"):
+            self.health.observe_status(name, False, 1.0, 0.0)
+        state = self.health.group_state(self.endpoints, 0.1)
+        self.assertEqual(state, GroupState.CLOSED)
+        self.health.observe_status("e3", False, 1.0, 0.1)
+        state = self.health.group_state(self.endpoints, 0.2)
+        self.assertEqual(state, GroupState.FORMING)
+        self.health.observe_status("e0", True, 1.0, 0.2)
+        state = self.health.group_state(self.endpoints, 0.3)
+        self.assertEqual(state, GroupState.OPEN)
+
+    def test_group_without_statuses_counts_as_open(self):
+        state = self.health.group_state(self.endpoints, 0.0)
+        self.assertEqual(state, GroupState.OPEN)
+
+
+class RetryTests(unittest.TestCase):
+    def test_repeats_of_all_instances_stay_within_ratio_and_allowance(self):
+        instances, ratio, allowance = 5, 0.2, 90.0
+        rng = random.Random(3)
+        budgets = [
+            SharedRetryBudget(ratio * RETRY_RATIO_USED, allowance, 10.0)
+            for _ in range(instances)
+        ]
+        first, repeats = [], []
+        for step in range(6000):
+            now = step * 0.005
+            budget = rng.choice(budgets)
+            if now < 20.0:
+                budget.record_first(now)
+                first.append(now)
+            if budget.spend(now, instances):
+                repeats.append(now)
+            recent = sum(now - 10.0 <= t for t in repeats)
+            # Requests count from the window, or up to one window before it.
+            sent = max(
+                sum(now - back - 10.0 <= t <= now - back for t in first)
+                for back in (0.0, 5.0, 10.0)
+            )
+            self.assertLessEqual(recent, sent * ratio + allowance)
+
+    def test_return_is_spread_and_leaves_time_to_be_served(self):
+        rng = random.Random(1)
+        delays = [return_delay_s(1.2, 8.0, rng) for _ in range(200)]
+        self.assertGreater(max(delays) - min(delays), 0.4)
+        self.assertLessEqual(max(return_delay_s(9.0, 3.0, rng) for _ in range(9)), 1.0)
+
+
+class EventSplitterTests(unittest.TestCase):
+    EVENTS = [f"id: {n}\ndata: piece {n}\n\n".encode() for n in range(1, 6)]
+
+    @given(st.lists(st.integers(1, 40), max_size=30))
+    def test_any_cut_gives_whole_events_and_the_last_id(self, sizes):
+        data = b"".join(self.EVENTS)
+        splitter, told, at = EventSplitter(), b"", 0
+        for size in sizes:
+            told += splitter.feed(data[at : at + size])
+            at += size
+        whole = told.count(b"\n\n")
+        self.assertEqual(told, b"".join(self.EVENTS[:whole]))
+        self.assertEqual(splitter.last_event_id, str(whole) if whole else "")
+        self.assertEqual(told + splitter.rest, data[:at])
+
+    def test_broken_event_is_not_told(self):
+        splitter = EventSplitter()
+        told = splitter.feed(self.EVENTS[0] + self.EVENTS[1][:7])
+        self.assertEqual(told, self.EVENTS[0])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/packages/maps/tests/test_maps_decisions.py
@@ -0,0 +1,168 @@
+"""Decisions about expert maps: demand, plans, who leads; no network."""
+
+import random
+import unittest
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from slatehoist.maps import PlanLimits, plan
+from slatehoist.maps.demand import BUCKET_S, DemandWindow
+from slatehoist.maps.peers import FRESH_S, Group, PeerState
+from slatehoist.maps.placement import (
+    copies_by_rank,
+    initial_placement,
+    is_valid,
+    skew,
+)
+from slatehoist.maps.switch import coordinator_of, next_version
+
+SETS, RANKS, EXPERTS, PLACES = 3, 12, 96, 11
+LIMITS = PlanLimits(PLACES, 4, 1, 0.03)
+
+
+def popularity(rng: random.Random) -> list[list[float]]:
+    """Draw a demand in which few experts are very popular."""
+    shares = [(index + 1) ** -1.3 for index in range(EXPERTS)]
+    total = sum(shares)
+    return [
+        [share / total for share in rng.sample(shares, EXPERTS)] for _ in range(SETS)
+    ]
+
+
+def make_state(rank: int, **fields) -> PeerState:
+    """Build a rank's state."""
+    values = {
+        "address": f"10.0.0.{rank + 1}:80",
+        "group": "g",
+        "epoch": 1,
+        "rank": rank,
+        "size": 3,
+        "is_open": True,
+        "step": 5,
+        "map_version": 0,
+        "prepared": None,
+        "armed": None,
+        "held": None,
+        "running": 1,
+        "waiting": 0,
+        "experts": [[rank]],
+    }
+    return PeerState(**{**values, **fields})
+
+
+class PlannerTests(unittest.TestCase):
+    def test_shift_of_popularity_is_met_within_two_rounds_of_one_copy(self):
+        for seed in range(5):
+            demand = popularity(random.Random(seed))
+            placement = initial_placement(SETS, RANKS, EXPERTS)
+            self.assertGreater(skew(placement, demand), 2.5)
+            for _ in range(2):
+                placement = plan(placement, demand, LIMITS)
+            with self.subTest(seed=seed):
+                self.assertLess(skew(placement, demand), 1.5)
+
+    @settings(max_examples=20)
+    @given(st.integers(0, 10**6))
+    def test_plans_keep_to_places_spares_and_copies(self, seed):
+        rng = random.Random(seed)
+        placement = initial_placement(SETS, RANKS, EXPERTS)
+        for _ in range(4):
+            planned = plan(placement, popularity(rng), LIMITS)
+            self.assertTrue(is_valid(planned, EXPERTS, PLACES))
+            self.assertLessEqual(max(copies_by_rank(placement, planned)), 1)
+            placement = planned
+
+    def test_steady_demand_moves_nothing_more(self):
+        demand = popularity(random.Random(1))
+        placement = initial_placement(SETS, RANKS, EXPERTS)
+        for _ in range(6):
+            placement = plan(placement, demand, LIMITS)
+        again = plan(placement, demand, LIMITS)
+        self.assertLessEqual(sum(copies_by_rank(placement, again)), 1)
+
+    def test_slow_rank_is_emptied_of_popular_experts(self):
+        demand = popularity(random.Random(2))
+        pace = [12.0] + [1.0] * (RANKS - 1)
+        placement = initial_placement(SETS, RANKS, EXPERTS)
+        before = skew(placement, demand, pace)
+        for _ in range(5):
+            placement = plan(placement, demand, LIMITS, pace)
+            self.assertTrue(is_valid(placement, EXPERTS, PLACES))
+        self.assertGreater(before, 4.0)
+        self.assertLess(skew(placement, demand, pace), 2.0)
+
+    def test_no_demand_moves_nothing(self):
+        placement = initial_placement(SETS, RANKS, EXPERTS)
+        demand = [[0.0] * EXPERTS for _ in range(SETS)]
+        self.assertEqual(plan(placement, demand, LIMITS), placement)
+
+
+class DemandTests(unittest.TestCase):
+    def feed(self, window, counts, start, buckets):
+        for index in range(buckets):
+            window.add(counts, start + index * BUCKET_S)
+
+    def test_change_shows_within_one_bucket(self):
+        window = DemandWindow(1, 4)
+        self.feed(window, [90, 5, 3, 2], 0.0, 10)
+        self.feed(window, [2, 3, 5, 90], 1.0, 1)
+        self.assertGreater(window.estimate()[0][3], 0.8)
+
+    def test_steady_demand_is_averaged_over_the_window(self):
+        window = DemandWindow(1, 4)
+        for index in range(10):
+            noisy = [60 + 10 * (index % 2), 20, 10, 10 - 10 * (index % 2)]
+            self.feed(window, noisy, index * BUCKET_S, 1)
+        self.assertAlmostEqual(window.estimate()[0][0], 0.65, delta=0.02)
+
+    def test_counts_of_another_shape_are_an_error(self):
+        with self.assertRaises(ValueError):
+            DemandWindow(1, 4).add([1, 2], 0.0)
+
+    def test_nothing_is_known_before_the_first_counts(self):
+        self.assertIsNone(DemandWindow(1, 4).estimate())
+
+
+class GroupTests(unittest.TestCase):
+    def setUp(self):
+        self.now = 0.0
+        self.group = Group(lambda: self.now)
+
+    def test_lowest_rank_that_is_heard_leads(self):
+        for rank in (2, 1):
+            self.group.hear(make_state(rank), 0.0)
+        self.assertEqual(self.group.leader(0.1), 1)
+        self.group.hear(make_state(2), 1.0)
+        self.assertEqual(self.group.leader(1.0), 2)
+
+    def test_rank_that_was_only_asked_does_not_lead(self):
+        self.group.hear(make_state(1), 0.0)
+        self.group.observe(make_state(0), 0.0)
+        self.assertEqual(self.group.leader(0.1), 1)
+
+    def test_state_of_an_older_epoch_is_ignored(self):
+        self.group.hear(make_state(0, epoch=2, step=1), 0.0)
+        self.group.hear(make_state(0, epoch=1, step=99), 0.1)
+        self.assertEqual(self.group.state(0, 0.1).step, 1)
+
+    def test_old_states_do_not_count(self):
+        self.group.hear(make_state(0), 0.0)
+        self.assertIsNone(self.group.state(0, FRESH_S + 0.01))
+
+    def test_last_step_of_switches_is_kept_within_an_epoch(self):
+        self.group.hear(make_state(0, held=40), 0.0)
+        self.group.hear(make_state(0), 0.1)
+        self.assertEqual(self.group.last_step, 40)
+        self.group.hear(make_state(0, epoch=2), 0.2)
+        self.assertEqual(self.group.last_step, 0)
+
+    def test_versions_are_unique_to_their_coordinator(self):
+        first, second = next_version([130], 2), next_version([130], 3)
+        self.assertNotEqual(first, second)
+        self.assertEqual(coordinator_of(first), 2)
+        self.assertGreater(min(first, second), 130)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/gateway_world.py
+++ b/tests/gateway_world.py
@@ -1,22 +1,15 @@
 """Builders for tests of a gateway against the platform's stand-ins."""
 
-import pathlib
 import random
-import sys
 import time
 
 import aiohttp
+from adapter.documents import PlatformSource
+from adapter.headers import Headers
+from adapter.store import PlatformTable
 
-ROOT = pathlib.Path(__file__).resolve().parent.parent
-if str(ROOT / "platform") not in sys.path:
-    sys.path.insert(0, str(ROOT / "platform"))
-
-from adapter.documents import PlatformSource  # noqa: E402
-from adapter.headers import Headers  # noqa: E402
-from adapter.store import PlatformTable  # noqa: E402
-
-from slatehoist.gateway import GatewayProcess, GatewaySettings  # noqa: E402
-from slatehoist_standins.deployment import (  # noqa: E402
+from slatehoist.gateway import GatewayProcess, GatewaySettings
+from slatehoist_standins.deployment import (
     DeploymentServer,
     DeploymentStore,
 )
--- /dev/null
+++ b/tests/test_platform_adapter.py
@@ -0,0 +1,203 @@
+"""The adapter decodes the platform's settings, documents and reports."""
+
+import unittest
+
+import aiohttp
+from adapter.documents import MalformedError, read_configuration, read_endpoint
+from adapter.headers import Headers
+from adapter.ranks import read_group_spec, read_report
+from adapter.settings import SettingsError, gateway_settings, parse_settings
+from adapter.store import PlatformTable
+
+from gateway_world import make_configuration, make_route
+from slatehoist.gateway import Forwarding
+from slatehoist.storage import (
+    Check,
+    ConflictError,
+    HistoryLostError,
+    OutcomeUnknownError,
+    StoreDownError,
+    Write,
+)
+from slatehoist_standins.deployment import DeploymentStore
+
+SETTINGS = """\
+node=front-1
+zone=a
+ip=10.0.0.1
+listen.front=10.0.0.1:80
+listen.ready=10.0.0.1:81
+internalPorts=7000,7010
+bounds.revokeMs=4000
+provider.addr=10.9.0.1:99
+something.new=1
+"""
+
+
+class SettingsTests(unittest.TestCase):
+    def test_known_keys_are_read_and_others_ignored(self):
+        settings = parse_settings(SETTINGS)
+        self.assertEqual(settings.internal_ports[0], 7000)
+        cfg = gateway_settings(settings, 9000)
+        self.assertEqual(cfg.revoke_s, 4.0)
+        self.assertEqual(cfg.metrics_listen, ("10.0.0.1", 9000))
+
+    def test_all_findings_are_told_at_once(self):
+        text = SETTINGS.replace("node=front-1\n", "").replace("4000", "soon")
+        with self.assertRaises(SettingsError) as caught:
+            parse_settings(text)
+        self.assertIn("node: missing", str(caught.exception))
+        self.assertIn("bounds.revokeMs: 'soon' is not a number", str(caught.exception))
+
+
+class DocumentTests(unittest.TestCase):
+    def test_configuration_is_decoded_into_our_units(self):
+        split = [{"service": "app", "weight": 9}, {"service": "other", "weight": 1}]
+        route = make_route("s", "/s/", "stream", "app", split=split, gapAimMs=120)
+        cfg = read_configuration(make_configuration(3, routes=[route]))
+        self.assertEqual(cfg.version, 3)
+        self.assertEqual([t.weight for t in cfg.routes[0].targets], [9.0, 1.0])
+        self.assertAlmostEqual(cfg.routes[0].max_gap_s, 0.12)
+        self.assertAlmostEqual(cfg.routes[0].timeout_s, 1.5)
+
+    def test_malformed_configuration_is_refused(self):
+        for doc in ({}, {"version": 1, "routes": [{}], "services": []}):
+            with self.assertRaises(MalformedError):
+                read_configuration(doc)
+
+    def test_entries_that_name_no_server_are_refused(self):
+        good = {
+            "service": "app",
+            "addr": "10.0.0.1:80",
+            "zone": "a",
+            "slots": 6,
+            "state": "ready",
+            "born": 5,
+        }
+        self.assertEqual(read_endpoint("i", good).started_at_ms, 5)
+        bad = [
+            {"state": "warming"},
+            {"service": None},
+            {"addr": "nowhere"},
+            {"slots": "6"},
+            {"slots": True},
+            {"zone": 1},
+        ]
+        for fields in bad:
+            with self.subTest(fields=fields), self.assertRaises(MalformedError):
+                read_endpoint("i", {**good, **fields})
+
+    def test_report_and_group_are_decoded(self):
+        doc = {
+            "group": {"name": "g", "epoch": 2, "rank": 1, "state": "open"},
+            "size": 12,
+            "step": 7,
+            "map": 3,
+            "prepared": 4,
+            "armed": {"version": 4, "step": 9},
+            "held": 9,
+            "running": 2,
+            "waiting": 1,
+            "pace": 1.5,
+        }
+        report = read_report(doc)
+        self.assertEqual(report.armed, (4, 9))
+        self.assertEqual((report.held, report.pace, report.is_open), (9, 1.5, True))
+        engine = {
+            "sets": 3,
+            "experts": 96,
+            "places": 11,
+            "spare": 4,
+            "expertMb": 2200.0,
+            "linkMbps": 44000.0,
+        }
+        self.assertAlmostEqual(read_group_spec(engine).copy_s, 0.4)
+        with self.assertRaises(MalformedError):
+            read_group_spec({"sets": 3})
+
+
+class HeaderTests(unittest.TestCase):
+    def test_caller_cannot_set_what_the_gateway_sets(self):
+        headers = {
+            "Tenant": "x",
+            "Expect-Instance": "y",
+            "Deadline-Ms": "999999",
+            "Credential": "secret",
+            "Prompt-Prefix": "a:1",
+        }
+        sent = Headers().request_headers(headers, Forwarding("i-1", 0.5, "", ""))
+        self.assertEqual(sent["Expect-Instance"], "i-1")
+        self.assertEqual(sent["Deadline-Ms"], "500")
+        self.assertNotIn("Tenant", sent)
+        self.assertNotIn("Credential", sent)
+        self.assertEqual(sent["Prompt-Prefix"], "a:1")
+
+    def test_numbers_that_are_none_count_as_not_stated(self):
+        info = Headers().read_request({"Deadline-Ms": "soon", "Token-Count": "x,y"})
+        self.assertIsNone(info.deadline_s)
+        self.assertEqual(info.prompt_tokens, 0)
+
+
+class StoreTests(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.store = DeploymentStore()
+        address = await self.store.start()
+        self.addAsyncCleanup(self.store.stop)
+        session = aiohttp.ClientSession()
+        self.addAsyncCleanup(session.close)
+        self.table = PlatformTable(address, session)
+
+    async def test_rows_are_written_under_a_condition(self):
+        write = [Write("own", "k", {"n": 1})]
+        await self.table.transact([Check("own", "k", 0)], write)
+        row = await self.table.get("own", "k")
+        self.assertEqual(row.value, {"n": 1})
+        with self.assertRaises(ConflictError) as caught:
+            await self.table.transact([Check("own", "k", 0)], write)
+        self.assertEqual(caught.exception.keys, [("own", "k")])
+        remove = [Write("own", "k", None)]
+        await self.table.transact([Check("own", "k", row.version)], remove)
+        self.assertIsNone(await self.table.get("own", "k"))
+
+    async def test_scan_keeps_to_prefix_and_order(self):
+        for key in ("b/2", "a/1", "b/1", "c"):
+            self.store.put("own", key, {})
+        rows = await self.table.scan("own", "b/")
+        self.assertEqual([row.key for row in rows], ["b/1", "b/2"])
+        rows = await self.table.scan("own", "b/", after="b/1")
+        self.assertEqual([row.key for row in rows], ["b/2"])
+
+    async def test_outages_are_told_apart(self):
+        self.store.fault = "down"
+        with self.assertRaises(StoreDownError):
+            await self.table.get("own", "k")
+        self.store.fault = "lost"
+        with self.assertRaises(OutcomeUnknownError):
+            await self.table.transact([], [Write("own", "k", {})])
+        self.store.fault = ""
+        self.assertIsNotNone(await self.table.get("own", "k"))
+
+    async def test_feed_goes_on_and_tells_that_history_is_lost(self):
+        _, version = await self.table.snapshot("own")
+        self.store.put("own", "k", {"n": 2})
+        feed = await self.table.changes("own", version, 5.0)
+        self.assertEqual([row.key for row in feed.rows], ["k"])
+        empty = await self.table.changes("own", feed.version, 0.01)
+        self.assertEqual(empty.rows, [])
+        self.store.compact()
+        with self.assertRaises(HistoryLostError):
+            await self.table.changes("own", feed.version, 0.01)
+
+    async def test_rows_that_cannot_be_read_leave_the_others(self):
+        self.store.put("own", "good", {})
+        self.store.put_bytes("own", "bad", b"\xff\xfe")
+        self.store.put("own", "list", [1])
+        with self.assertLogs("adapter.store", "WARNING") as logs:
+            rows = await self.table.scan("own")
+            await self.table.scan("own")
+        self.assertEqual([row.key for row in rows], ["good"])
+        self.assertEqual(len(logs.records), 2)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_platform_gateway.py
+++ b/tests/test_platform_gateway.py
@@ -9,7 +9,13 @@
 from gateway_world import GatewayWorld, make_configuration, make_route
 from slatehoist_standins.deployment import PLAIN_BODY, STREAM_EVENTS, stream_body
 
-logging.getLogger("slatehoist").setLevel(logging.CRITICAL)
+
+def setUpModule():
+    logging.getLogger("slatehoist").setLevel(logging.CRITICAL)
+
+
+def tearDownModule():
+    logging.getLogger("slatehoist").setLevel(logging.NOTSET)
 
 
 class GatewayTestCase(unittest.IsolatedAsyncioTestCase):
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -30,7 +30,8 @@
 
 def load_tests() -> unittest.TestSuite:
     """Load the tests beside each package and those of whole processes."""
-    sys.path.insert(0, str(ROOT / "tests"))
+    # The adapter is not installed: its folder is named by the users.
+    sys.path[:0] = [str(ROOT / "platform"), str(ROOT / "tests")]
     suite = unittest.TestSuite()
     for folder in [*sorted(ROOT.glob("packages/*/tests")), ROOT / "tests"]:
         sys.path.insert(0, str(folder))
