--- a/packages/gateway/src/slatehoist/gateway/gateway.py
+++ b/packages/gateway/src/slatehoist/gateway/gateway.py
@@ -16,8 +16,9 @@
 
 log = logging.getLogger(__name__)
 
-#: Expected seconds until an instance that lacks its configuration has it.
-_CONFIG_WAIT_S = 0.5
+#: Expected seconds until a caller is served that this instance cannot serve, since it
+#: is cut off or has just begun: other instances can, and a return reaches them.
+_ELSEWHERE_WAIT_S = 0.0
 #: Expected seconds until an endpoint is found again or has room.
 _ENDPOINT_WAIT_S = 0.3
 #: Expected seconds until a group runs again that lost a rank: servers restart within
@@ -35,15 +36,30 @@
     ----------
     wait_s : float or None
         Expected seconds until a return makes sense; None if it never does.
+    elsewhere : bool
+        Whether another instance should serve this caller, so that its connection is
+        closed.
     """
 
-    def __init__(self, status: int, reason: str, wait_s: float | None = None) -> None:
+    def __init__(
+        self,
+        status: int,
+        reason: str,
+        wait_s: float | None = None,
+        elsewhere: bool = False,
+    ) -> None:
         super().__init__(reason)
+        self.elsewhere = elsewhere
         self.status = status
         self.reason = reason
         self.wait_s = wait_s
 
 
+def _not_here(reason: str) -> RefusalError:
+    """Refuse what another instance can serve."""
+    return RefusalError(503, reason, _ELSEWHERE_WAIT_S, elsewhere=True)
+
+
 class Gateway:
     """Answer callers' requests.
 
@@ -98,14 +114,12 @@
     ) -> web.StreamResponse:
         table = self._catalogue.table
         if table is None:
-            raise RefusalError(503, "no configuration yet", _CONFIG_WAIT_S)
+            raise _not_here("no configuration yet")
         route = self._route(table, req)
         team = self._team(table, route, info)
         service = table.service(pick_service(route, self._rng))
         if service is None:
-            raise RefusalError(
-                503, f"no service for route {route.name}", _CONFIG_WAIT_S
-            )
+            raise _not_here(f"no service for route {route.name}")
         body = await self._read_body(req, table.cfg.limits.max_body_bytes)
         limit_s = route.timeout_s
         if info.deadline_s is not None:
@@ -134,7 +148,7 @@
         if route.public or not table.needs_credentials:
             return ""
         if not self._catalogue.credentials_trusted(self._clock()):
-            raise RefusalError(503, "credentials cannot be checked", _CONFIG_WAIT_S)
+            raise _not_here("credentials cannot be checked")
         team = table.team(info.credential)
         if team is None:
             self._refuse_if_stale("credential")
@@ -144,7 +158,7 @@
     def _refuse_if_stale(self, what: str) -> None:
         """Do not claim that something is unknown which may just be new."""
         if self._catalogue.age_s(self._clock()) > STALE_LOOKUP_S:
-            raise RefusalError(503, f"{what} not known yet", _CONFIG_WAIT_S)
+            raise _not_here(f"{what} not known yet")
 
     async def _read_body(self, req: web.BaseRequest, limit: int) -> bytes:
         if not req.body_exists:
@@ -225,7 +239,10 @@
         )
         self._metrics.answers.labels(str(refusal.status), "gateway").inc()
         headers = self._codec.own_headers(info.request_id, delay_s)
-        return web.Response(status=refusal.status, headers=headers, text=refusal.reason)
+        resp = web.Response(status=refusal.status, headers=headers, text=refusal.reason)
+        if refusal.elsewhere:
+            resp.force_close()
+        return resp
 
 
 #: Seconds before its end at which a request counts as timed out.
--- a/packages/gateway/src/slatehoist/gateway/process.py
+++ b/packages/gateway/src/slatehoist/gateway/process.py
@@ -20,6 +20,7 @@
     GRACE_MARGIN_S,
     LEAVE_ROTATION_S,
     MOVING_PACE,
+    READY_AGE_S,
     RELIST_S,
     TRUST_RATIO,
     GatewaySettings,
@@ -231,9 +232,9 @@
         table = self.catalogue.table
         if table is None or self.directory.updated_at is None:
             return False
-        return not table.needs_credentials or self.catalogue.credentials_trusted(
-            self._clock()
-        )
+        if not table.needs_credentials:
+            return True
+        return self.catalogue.age_s(self._clock()) < READY_AGE_S
 
     async def _ready(self, req: web.BaseRequest) -> web.Response:
         if req.path != self._ready_path:
--- a/packages/gateway/src/slatehoist/gateway/settings.py
+++ b/packages/gateway/src/slatehoist/gateway/settings.py
@@ -48,6 +48,10 @@
 #: Part of `revoke_s` for which credentials are trusted after the last read. The rest
 #: covers notifications of the store that are late by about a second.
 TRUST_RATIO = 0.7
+#: Age of the configuration, in seconds, from which on an instance is not ready: two
+#: reads have failed. The platform needs two more seconds to send callers elsewhere,
+#: and credentials stop to be trusted about then.
+READY_AGE_S = 2.5
 #: Seconds that a wait for configuration changes lasts. Each end confirms that the
 #: configuration is current, so it lies well below the time of trust.
 CONFIG_WAIT_S = 1.0
--- a/tests/test_platform_gateway.py
+++ b/tests/test_platform_gateway.py
@@ -236,7 +236,8 @@
         await self.until(lambda: not world.gateway.ready)
         async with world.call("/safe/") as resp:
             self.assertEqual(resp.status, 503)
-            self.assertIn("Retry-After", resp.headers)
+            self.assertLess(float(resp.headers["Retry-After"]), 0.2)
+            self.assertEqual(resp.headers["Connection"], "close")
         world.store.fault = ""
         await self.until(lambda: world.gateway.ready)
         async with world.call("/safe/") as resp:
