--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -1,12 +1,24 @@
 """The adapter decodes the platform's settings, documents and reports."""
 
+import os
+import pathlib
+import tempfile
 import unittest
+from unittest import mock
 
 import aiohttp
 from adapter.documents import MalformedError, read_configuration, read_endpoint
 from adapter.headers import Headers
 from adapter.ranks import read_group_spec, read_report
-from adapter.settings import SettingsError, gateway_settings, parse_settings
+from adapter.settings import (
+    BOOT_VARIABLE,
+    CHANGE,
+    SIGNAL,
+    SettingsError,
+    SettingsWatch,
+    gateway_settings,
+    parse_settings,
+)
 from adapter.store import PlatformTable
 
 from gateway_world import make_configuration, make_route
@@ -50,6 +62,31 @@
         self.assertIn("bounds.revokeMs: 'soon' is not a number", str(caught.exception))
 
 
+class SettingsWatchTests(unittest.TestCase):
+    def setUp(self):
+        self.folder = tempfile.TemporaryDirectory()
+        self.addCleanup(self.folder.cleanup)
+        self.path = pathlib.Path(self.folder.name) / "local.conf"
+        self.path.write_text(SETTINGS)
+        patch = mock.patch.dict(os.environ, {BOOT_VARIABLE: str(self.path)})
+        patch.start()
+        self.addCleanup(patch.stop)
+        self.watch = SettingsWatch(parse_settings(SETTINGS))
+
+    def test_change_without_a_signal_is_seen(self):
+        self.assertIsNone(self.watch.reload(CHANGE))
+        self.path.write_text(SETTINGS.replace("10.9.0.1", "10.9.0.2"))
+        with self.assertLogs("adapter.settings") as logs:
+            fresh = self.watch.reload(CHANGE)
+        self.assertEqual(fresh.store_address, "10.9.0.2:99")
+        self.assertEqual(logs.records[0].changed, ["store_address"])
+
+    def test_bad_settings_leave_those_in_force(self):
+        self.path.write_text("node=front-1")
+        with self.assertLogs("adapter.settings", "WARNING"):
+            self.assertIsNone(self.watch.reload(SIGNAL))
+
+
 class DocumentTests(unittest.TestCase):
     def test_configuration_is_decoded_into_our_units(self):
         split = [{"service": "app", "weight": 9}, {"service": "other", "weight": 1}]
