Reset connections to endpoints that are given up

Ruled out: a late cancel by the gateway (its close came at once). Versions of unfinished copies are not used again, since ranks do not report them (four switches in a row were refused).

--- a/packages/gateway/src/slatehoist/gateway/upstream.py
+++ b/packages/gateway/src/slatehoist/gateway/upstream.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import functools
+import socket
+import struct
 from typing import NamedTuple
 
 import aiohttp
@@ -14,6 +16,8 @@
 
 #: Headers that the HTTP library would add and a request must not gain.
 _NO_AUTO_HEADERS = ("Accept", "Accept-Encoding", "User-Agent", "Content-Type")
+#: Value of SO_LINGER by which a close resets the connection.
+_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 #: Longest response header line that is accepted, in bytes.
 _MAX_HEADER_BYTES = 16384
 
@@ -37,7 +41,17 @@
 
 
 class _StrictResponseHandler(ResponseHandler):
-    """Connection whose unframed responses are complete only after an orderly end."""
+    """Connection to an endpoint that is stricter than aiohttp's in two ways.
+
+    Unframed responses are complete only after an orderly end. And a connection that is
+    given up is reset: a close would leave the request in the send buffer, and a link
+    or machine that comes back would deliver it long after its caller has left.
+    """
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        super().connection_made(transport)
+        sock = transport.get_extra_info("socket")
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
 
     def connection_lost(self, exc: BaseException | None) -> None:
         payload = self._payload
--- a/packages/maps/src/slatehoist/maps/agent.py
+++ b/packages/maps/src/slatehoist/maps/agent.py
@@ -157,6 +157,7 @@
         self._switching = False
         self._metrics = AgentMetrics()
         self._demand_at = clock()
+        self._last_version = 0
         self._stopping = False
         self._polls = 0
 
@@ -505,7 +506,9 @@
         copies = copies_by_rank(view.placement, planned)
         known = [r.prepared or 0 for r in view.reports]
         known += [r.map_version for r in view.reports]
-        version = next_version(known, self._state.rank)
+        # Ranks do not report versions whose copies they have not finished.
+        known.append(self._last_version)
+        version = self._last_version = next_version(known, self._state.rank)
         log.info(
             "switch_begun",
             extra={
--- a/standins/src/slatehoist_standins/deployment.py
+++ b/standins/src/slatehoist_standins/deployment.py
@@ -217,6 +217,8 @@
         self.behaviours = behaviours or ["ok"]
         self.arrivals: list[Arrival] = []
         self.cancelled = 0
+        #: Requests whose connection was reset while no answer had been given.
+        self.resets = 0
         self.event_pause_s = 0.0
         self.delay_s = 0.0
 
@@ -288,7 +290,10 @@
             )
             return True
         if behaviour == "hang":
-            await reader.read(1)
+            try:
+                await reader.read(1)
+            except ConnectionResetError:
+                self.resets += 1
             self.cancelled += 1
             return False
         if behaviour in ("close", "reset"):
--- a/tests/test_platform_gateway.py
+++ b/tests/test_platform_gateway.py
@@ -185,6 +185,20 @@
             resp.close()
         await self.until(lambda: server.cancelled)
 
+    async def test_request_of_a_caller_that_left_is_reset_and_not_closed(self):
+        # What a link still holds up is lost by a reset, but delivered by a close.
+        world = await self.world(["hang"])
+        server = world.servers[0]
+        task = asyncio.create_task(self.read(world))
+        await self.until(lambda: server.arrivals)
+        task.cancel()
+        await self.until(lambda: server.cancelled)
+        self.assertEqual(server.resets, 1)
+
+    async def read(self, world):
+        async with world.call("/stream/", "POST", data=b"x") as resp:
+            await resp.read()
+
     async def test_route_timeout_ends_a_stream(self):
         world = await self.world()
         world.servers[0].event_pause_s = 1.0
