--- a/packages/gateway/src/slatehoist/gateway/gateway.py
+++ b/packages/gateway/src/slatehoist/gateway/gateway.py
@@ -8,7 +8,8 @@
 
 from slatehoist.gateway.catalogue import Catalogue, RouteTable, pick_service
 from slatehoist.gateway.codec import HeaderCodec
-from slatehoist.gateway.forwarding import Exchange, Forwarder
+from slatehoist.gateway.exchange import Exchange
+from slatehoist.gateway.forwarding import Forwarder
 from slatehoist.gateway.model import Kind, RequestInfo, Route
 from slatehoist.gateway.settings import STALE_LOOKUP_S
 from slatehoist.observe import GatewayMetrics
--- a/packages/maps/src/slatehoist/maps/agent.py
+++ b/packages/maps/src/slatehoist/maps/agent.py
@@ -5,12 +5,13 @@
 """
 
 import asyncio
-import functools
 import logging
 from collections.abc import Awaitable, Callable
 from typing import NamedTuple, Protocol
 
+from slatehoist.maps.coordinator import Coordinator, PlanSettings
 from slatehoist.maps.demand import DemandWindow
+from slatehoist.maps.grants import Grants
 from slatehoist.maps.peers import (
     Address,
     GrantAnswer,
@@ -19,9 +20,9 @@
     Message,
     PeerSocket,
     PeerState,
+    agent_address,
+    make_state,
 )
-from slatehoist.maps.placement import Placement, copies_by_rank, is_valid, skew
-from slatehoist.maps.planner import PlanLimits, plan
 from slatehoist.maps.rank import (
     GroupSpec,
     RankClient,
@@ -29,16 +30,6 @@
     RankUnreachableError,
 )
 from slatehoist.maps.status import SUBSCRIPTION_S, RankStatus
-from slatehoist.maps.switch import (
-    EpochChangedError,
-    GroupView,
-    Result,
-    Switch,
-    coordinator_of,
-    may_grant,
-    next_version,
-    switch_version,
-)
 from slatehoist.observe import AgentMetrics, serve_metrics
 from slatehoist.storage import PlatformError
 
@@ -57,25 +48,10 @@
 STATUS_EVERY = 3
 #: Seconds between plans: about one pass.
 PLAN_S = 0.06
-#: Skew of a planned placement under newer demand from which on it is given up before
-#: it is in use. A plan's own skew lies at 1.2 to 1.6.
-OUTDATED_SKEW = 2.1
 #: Seconds between reads of the list of peers while some are missing, and afterwards.
 #: Each read is a priced call to the store.
 PEERS_RETRY_S = 1.0
 PEERS_REFRESH_S = 15.0
-#: Seconds for which a hold may stand before its coordinator is taken as gone. A switch
-#: holds the group for some milliseconds, an undone one for half a second.
-HOLD_PATIENCE_S = 0.7
-#: Seconds without a pass, though there is work, after which ranks whose agents are
-#: silent are asked directly whether they hold the group. Passes take up to 0.3 s when
-#: a group is overloaded.
-STUCK_S = 0.4
-#: Seconds between such questions; they are priced, and held back group and answer.
-ASK_S = 0.3
-#: Seconds between repeats of a question for a grant; an answer takes some milliseconds
-#: and the group stands still meanwhile.
-GRANT_RETRY_S = 0.03
 #: Seconds that a stopping agent gives to a switch in progress.
 STOP_PATIENCE_S = 2.0
 
@@ -89,21 +65,15 @@
         Address for datagrams of other agents, which use the same port.
     rank_address : str
         Address of the rank on this machine.
-    copies_per_rank : int
-        Copies that a rank makes for one plan. More would make the plan late.
-    least_gain : float
-        Fall of a set's norm, in mean rank loads, that a copy must bring.
-    least_skew_gain : float
-        Fall of the skew that a switch must bring.
+    plan : PlanSettings
+        When a plan is worth its price.
     metrics_listen : tuple of (str, int) or None
         Address for metrics; None for none.
     """
 
     listen: tuple[str, int]
     rank_address: str
-    copies_per_rank: int = 1
-    least_gain: float = 0.03
-    least_skew_gain: float = 0.15
+    plan: PlanSettings = PlanSettings()
     metrics_listen: tuple[str, int] | None = None
 
 
@@ -144,20 +114,14 @@
         self._experts: tuple[int, int, list[list[int]]] | None = None
         self._counts: tuple[int, list[int]] | None = None
         self._hosts: list[str] = []
-        self._spec: GroupSpec | None = None
         self._demand: DemandWindow | None = None
-        self._stuck_since: tuple[int, float] | None = None
-        self._asked_at = float("-inf")
         self._subscribers: dict[Address, float] = {}
-        self._grants: dict[tuple[int, int], asyncio.Future] = {}
-        self._granted: tuple[int, int] | None = None
-        self._settling = False
-        self._background: set[asyncio.Task] = set()
+        self._grants = Grants(self._own, self._group, self._send, clock)
+        self._coordinator: Coordinator | None = None
         self._leads = False
         self._switching = False
         self._metrics = AgentMetrics()
         self._demand_at = clock()
-        self._last_version = 0
         self._stopping = False
         self._polls = 0
 
@@ -183,7 +147,8 @@
         await stopping.wait()
         self._stopping = True
         log.info("stopping", extra={"leads": self._leads})
-        coordinator.cancel() if not self._switching else None
+        if not self._switching:
+            coordinator.cancel()
         await asyncio.wait([coordinator], timeout=STOP_PATIENCE_S)
         for task in (*followers, coordinator):
             task.cancel()
@@ -212,7 +177,7 @@
         if self._state is None:
             log.info("rank_found", extra={"group": report.group, "rank": report.rank})
         self._polls += 1
-        self._state = _state(self._cfg.rank_address, report, experts)
+        self._state = make_state(self._cfg.rank_address, report, experts)
         now = self._clock()
         known = self._group.report(report.rank)
         self._group.hear(self._state, now)
@@ -244,60 +209,17 @@
 
     def _agents(self, addresses: list[str]) -> list[tuple[str, int]]:
         port = self._cfg.listen[1]
-        return [(address.rpartition(":")[0], port) for address in addresses]
+        return [agent_address(address, port) for address in addresses]
 
     def _on_message(self, message: Message, sender: Address) -> None:
         match message:
             case PeerState():
                 self._on_state(message)
-            case GrantQuestion():
-                self._background.add(asyncio.create_task(self._answer(message, sender)))
-            case GrantAnswer():
-                fut = self._grants.get((message.version, message.step))
-                if fut is not None and not fut.done():
-                    fut.set_result(message.granted)
+            case GrantQuestion() | GrantAnswer():
+                self._grants.take(message, sender)
             case _:
                 self._on_subscription(sender)
 
-    async def _answer(self, question: GrantQuestion, sender: Address) -> None:
-        """Grant a coordinator to arm its own rank, if this rank waits for that.
-
-        The own rank is asked anew: it must hold the group for that very switch, and
-        nobody must be settling it.
-        """
-        key = (question.version, question.step)
-        granted = key == self._granted
-        if not granted and not self._settling:
-            try:
-                report = await self._own.report()
-            except RankUnreachableError as exc:
-                log.warning("grant_not_answered", extra={"why": str(exc)})
-                return
-            granted = may_grant(report, *key) and not self._settling
-            if granted:
-                self._granted = key
-        self._socket.send(GrantAnswer(*key, granted), [sender])
-
-    async def _ask_grant(self, holder: int, version: int, step: int) -> bool:
-        """Ask the holding rank's agent; it is asked until it answers or is silent."""
-        key = (version, step)
-        own = self._state
-        if holder == own.rank:
-            return True
-        question = GrantQuestion(own.group, own.rank, version, step)
-        fut = self._grants[key] = asyncio.get_running_loop().create_future()
-        try:
-            while True:
-                address = self._group.address(holder)
-                self._socket.send(question, self._agents([address]))
-                await asyncio.wait([fut], timeout=GRANT_RETRY_S)
-                if fut.done():
-                    return fut.result()
-                if not self._group.is_heard(holder, self._clock()):
-                    return False
-        finally:
-            del self._grants[key]
-
     def _on_state(self, state: PeerState) -> None:
         own = self._state
         if own is None or state.group != own.group or state.rank == own.rank:
@@ -347,20 +269,34 @@
     async def _follow_peers(self) -> None:
         """Keep the list of hosts that agents may run on."""
         try:
-            if self._spec is None:
-                self._spec = await self._source.group_spec()
-                if self._spec is not None:
-                    self._demand = DemandWindow(self._spec.sets, self._spec.experts)
+            if self._coordinator is None:
+                self._form_coordinator(await self._source.group_spec())
             self._hosts = await self._source.peer_hosts()
         except PlatformError as exc:
             log.warning("peers_unknown", extra={"why": str(exc)})
-        complete = self._spec is not None and 0 < self._group.size == len(
+        complete = self._coordinator is not None and 0 < self._group.size == len(
             self._group.fresh(self._clock())
         )
         await asyncio.sleep(PEERS_REFRESH_S if complete else PEERS_RETRY_S)
 
+    def _form_coordinator(self, spec: GroupSpec | None) -> None:
+        if spec is None:
+            return
+        self._demand = DemandWindow(spec.sets, spec.experts)
+        self._coordinator = Coordinator(
+            self._cfg.plan,
+            spec,
+            self._group,
+            self._demand,
+            self._grants,
+            self._cfg.listen[1],
+            self._client,
+            self._metrics,
+            self._clock,
+        )
+
     async def _coordinate(self) -> None:
-        """Settle what is unfinished, then plan and switch, if this agent leads."""
+        """Let the coordinator work if this agent leads."""
         now = self._clock()
         own = self._state
         leads = own is not None and self._group.leader(now) == own.rank
@@ -369,193 +305,16 @@
             log.info("leads" if leads else "follows", extra={"rank": own and own.rank})
             if self._demand is not None:
                 self._demand.clear()
-        if not leads or self._stopping:
+        if not leads or self._stopping or self._coordinator is None:
             return
         self._switching = True
         try:
-            if not await self._settle(now):
-                await self._plan_and_switch(now)
-        except (EpochChangedError, RankUnreachableError) as exc:
-            log.warning("switch_failed", extra={"why": str(exc)})
+            await self._coordinator.step(own)
         finally:
             self._switching = False
 
-    async def _settle(self, now: float) -> bool:
-        """Finish or undo a switch that was left; return whether there was one."""
-        self._background = {task for task in self._background if not task.done()}
-        await self._ask_silent_ranks(now)
-        now = self._clock()
-        holders = [
-            state.rank
-            for state in self._group.fresh(now)
-            if state.held is not None and self._is_orphan(state.rank, now)
-        ]
-        if not holders:
-            return False
-        reports = {state.rank: state.report() for state in self._group.fresh(now)}
-        states = self._group.last_states()
-        sets = len(self._state.experts)
-        placement = [[list(s.experts[i]) for s in states] for i in range(sets)]
-        version = switch_version(reports.values())
-        self._settling = True
-        try:
-            settlement = await self._switch().settle(
-                self._state.epoch,
-                reports,
-                holders,
-                placement,
-                granted=holders != [self._state.rank]
-                or self._granted == (version, self._state.held),
-            )
-        finally:
-            self._settling = False
-        self._metrics.settled.labels(settlement.value).inc()
-        log.warning(
-            "hold_settled",
-            extra={
-                "holders": holders,
-                "settlement": settlement.value,
-                "asked": sorted(reports),
-            },
-        )
-        return True
-
-    def _switch(self) -> Switch:
-        """Give the switch of this group, held at a rank of another machine."""
-        own = self._state.rank
-        order = [(own + 1 + i) % self._group.size for i in range(self._group.size)]
-        now = self._clock()
-        holder = next((r for r in order if self._group.is_heard(r, now)), own)
-        return Switch(
-            self._rank_clients(),
-            own,
-            holder,
-            self._group,
-            functools.partial(self._ask_grant, holder),
-        )
-
-    def _is_orphan(self, rank: int, now: float) -> bool:
-        """Whether nobody seems to be at work on the switch that holds a rank."""
-        version = switch_version(s.report() for s in self._group.fresh(now))
-        if not self._group.is_heard(coordinator_of(version), now):
-            return True
-        return self._group.held_for_s(rank, now) > HOLD_PATIENCE_S
-
-    async def _ask_silent_ranks(self, now: float) -> None:
-        """Ask ranks whose agents are silent, while the group does not go on."""
-        own = self._state
-        if not (own.running or own.waiting) or not own.is_open:
-            self._stuck_since = None
-            return
-        if self._stuck_since is None or self._stuck_since[0] != own.step:
-            self._stuck_since = (own.step, now)
-            return
-        if now - self._stuck_since[1] < STUCK_S or now - self._asked_at < ASK_S:
-            return
-        self._asked_at = now
-        for rank in range(self._group.size):
-            address = self._group.address(rank)
-            if self._group.is_heard(rank, now) or address is None:
-                continue
-            try:
-                client = self._client(address)
-                report = await client.report()
-                _, experts = await client.experts()
-            except RankUnreachableError as exc:
-                log.info("rank_silent", extra={"rank": rank, "why": str(exc)})
-                continue
-            self._group.observe(_state(address, report, experts), self._clock())
-
-    def _view(self, now: float) -> GroupView | None:
-        """Give what is known of the group; None if ranks are missing or differ."""
-        states = self._group.fresh(now)
-        if not states or len(states) != self._group.size:
-            return None
-        epochs = {state.epoch for state in states}
-        versions = {state.map_version for state in states}
-        if len(epochs) != 1 or len(versions) != 1:
-            return None
-        sets = len(states[0].experts)
-        placement = [[list(s.experts[i]) for s in states] for i in range(sets)]
-        reports = [s.report() for s in states]
-        last_step = self._group.last_step
-        return GroupView(epochs.pop(), placement, reports, last_step)
-
-    async def _plan_and_switch(self, now: float) -> None:
-        view = self._view(now)
-        if view is None or self._spec is None or self._demand is None:
-            return
-        if any(not r.is_open or r.held or r.armed for r in view.reports):
-            return
-        demand = self._demand.estimate()
-        if demand is None or not is_valid(
-            view.placement, self._spec.experts, self._spec.places
-        ):
-            return
-        spec = self._spec
-        limits = PlanLimits(
-            spec.places, spec.spare, self._cfg.copies_per_rank, self._cfg.least_gain
-        )
-        pace = [report.pace for report in view.reports]
-        planned = plan(view.placement, demand, limits, pace)
-        before = skew(view.placement, demand, pace)
-        after = skew(planned, demand, pace)
-        self._metrics.skew.set(before)
-        if before - after < self._cfg.least_skew_gain:
-            return
-        copies = copies_by_rank(view.placement, planned)
-        known = [r.prepared or 0 for r in view.reports]
-        known += [r.map_version for r in view.reports]
-        # Ranks do not report versions whose copies they have not finished.
-        known.append(self._last_version)
-        version = self._last_version = next_version(known, self._state.rank)
-        log.info(
-            "switch_begun",
-            extra={
-                "version": version,
-                "skew": round(before, 2),
-                "expected": round(after, 2),
-                "copies": sum(copies),
-            },
-        )
-        self._metrics.copies.inc(sum(copies))
-        copy_s = max(copies) * spec.copy_s
-        result = await self._switch().run(
-            view,
-            planned,
-            version,
-            copy_s,
-            functools.partial(self._is_outdated, planned, pace),
-        )
-        self._metrics.switches.labels(result.value).inc()
-        log.info(
-            "switch_ended",
-            extra={
-                "version": version,
-                "result": result.value,
-                "took_ms": round((self._clock() - now) * 1000),
-            },
-        )
-        if result is Result.SWITCHED:
-            await self._await_map(version)
-
-    def _is_outdated(self, planned: Placement, pace: list[float]) -> bool:
-        """Whether the demand that a placement was planned for is over."""
-        demand = self._demand.estimate()
-        return demand is not None and skew(planned, demand, pace) > OUTDATED_SKEW
-
-    async def _await_map(self, version: int) -> None:
-        """Wait until the ranks report the new map, or for as long as one pass takes."""
-        for _ in range(AWAIT_POLLS):
-            states = self._group.fresh(self._clock())
-            if all(state.map_version == version for state in states):
-                return
-            await asyncio.sleep(POLL_S)
-
-    def _rank_clients(self) -> list[RankClient]:
-        return [
-            self._client(self._group.address(rank)) for rank in range(self._group.size)
-        ]
+    def _send(self, message: Message, address: Address) -> None:
+        self._socket.send(message, [address])
 
     def _client(self, address: str) -> RankClient:
         if address not in self._clients:
@@ -563,36 +322,11 @@
         return self._clients[address]
 
 
-#: Polls for which a coordinator waits for the new map to show.
-AWAIT_POLLS = 12
-
-
 def _switching_part(report: RankReport) -> tuple:
     """Give what of a report a coordinator waits for."""
     return report.epoch, report.map_version, report.prepared, report.armed, report.held
 
 
-def _state(address: str, report: RankReport, experts: list[list[int]]) -> PeerState:
-    armed = report.armed
-    return PeerState(
-        address=address,
-        group=report.group,
-        epoch=report.epoch,
-        rank=report.rank,
-        size=report.size,
-        is_open=report.is_open,
-        step=report.step,
-        map_version=report.map_version,
-        prepared=report.prepared,
-        armed=None if armed is None else tuple(armed),
-        held=report.held,
-        running=report.running,
-        waiting=report.waiting,
-        experts=experts,
-        pace=report.pace,
-    )
-
-
 def _with_counts(state: PeerState, counts: list[int]) -> PeerState:
     fields = {name: getattr(state, name) for name in state.__struct_fields__}
     return PeerState(**{**fields, "counts": counts})
--- a/packages/maps/src/slatehoist/maps/peers.py
+++ b/packages/maps/src/slatehoist/maps/peers.py
@@ -71,6 +71,33 @@
         )
 
 
+def make_state(address: str, report: RankReport, experts: list[list[int]]) -> PeerState:
+    """Make a rank's state of its report."""
+    armed = report.armed
+    return PeerState(
+        address=address,
+        group=report.group,
+        epoch=report.epoch,
+        rank=report.rank,
+        size=report.size,
+        is_open=report.is_open,
+        step=report.step,
+        map_version=report.map_version,
+        prepared=report.prepared,
+        armed=None if armed is None else tuple(armed),
+        held=report.held,
+        running=report.running,
+        waiting=report.waiting,
+        experts=experts,
+        pace=report.pace,
+    )
+
+
+def agent_address(rank_address: str, port: int) -> "Address":
+    """Give where the agent beside a rank is reached."""
+    return rank_address.rpartition(":")[0], port
+
+
 class GrantQuestion(msgspec.Struct, array_like=True, tag=3):
     """Whether a coordinator may arm its own rank, asked of the holding rank's agent."""
 
