Take an endpoint as gone that was listed since an outage and is missing now

The gateway had regained the store 1.2 s before and kept every missing entry for 2.8 s, also those that had been back. Ruled out: late polls (0.8 s apart, all answered).

--- a/packages/gateway/src/slatehoist/gateway/directory.py
+++ b/packages/gateway/src/slatehoist/gateway/directory.py
@@ -10,7 +10,7 @@
 
     An endpoint that is missing from the list has left, unless the list itself was
     away shortly before: its entries lapse meanwhile and are written again when it is
-    back.
+    back. One that was listed since then and is missing now has left.
 
     Parameters
     ----------
@@ -25,6 +25,8 @@
         self._by_address: dict[str, Endpoint] = {}
         self._outage = False
         self._keep_until = float("-inf")
+        #: Endpoints that have not been listed since the last outage.
+        self._unseen: set[str] = set()
         self.updated_at: float | None = None
 
     def note_outage(self) -> None:
@@ -36,12 +38,16 @@
         if self._outage:
             self._outage = False
             self._keep_until = now + self._relist_s
+            self._unseen = set(self._endpoints)
         fresh = {endpoint.endpoint_id: endpoint for endpoint in listed}
+        self._unseen -= fresh.keys()
         missing = self._endpoints.keys() - fresh.keys()
         if now < self._keep_until:
             taken = {e.address for e in fresh.values()}
             kept = {
-                name for name in missing if self._endpoints[name].address not in taken
+                name
+                for name in missing & self._unseen
+                if self._endpoints[name].address not in taken
             }
             fresh.update((name, self._endpoints[name]) for name in kept)
             missing -= kept
--- a/packages/gateway/tests/test_gateway_decisions.py
+++ b/packages/gateway/tests/test_gateway_decisions.py
@@ -62,6 +62,14 @@
         directory.update([make_endpoint("e1")], 12.6)
         self.assertEqual(len(directory.of_service("app")), 1)
 
+    def test_entry_that_was_back_after_an_outage_and_is_gone_has_left(self):
+        directory = EndpointDirectory(2.8)
+        directory.update([make_endpoint("e1"), make_endpoint("e2")], 0.0)
+        directory.note_outage()
+        directory.update([make_endpoint("e1"), make_endpoint("e2")], 11.53)
+        changes = directory.update([make_endpoint("e1")], 12.8)
+        self.assertEqual([e.endpoint_id for e in changes.removed], ["e2"])
+
     def test_kept_entry_yields_to_another_one_at_its_address(self):
         directory = EndpointDirectory(2.5)
         directory.update([make_endpoint("e1")], 0.0)
