--- a/tools/make_reference.py
+++ b/tools/make_reference.py
@@ -3,6 +3,8 @@
 import pathlib
 import typing
 
+from prometheus_client import CollectorRegistry
+
 from slatehoist.config.resources import (
     EndpointSpec,
     GroupSpec,
@@ -11,6 +13,7 @@
 )
 from slatehoist.config.settings import EntrySettings, SidecarSettings
 from slatehoist.daemon.metrics import Metric
+from slatehoist.observe import AgentMetrics, GatewayMetrics
 
 TARGET = pathlib.Path(__file__).resolve().parent.parent / "docs" / "reference"
 
@@ -54,6 +57,15 @@
     return head + "\n".join(describe(cls, "")) + "\n"
 
 
+def metric_table(registry: CollectorRegistry) -> str:
+    """List a registry's metrics as a table."""
+    rows = [
+        f"| `{family.name}` | {family.type} | {family.documentation} |"
+        for family in registry.collect()
+    ]
+    return "\n".join(["| name | kind | meaning |", "|---|---|---|", *rows, ""])
+
+
 def main() -> None:
     """Write the pages."""
     settings = ["# Settings\n", "Made by `tools/make_reference.py`.\n"]
@@ -70,7 +82,11 @@
         resources.append(table(name, cls))
     (TARGET / "resources.md").write_text("\n".join(resources))
     names = "\n".join(f"- `slatehoist.{metric}`" for metric in Metric)
-    (TARGET / "metrics.md").write_text(f"# Metrics over statsd\n\n{names}\n")
+    pages = [f"# Metrics\n\n## entry and sidecar, over statsd\n\n{names}\n"]
+    for title, metrics in (("gateway", GatewayMetrics()), ("agent", AgentMetrics())):
+        pages.append(f"## {title}, as text on its metrics address\n")
+        pages.append(metric_table(metrics.registry))
+    (TARGET / "metrics.md").write_text("\n".join(pages))
 
 
 if __name__ == "__main__":
