--- a/packages/cli/src/slatehoist/cli/main.py
+++ b/packages/cli/src/slatehoist/cli/main.py
@@ -21,7 +21,7 @@
     print_table,
     resource_row,
 )
-from slatehoist.cli.trace import story, tell
+from slatehoist.cli.trace import format_story, story
 from slatehoist.config import Manifest, parse_manifests
 
 EXIT_REFUSED = 1
@@ -270,7 +270,7 @@
         events = story(lines, self.request, self.around)
         if not events:
             _fail(EXIT_BAD_FILE, f"no line tells of request {self.request}")
-        print("\n".join(tell(events)))
+        print("\n".join(format_story(events)))
 
 
 @cappa.command(name="slatehoist", help="Operators' command line.")
--- a/packages/cli/src/slatehoist/cli/trace.py
+++ b/packages/cli/src/slatehoist/cli/trace.py
@@ -77,7 +77,7 @@
 )
 
 
-def tell(events: list[Event]) -> list[str]:
+def format_story(events: list[Event]) -> list[str]:
     """Write events as lines: seconds from the first, instance, event, fields."""
     if not events:
         return []
--- a/packages/cli/tests/test_cli_trace.py
+++ b/packages/cli/tests/test_cli_trace.py
@@ -3,7 +3,7 @@
 import json
 import unittest
 
-from slatehoist.cli.trace import story, tell
+from slatehoist.cli.trace import format_story, story
 
 
 def make_line(time: float, instance: str, event: str, **fields) -> str:
@@ -27,7 +27,7 @@
         events = story(self.LINES, "a", 0.5)
         names = [event.name for event in events]
         self.assertEqual(names, ["endpoints_changed", "attempt", "switch_ended"])
-        self.assertIn('outcome="broken"', tell(events)[1])
+        self.assertIn('outcome="broken"', format_story(events)[1])
 
     def test_unknown_request_has_no_story(self):
         self.assertEqual(story(self.LINES, "zzz", 1.0), [])
--- a/packages/config/src/slatehoist/config/settings.py
+++ b/packages/config/src/slatehoist/config/settings.py
@@ -95,7 +95,7 @@
         float, Field(ge=0, description="retries in hand for a sudden loss, by member")
     ] = 20.0
     max_tries: Annotated[
-        int, Field(ge=1, le=16, description="tries of one request at most")
+        int, Field(ge=1, le=16, description="attempts of one request at most")
     ] = 3
     silence_s: Annotated[
         Seconds, Field(description="silence on a stream before its path is given up")
--- a/packages/daemon/src/slatehoist/daemon/entry/directory.py
+++ b/packages/daemon/src/slatehoist/daemon/entry/directory.py
@@ -16,7 +16,7 @@
 MAX_ENTRY_LINKS = 64
 
 
-class Neighbour:
+class PeerInstance:
     """Another process, with its link and what it last said."""
 
     def __init__(self, instance: Instance) -> None:
@@ -35,7 +35,7 @@
         self.inflight_at_beat = self.inflight
         self.up = True
 
-    def hear_load(self, load: float, now: float) -> None:
+    def observe_load(self, load: float, now: float) -> None:
         """Take in the load that came with an answer."""
         if self.beat is not None:
             self.hear(self.beat._replace(load=load), now)
@@ -78,8 +78,8 @@
         clock: Callable[[], float],
     ) -> None:
         self.me = me
-        self.sidecars: dict[str, Neighbour] = {}
-        self.entries: dict[str, Neighbour] = {}
+        self.sidecars: dict[str, PeerInstance] = {}
+        self.entries: dict[str, PeerInstance] = {}
         self.instances: list[Instance] = []
         self.last_heard = float("-inf")
         self.newest_revision = 0
@@ -99,47 +99,46 @@
         links = subset_size(len(by_role["entry"]) + 1, len(by_role["sidecar"]))
         await self._follow(self.sidecars, by_role["sidecar"], links)
         await self._follow(self.entries, by_role["entry"], MAX_ENTRY_LINKS)
-        neighbours = self.everyone()
-        for neighbour in neighbours:
-            neighbour.link.interval_s = heartbeat_interval_s(len(neighbours))
+        peer_instances = self.everyone()
+        for peer in peer_instances:
+            peer.link.interval_s = heartbeat_interval_s(len(peer_instances))
 
-    def everyone(self) -> list[Neighbour]:
+    def everyone(self) -> list[PeerInstance]:
         """Give all processes that this entry has a link to."""
         return [*self.entries.values(), *self.sidecars.values()]
 
     async def close(self) -> None:
         """Close all links."""
-        for neighbour in self.everyone():
-            await neighbour.link.close()
+        for peer in self.everyone():
+            await peer.link.close()
 
-    def serving(self, model: str, service: str, member: str) -> list[Neighbour]:
+    def serving(self, model: str, service: str, member: str) -> list[PeerInstance]:
         """Give the sidecars whose endpoint is declared for a model or service."""
         return [
-            neighbour
-            for neighbour in self.sidecars.values()
-            if neighbour.takes_work()
-            and self._serves(neighbour, model, service, member)
+            peer
+            for peer in self.sidecars.values()
+            if peer.takes_work() and self._serves(peer, model, service, member)
         ]
 
-    def candidate(self, neighbour: Neighbour, now: float) -> Candidate:
+    def candidate(self, peer: PeerInstance, now: float) -> Candidate:
         """Describe a sidecar for the choice."""
-        beat = neighbour.beat
+        beat = peer.beat
         return Candidate(
-            name=neighbour.instance.name,
-            zone=neighbour.instance.zone,
-            own_inflight=neighbour.inflight,
+            name=peer.instance.name,
+            zone=peer.instance.zone,
+            own_inflight=peer.inflight,
             reported_load=beat.load,
-            own_at_report=neighbour.inflight_at_beat,
-            report_age_s=now - neighbour.beat_at,
+            own_at_report=peer.inflight_at_beat,
+            report_age_s=now - peer.beat_at,
             concurrency=max(beat.concurrency, 1),
         )
 
     def revisions(self) -> dict[str, int]:
         """Give the revision in force at each process that is heard."""
         heard = {
-            neighbour.instance.name: neighbour.beat.revision
-            for neighbour in self.everyone()
-            if neighbour.up and neighbour.beat is not None
+            peer.instance.name: peer.beat.revision
+            for peer in self.everyone()
+            if peer.up and peer.beat is not None
         }
         heard[self.me.name] = self._replica.revision
         return heard
@@ -152,52 +151,52 @@
 
     async def tell_entries(self, kind: str, msg) -> None:
         """Send a note to every other entry."""
-        for neighbour in list(self.entries.values()):
+        for peer in list(self.entries.values()):
             with contextlib.suppress(Exception):
-                await neighbour.link.note(kind, msg)
+                await peer.link.note(kind, msg)
 
     def _serves(
-        self, neighbour: Neighbour, model: str, service: str, member: str
+        self, peer: PeerInstance, model: str, service: str, member: str
     ) -> bool:
-        spec = self._replica.spec(Kind.ENDPOINT, neighbour.beat.endpoint)
+        spec = self._replica.spec(Kind.ENDPOINT, peer.beat.endpoint)
         if spec is None or (spec.members and member not in spec.members):
             return False
         return model in spec.models if model else spec.service == service
 
     async def _follow(
-        self, known: dict[str, Neighbour], instances: list[Instance], size: int
+        self, known: dict[str, PeerInstance], instances: list[Instance], size: int
     ) -> None:
-        peers = [Peer(instance.name, instance.zone) for instance in instances]
-        wanted = {peer.name for peer in choose_subset(self.me.name, peers, size)}
+        candidates = [Peer(instance.name, instance.zone) for instance in instances]
+        wanted = {peer.name for peer in choose_subset(self.me.name, candidates, size)}
         by_name = {instance.name: instance for instance in instances}
         for name in list(known):
             if not self._is_same(known[name], by_name.get(name), name in wanted):
                 await known.pop(name).link.close()
         for name in wanted - known.keys():
             known[name] = self._connect(by_name[name])
-        for name, neighbour in known.items():
-            neighbour.instance = by_name[name]
+        for name, peer in known.items():
+            peer.instance = by_name[name]
 
     def _is_same(
-        self, neighbour: Neighbour, instance: Instance | None, wanted: bool
+        self, peer: PeerInstance, instance: Instance | None, wanted: bool
     ) -> bool:
         """Tell whether a link stays; work in flight keeps it beyond the subset."""
         if instance is None:
             return False
-        old = neighbour.instance
+        old = peer.instance
         moved = (old.address, old.control) != (instance.address, instance.control)
-        return not moved and (wanted or neighbour.inflight > 0)
+        return not moved and (wanted or peer.inflight > 0)
 
-    def _connect(self, instance: Instance) -> Neighbour:
-        neighbour = Neighbour(instance)
+    def _connect(self, instance: Instance) -> PeerInstance:
+        peer = PeerInstance(instance)
 
         def on_heartbeat(beat: Heartbeat) -> None:
-            self._on_heartbeat(neighbour, beat)
+            self._on_heartbeat(peer, beat)
 
         def on_down() -> None:
-            neighbour.up = False
+            peer.up = False
 
-        neighbour.link = Link(
+        peer.link = Link(
             instance.control,
             self._heartbeat,
             self._clock,
@@ -205,13 +204,13 @@
             on_down,
             self._notes,
         )
-        neighbour.link.start()
-        return neighbour
+        peer.link.start()
+        return peer
 
-    def _on_heartbeat(self, neighbour: Neighbour, beat: Heartbeat) -> None:
+    def _on_heartbeat(self, peer: PeerInstance, beat: Heartbeat) -> None:
         self.last_heard = self._clock()
-        neighbour.hear(beat, self.last_heard)
+        peer.hear(beat, self.last_heard)
         self.newest_revision = max(self.newest_revision, beat.revision)
         if beat.revision < self._replica.revision:
             changes = encode_changes(self._replica, beat.revision)
-            self._background.spawn(neighbour.link.note("config", changes))
+            self._background.spawn(peer.link.note("config", changes))
--- a/packages/daemon/src/slatehoist/daemon/entry/dispatch.py
+++ b/packages/daemon/src/slatehoist/daemon/entry/dispatch.py
@@ -1,4 +1,4 @@
-"""Tries of one request: choose, send, follow, and try again only when that is safe."""
+"""Attempts at one request: choose, send, follow, and repeat only what is safe."""
 
 import asyncio
 import logging
@@ -13,13 +13,13 @@
 from slatehoist.daemon.background import Background
 from slatehoist.daemon.entry.answers import CallerAnswer, CallerError
 from slatehoist.daemon.entry.attempts import AttemptClient, Outcome, Unknown
-from slatehoist.daemon.entry.directory import Directory, Neighbour
+from slatehoist.daemon.entry.directory import Directory, PeerInstance
 from slatehoist.daemon.entry.guard import CrashGuard
 from slatehoist.daemon.entry.keyed import KeyedRequest, Replay
 from slatehoist.daemon.entry.outcomes import (
     EAGER_SENDS,
     FREE_REFUSALS,
-    Tries,
+    Attempts,
     error_of,
     is_unreachable,
     no_endpoint_error,
@@ -122,88 +122,88 @@
             Claim of the request's idempotency key, if it has one.
         """
         self._budget(req.member).earn(self._clock())
-        tries = Tries()
-        while tries.sends < MAX_SENDS:
+        attempts = Attempts()
+        while attempts.sends < MAX_SENDS:
             refusal = self._refuse_suspect(req)
             if refusal is not None:
-                return await answer.fail(tries.truthful(refusal))
-            neighbour = await self._next_neighbour(req, tries)
-            if neighbour is None:
+                return await answer.fail(attempts.truthful(refusal))
+            peer = await self._next_peer(req, attempts)
+            if peer is None:
                 break
-            attempt = self._attempt(req, neighbour, tries)
+            attempt = self._attempt(req, peer, attempts)
             if keyed is not None:
-                found = await keyed.before_send(neighbour, attempt.attempt_id)
+                found = await keyed.before_send(peer, attempt.attempt_id)
                 if found is not None:
                     return await _answer_found(found, answer)
-            outcome = await self._try(neighbour, attempt, answer)
+            outcome = await self._try(peer, attempt, answer)
             if isinstance(outcome, Final):
-                return await self._end_whole(req, neighbour, answer, keyed, outcome)
-            tries.note(neighbour, outcome, self._clock())
-            if not self._may_retry(req, answer, tries):
+                return await self._end_whole(req, peer, answer, keyed, outcome)
+            attempts.note(peer, outcome, self._clock())
+            if not self._may_retry(req, answer, attempts):
                 break
             answer.reset()
             self._metrics.count(Metric.RETRIES, req.member)
-        if keyed is not None and tries.outcome is not None:
-            keyed.ended(tries.outcome, answer)
-        return await answer.fail(self._final_error(tries))
+        if keyed is not None and attempts.outcome is not None:
+            keyed.ended(attempts.outcome, answer)
+        return await answer.fail(self._final_error(attempts))
 
-    async def _next_neighbour(
-        self, req: CallerRequest, tries: Tries
-    ) -> Neighbour | None:
+    async def _next_peer(
+        self, req: CallerRequest, attempts: Attempts
+    ) -> PeerInstance | None:
         """Choose where to send next; a suspect waits until it may run by itself."""
         while True:
-            neighbour, tries.spacious = self._choose(req, tries.tried)
-            if neighbour is not None:
-                return neighbour
-            if not tries.suspect_busy or self._clock() >= req.deadline:
+            peer, attempts.spacious = self._choose(req, attempts.tried)
+            if peer is not None:
+                return peer
+            if not attempts.suspect_busy or self._clock() >= req.deadline:
                 return None
             await asyncio.sleep(SUSPECT_PAUSE_S)
-            tries.tried -= tries.suspect_busy
-            tries.sends -= len(tries.suspect_busy)
-            tries.suspect_busy.clear()
+            attempts.tried -= attempts.suspect_busy
+            attempts.sends -= len(attempts.suspect_busy)
+            attempts.suspect_busy.clear()
 
     async def _end_whole(
         self,
         req: CallerRequest,
-        neighbour: Neighbour,
+        peer: PeerInstance,
         answer: CallerAnswer,
         keyed: KeyedRequest | None,
         outcome: Final,
     ) -> web.StreamResponse:
-        neighbour.hear_load(outcome.load, self._clock())
-        self._prefixes.note_sent(req.prefixes, neighbour.instance.name)
+        peer.observe_load(outcome.load, self._clock())
+        self._prefixes.note_sent(req.prefixes, peer.instance.name)
         self._guard.report_whole(req.digest)
         if keyed is not None:
             keyed.ended(outcome, answer)
         return await answer.finish()
 
-    def _final_error(self, tries: Tries) -> CallerError:
-        if tries.outcome is None:
+    def _final_error(self, attempts: Attempts) -> CallerError:
+        if attempts.outcome is None:
             return no_endpoint_error(self._rng)
-        return tries.truthful(error_of(tries.outcome, self._rng))
+        return attempts.truthful(error_of(attempts.outcome, self._rng))
 
     async def _try(
-        self, neighbour: Neighbour, attempt: AttemptRequest, answer: CallerAnswer
+        self, peer: PeerInstance, attempt: AttemptRequest, answer: CallerAnswer
     ) -> Outcome:
         """Send one attempt and pass its answer on."""
         with tracer().start_as_current_span("entry.link") as span:
             attempt = attempt._replace(traceparent=traceparent(span))
             span.set_attribute("attempt.id", attempt.attempt_id)
-            span.set_attribute("instance", neighbour.instance.name)
-            neighbour.inflight += 1
+            span.set_attribute("instance", peer.instance.name)
+            peer.inflight += 1
             try:
-                return await self._follow(neighbour, attempt, answer)
+                return await self._follow(peer, attempt, answer)
             except asyncio.CancelledError:
-                self._abandon(neighbour, attempt)
+                self._abandon(peer, attempt)
                 raise
             finally:
-                neighbour.inflight -= 1
+                peer.inflight -= 1
 
     async def _follow(
-        self, neighbour: Neighbour, attempt: AttemptRequest, answer: CallerAnswer
+        self, peer: PeerInstance, attempt: AttemptRequest, answer: CallerAnswer
     ) -> Outcome:
         outcome: Outcome = Unknown(attempt.attempt_id, "no_outcome")
-        address = neighbour.instance.address
+        address = peer.instance.address
         sent_at = self._clock()
         first = True
         async for piece in self._client.follow(address, attempt):
@@ -220,28 +220,28 @@
         if isinstance(outcome, Broken) and outcome.crash_id:
             await self._guard.report_crash(outcome.crash_id, outcome.digests)
         elif isinstance(outcome, Unknown) or is_unreachable(outcome):
-            neighbour.doubt()
+            peer.doubt()
         if isinstance(outcome, Unknown):
             self._metrics.count(Metric.UNKNOWN)
-            self._abandon(neighbour, attempt)
+            self._abandon(peer, attempt)
         return outcome
 
-    def _abandon(self, neighbour: Neighbour, attempt: AttemptRequest) -> None:
+    def _abandon(self, peer: PeerInstance, attempt: AttemptRequest) -> None:
         """Free the room of an attempt, unless its key lets others ask for it."""
         if not attempt.keyed:
-            address = neighbour.instance.address
+            address = peer.instance.address
             cancel = self._client.cancel(address, attempt.attempt_id)
             self._background.spawn(cancel)
 
     def _attempt(
-        self, req: CallerRequest, neighbour: Neighbour, tries: Tries
+        self, req: CallerRequest, peer: PeerInstance, attempts: Attempts
     ) -> AttemptRequest:
         now = self._clock()
         verdict = self._guard.verdict(req.digest)
         return AttemptRequest(
             attempt_id=uuid.uuid4().hex,
-            endpoint=neighbour.beat.endpoint,
-            incarnation=neighbour.beat.incarnation,
+            endpoint=peer.beat.endpoint,
+            incarnation=peer.beat.incarnation,
             member=req.member,
             team=req.team,
             model=req.model,
@@ -255,12 +255,12 @@
             digest=req.digest,
             suspect=verdict == Verdict.SUSPECT,
             keyed=bool(req.key),
-            eager=tries.spacious and tries.sends < EAGER_SENDS and not req.key,
+            eager=attempts.spacious and attempts.sends < EAGER_SENDS and not req.key,
         )
 
     def _choose(
         self, req: CallerRequest, tried: set[str]
-    ) -> tuple[Neighbour | None, bool]:
+    ) -> tuple[PeerInstance | None, bool]:
         """Choose a sidecar, and tell whether there seems to be room elsewhere too."""
         with tracer().start_as_current_span("entry.select") as span:
             now = self._clock()
@@ -277,10 +277,10 @@
             return self._directory.sidecars.get(name), spacious
 
     def _may_retry(
-        self, req: CallerRequest, answer: CallerAnswer, tries: Tries
+        self, req: CallerRequest, answer: CallerAnswer, attempts: Attempts
     ) -> bool:
         """Tell whether a request may be sent again after its last outcome."""
-        outcome = tries.outcome
+        outcome = attempts.outcome
         if answer.started or self._clock() >= req.deadline:
             return False
         if isinstance(outcome, NotRun) and outcome.reason in FREE_REFUSALS:
@@ -289,7 +289,7 @@
             return False
         if isinstance(outcome, Broken) and outcome.reason == BrokenReason.DEADLINE:
             return False
-        if tries.sends >= self._cfg.retry.max_tries:
+        if attempts.sends >= self._cfg.retry.max_tries:
             return False
         return self._budget(req.member).spend()
 
--- a/packages/daemon/src/slatehoist/daemon/entry/keyed.py
+++ b/packages/daemon/src/slatehoist/daemon/entry/keyed.py
@@ -18,7 +18,7 @@
     IncarnationGoneError,
     Outcome,
 )
-from slatehoist.daemon.entry.directory import Directory, Neighbour
+from slatehoist.daemon.entry.directory import Directory, PeerInstance
 from slatehoist.routing import home_entry
 from slatehoist.storage import ObjectStore, PlatformError
 from slatehoist.wire.messages import AttemptState, Final, Head, NotRun
@@ -96,16 +96,16 @@
         self._claim: Claim | None = None
 
     async def before_send(
-        self, neighbour: Neighbour, attempt_id: str
+        self, peer: PeerInstance, attempt_id: str
     ) -> CallerError | Replay | None:
         """Claim the key for an attempt; anything but None forbids to send it."""
         claim = Claim(
             key=self._key,
             digest=self._digest,
             attempt_id=attempt_id,
-            instance=neighbour.instance.name,
-            address=neighbour.instance.address,
-            incarnation=neighbour.beat.incarnation,
+            instance=peer.instance.name,
+            address=peer.instance.address,
+            incarnation=peer.beat.incarnation,
             expires=self._keeper.wall_clock() + CLAIM_LIFETIME_S,
             version=self._claim.version if self._claim else 0,
         )
--- a/packages/daemon/src/slatehoist/daemon/entry/outcomes.py
+++ b/packages/daemon/src/slatehoist/daemon/entry/outcomes.py
@@ -4,7 +4,7 @@
 
 from slatehoist.daemon.entry.answers import CallerError, Ran
 from slatehoist.daemon.entry.attempts import Outcome
-from slatehoist.daemon.entry.directory import Neighbour
+from slatehoist.daemon.entry.directory import PeerInstance
 from slatehoist.routing import retry_after_s
 from slatehoist.wire.messages import Broken, BrokenReason, NotRun, NotRunReason
 
@@ -29,7 +29,7 @@
 _HTTP_GATEWAY_TIMEOUT = 504
 
 
-class Tries:
+class Attempts:
     """What the sends of one request have met so far."""
 
     def __init__(self) -> None:
@@ -41,9 +41,9 @@
         self.may_have_run = False
         self.outcome: Outcome | None = None
 
-    def note(self, neighbour: Neighbour, outcome: Outcome, now: float) -> None:
+    def note(self, peer: PeerInstance, outcome: Outcome, now: float) -> None:
         """Take in the outcome of one send."""
-        name = neighbour.instance.name
+        name = peer.instance.name
         self.sends += 1
         self.tried.add(name)
         self.outcome = outcome
@@ -51,7 +51,7 @@
             self.may_have_run = True
         elif outcome.reason == NotRunReason.BUSY:
             self.busy.add(name)
-            neighbour.hear_load(outcome.load, now)
+            peer.observe_load(outcome.load, now)
         elif outcome.reason == NotRunReason.SUSPECT_BUSY:
             self.suspect_busy.add(name)
         if self.sends == EAGER_SENDS:
--- a/packages/daemon/src/slatehoist/daemon/entry/process.py
+++ b/packages/daemon/src/slatehoist/daemon/entry/process.py
@@ -16,7 +16,7 @@
 from slatehoist.daemon.configsync import decode_changes, encode_changes
 from slatehoist.daemon.entry.attempts import AttemptClient
 from slatehoist.daemon.entry.callers import CallerApi
-from slatehoist.daemon.entry.directory import Directory, Neighbour
+from slatehoist.daemon.entry.directory import Directory, PeerInstance
 from slatehoist.daemon.entry.dispatch import Dispatcher
 from slatehoist.daemon.entry.guard import CrashGuard
 from slatehoist.daemon.entry.keyed import COLLECT_S, ClaimKeeper
@@ -259,12 +259,12 @@
         self.metrics.gauge(Metric.REVISION, self.replica.revision)
 
     async def _sync_from_peers(self) -> None:
-        for neighbour in self.directory.everyone():
-            beat = neighbour.beat
-            if neighbour.up and beat and beat.revision > self.replica.revision:
+        for peer in self.directory.everyone():
+            beat = peer.beat
+            if peer.up and beat and beat.revision > self.replica.revision:
                 question = ConfigQuestion(self.replica.revision)
                 try:
-                    answer = await neighbour.link.ask(
+                    answer = await peer.link.ask(
                         "config_question", question, ConfigAnswer
                     )
                 except LinkDownError:
@@ -281,10 +281,10 @@
 
     async def _on_accepted(self) -> None:
         await self._sync()
-        for neighbour in self.directory.everyone():
-            if neighbour.up and neighbour.beat:
-                changes = encode_changes(self.replica, neighbour.beat.revision)
-                self.background.spawn(neighbour.link.note("config", changes))
+        for peer in self.directory.everyone():
+            if peer.up and peer.beat:
+                changes = encode_changes(self.replica, peer.beat.revision)
+                self.background.spawn(peer.link.note("config", changes))
 
     async def _on_config(self, peer: str, body: bytes) -> None:
         self.replica.apply(decode_changes(decode(body, ConfigAnswer)))
@@ -295,9 +295,9 @@
     async def _on_revisions(self, peer: str, body: bytes) -> dict[str, int]:
         return self.directory.revisions()
 
-    async def _ask_revisions(self, neighbour: Neighbour) -> dict[str, int]:
+    async def _ask_revisions(self, peer: PeerInstance) -> dict[str, int]:
         try:
-            return await neighbour.link.ask(
+            return await peer.link.ask(
                 "revisions", None, dict[str, int], REVISIONS_TIMEOUT_S
             )
         except LinkDownError:
--- a/packages/maps/src/slatehoist/maps/agent.py
+++ b/packages/maps/src/slatehoist/maps/agent.py
@@ -180,13 +180,13 @@
         self._state = make_state(self._cfg.rank_address, report, experts)
         now = self._clock()
         known = self._group.report(report.rank)
-        self._group.hear(self._state, now)
+        self._group.record_heartbeat(self._state, now)
         changed = known is None or _switching_part(known) != _switching_part(report)
-        self._tell(counts, changed, now)
+        self._publish(counts, changed, now)
         if self._polls % STATUS_EVERY == 0:
-            self._tell_subscribers(now)
+            self._publish_status(now)
 
-    def _tell(self, counts: list[int], changed: bool, now: float) -> None:
+    def _publish(self, counts: list[int], changed: bool, now: float) -> None:
         leader = self._group.leader(now)
         if leader == self._state.rank:
             self._add_demand(counts, now)
@@ -225,14 +225,14 @@
         if own is None or state.group != own.group or state.rank == own.rank:
             return
         now = self._clock()
-        self._group.hear(state, now)
+        self._group.record_heartbeat(state, now)
         if state.counts:
             self._add_demand(state.counts, now)
 
     def _on_subscription(self, address: Address) -> None:
         self._subscribers[address] = self._clock() + SUBSCRIPTION_S
 
-    def _tell_subscribers(self, now: float) -> None:
+    def _publish_status(self, now: float) -> None:
         for address, until in list(self._subscribers.items()):
             if until < now:
                 del self._subscribers[address]
--- a/packages/maps/src/slatehoist/maps/coordinator.py
+++ b/packages/maps/src/slatehoist/maps/coordinator.py
@@ -158,7 +158,7 @@
         own = self._own.rank
         order = [(own + 1 + i) % self._group.size for i in range(self._group.size)]
         now = self._clock()
-        holder = next((r for r in order if self._group.is_heard(r, now)), own)
+        holder = next((r for r in order if self._group.is_alive(r, now)), own)
         return Switch(
             self._rank_clients(),
             own,
@@ -170,7 +170,7 @@
     def _is_orphan(self, rank: int, now: float) -> bool:
         """Whether nobody seems to be at work on the switch that holds a rank."""
         version = switch_version(s.report() for s in self._group.fresh(now))
-        if not self._group.is_heard(coordinator_of(version), now):
+        if not self._group.is_alive(coordinator_of(version), now):
             return True
         return self._group.held_for_s(rank, now) > HOLD_PATIENCE_S
 
@@ -188,7 +188,7 @@
         self._asked_at = now
         for rank in range(self._group.size):
             address = self._group.address(rank)
-            if self._group.is_heard(rank, now) or address is None:
+            if self._group.is_alive(rank, now) or address is None:
                 continue
             try:
                 client = self._connect(address)
--- a/packages/maps/src/slatehoist/maps/grants.py
+++ b/packages/maps/src/slatehoist/maps/grants.py
@@ -97,7 +97,7 @@
                 await asyncio.wait([fut], timeout=GRANT_RETRY_S)
                 if fut.done():
                     return fut.result()
-                if not self._group.is_heard(holder, self._clock()):
+                if not self._group.is_alive(holder, self._clock()):
                     return False
         finally:
             del self._asked[key]
--- a/packages/maps/src/slatehoist/maps/peers.py
+++ b/packages/maps/src/slatehoist/maps/peers.py
@@ -131,16 +131,16 @@
     def __init__(self, clock: Callable[[], float]) -> None:
         self._clock = clock
         self._states: dict[int, tuple[PeerState, float]] = {}
-        self._heard_at: dict[int, float] = {}
+        self._heartbeat_at: dict[int, float] = {}
         self._held_since: dict[int, tuple[int, float]] = {}
         #: Last pass that a switch was seen to hold or arm, in the newest epoch.
         self.last_step = 0
         self.name = ""
         self.size = 0
 
-    def hear(self, state: PeerState, now: float) -> None:
+    def record_heartbeat(self, state: PeerState, now: float) -> None:
         """Take in a state that the rank's agent told, which shows that it lives."""
-        self._heard_at[state.rank] = now
+        self._heartbeat_at[state.rank] = now
         self.observe(state, now)
 
     def observe(self, state: PeerState, now: float) -> None:
@@ -188,13 +188,13 @@
         states = (self.state(rank, now) for rank in range(self.size))
         return [state for state in states if state is not None]
 
-    def is_heard(self, rank: int, now: float) -> bool:
+    def is_alive(self, rank: int, now: float) -> bool:
         """Whether the agent of a rank has been heard lately."""
-        return now - self._heard_at.get(rank, float("-inf")) <= FRESH_S
+        return now - self._heartbeat_at.get(rank, float("-inf")) <= FRESH_S
 
     def leader(self, now: float) -> int | None:
         """Give the lowest rank whose agent is heard."""
-        heard = (rank for rank in range(self.size) if self.is_heard(rank, now))
+        heard = (rank for rank in range(self.size) if self.is_alive(rank, now))
         return next(heard, None)
 
     def held_for_s(self, rank: int, now: float) -> float:
--- a/packages/maps/tests/test_maps_decisions.py
+++ b/packages/maps/tests/test_maps_decisions.py
@@ -131,30 +131,30 @@
 
     def test_lowest_rank_that_is_heard_leads(self):
         for rank in (2, 1):
-            self.group.hear(make_state(rank), 0.0)
+            self.group.record_heartbeat(make_state(rank), 0.0)
         self.assertEqual(self.group.leader(0.1), 1)
-        self.group.hear(make_state(2), 1.0)
+        self.group.record_heartbeat(make_state(2), 1.0)
         self.assertEqual(self.group.leader(1.0), 2)
 
     def test_rank_that_was_only_asked_does_not_lead(self):
-        self.group.hear(make_state(1), 0.0)
+        self.group.record_heartbeat(make_state(1), 0.0)
         self.group.observe(make_state(0), 0.0)
         self.assertEqual(self.group.leader(0.1), 1)
 
     def test_state_of_an_older_epoch_is_ignored(self):
-        self.group.hear(make_state(0, epoch=2, step=1), 0.0)
-        self.group.hear(make_state(0, epoch=1, step=99), 0.1)
+        self.group.record_heartbeat(make_state(0, epoch=2, step=1), 0.0)
+        self.group.record_heartbeat(make_state(0, epoch=1, step=99), 0.1)
         self.assertEqual(self.group.state(0, 0.1).step, 1)
 
     def test_old_states_do_not_count(self):
-        self.group.hear(make_state(0), 0.0)
+        self.group.record_heartbeat(make_state(0), 0.0)
         self.assertIsNone(self.group.state(0, FRESH_S + 0.01))
 
     def test_last_step_of_switches_is_kept_within_an_epoch(self):
-        self.group.hear(make_state(0, held=40), 0.0)
-        self.group.hear(make_state(0), 0.1)
+        self.group.record_heartbeat(make_state(0, held=40), 0.0)
+        self.group.record_heartbeat(make_state(0), 0.1)
         self.assertEqual(self.group.last_step, 40)
-        self.group.hear(make_state(0, epoch=2), 0.2)
+        self.group.record_heartbeat(make_state(0, epoch=2), 0.2)
         self.assertEqual(self.group.last_step, 0)
 
     def test_versions_are_unique_to_their_coordinator(self):
--- a/tools/faults/mutant.py
+++ b/tools/faults/mutant.py
@@ -37,7 +37,7 @@
 
 
 def _claim() -> None:
-    async def before_send(self, neighbour, attempt_id) -> None:
+    async def before_send(self, peer, attempt_id) -> None:
         return None
 
     keyed.KeyedRequest.before_send = before_send
