Count gateways in the store to share the retry allowance

Cause: the part of the allowance assumed eight gateways; deployments have up to 18, whose parts would add up to more than the allowance.

--- a/packages/gateway/src/slatehoist/gateway/forwarding.py
+++ b/packages/gateway/src/slatehoist/gateway/forwarding.py
@@ -68,9 +68,13 @@
         self._clock = clock
         self._budgets: dict[str, SharedRetryBudget] = {}
         self._relays: dict[str, set[asyncio.Timeout]] = {}
-        self.instances = ASSUMED_INSTANCES
+        self._instances = ASSUMED_INSTANCES
         self.draining = False
 
+    def share_with(self, instances: int) -> None:
+        """Share the retry allowance with so many instances, this one included."""
+        self._instances = instances
+
     async def forward(self, exchange: Exchange) -> web.StreamResponse | None:
         """Make attempts until the request is answered or nothing is left to try.
 
@@ -127,7 +131,7 @@
             exchange.attempts += 1
         if exchange.attempts >= exchange.route.max_attempts:
             return False
-        return budget.spend(self._clock(), self.instances)
+        return budget.spend(self._clock(), self._instances)
 
     def _budget(self, service: str) -> SharedRetryBudget:
         budget = self._budgets.get(service)
--- a/packages/gateway/src/slatehoist/gateway/process.py
+++ b/packages/gateway/src/slatehoist/gateway/process.py
@@ -16,6 +16,7 @@
 from slatehoist.gateway.gateway import Gateway
 from slatehoist.gateway.health import EndpointHealth
 from slatehoist.gateway.model import CallerLimits
+from slatehoist.gateway.registry import InstanceRegistry
 from slatehoist.gateway.settings import (
     GRACE_MARGIN_S,
     LEAVE_ROTATION_S,
@@ -30,6 +31,7 @@
 from slatehoist.gateway.upstream import Upstream
 from slatehoist.observe import GatewayMetrics, serve_metrics
 from slatehoist.routing import LoadAwareChooser
+from slatehoist.storage import Table
 
 log = logging.getLogger(__name__)
 
@@ -64,6 +66,8 @@
     Parameters
     ----------
     source : DeploymentSource
+    table : Table
+        Store in which the gateways are counted.
     codec : HeaderCodec
     clock : callable
         Gives seconds that go on while the machine is suspended.
@@ -75,6 +79,7 @@
         self,
         cfg: GatewaySettings,
         source: DeploymentSource,
+        table: Table,
         codec: HeaderCodec,
         clock: Callable[[], float],
         ready_path: str,
@@ -82,6 +87,7 @@
     ) -> None:
         self._cfg = cfg
         self._source = source
+        self._table = table
         self._codec = codec
         self._clock = clock
         self._ready_path = ready_path
@@ -119,6 +125,9 @@
         loops = [
             ConfigurationSync(self._source, self.catalogue, self._clock),
             EndpointSync(self._source, self.directory, self._health, self._clock),
+            InstanceRegistry(
+                self._table, self._cfg.instance, forwarder.share_with, self._clock
+            ),
         ]
         self._tasks = [asyncio.create_task(loop.run()) for loop in loops]
         self._forwarder = forwarder
--- /dev/null
+++ b/packages/gateway/tests/test_gateway_registry.py
@@ -0,0 +1,45 @@
+"""Gateways count each other in the store."""
+
+import unittest
+
+from slatehoist.gateway.registry import GATEWAYS, STALE_RENEWALS, InstanceRegistry
+from slatehoist.gateway.settings import REGISTRY_RENEWAL_S
+from slatehoist.storage import MemoryTable
+
+
+class RegistryTests(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.now = 0.0
+        self.table = MemoryTable()
+        self.counts = []
+
+    def registry(self, name):
+        return InstanceRegistry(self.table, name, self.counts.append, lambda: self.now)
+
+    async def look(self, registry):
+        await registry._renew()
+        await registry._count()
+
+    async def test_all_instances_are_counted(self):
+        for name in ("a", "b", "c"):
+            await self.look(self.registry(name))
+        self.assertEqual(self.counts, [1, 2, 3])
+
+    async def test_restarted_instance_counts_once(self):
+        for _ in range(3):
+            await self.look(self.registry("a"))
+        self.assertEqual(self.counts[-1], 1)
+
+    async def test_instance_that_is_gone_is_forgotten(self):
+        await self.look(self.registry("gone"))
+        stays = self.registry("stays")
+        await self.look(stays)
+        for _ in range(STALE_RENEWALS + 1):
+            self.now += REGISTRY_RENEWAL_S
+            await self.look(stays)
+        self.assertEqual(self.counts[-1], 1)
+        self.assertIsNone(await self.table.get(GATEWAYS, "gone"))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/gateway_world.py
+++ b/tests/gateway_world.py
@@ -79,7 +79,8 @@
             await server.start()
             self.store.put("servers", server.server_id, server.row("app"))
         self.session = aiohttp.ClientSession()
-        self.source = PlatformSource(PlatformTable(address, self.session))
+        table = PlatformTable(address, self.session)
+        self.source = PlatformSource(table)
         values = {
             "instance": "gateway-0",
             "zone": "a",
@@ -89,6 +90,7 @@
         self.gateway = GatewayProcess(
             GatewaySettings(**{**values, **settings}),
             self.source,
+            table,
             Headers(),
             time.monotonic,
             READY_PATH,
