--- a/packages/maps/src/slatehoist/maps/agent.py
+++ b/packages/maps/src/slatehoist/maps/agent.py
@@ -10,7 +10,7 @@
 from typing import NamedTuple, Protocol
 
 from slatehoist.maps.coordinator import Coordinator, PlanSettings
-from slatehoist.maps.demand import DemandWindow
+from slatehoist.maps.demand import DemandWindow, from_pairs, to_pairs
 from slatehoist.maps.grants import Grants
 from slatehoist.maps.peers import (
     Address,
@@ -42,6 +42,9 @@
 POLL_S = 0.04
 #: Polls between two readings of the counts: about one pass.
 COUNTS_EVERY = 2
+#: Counts that are sent as they are: they fit one packet of a usual network. Of more,
+#: only the larger ones are sent, as links of large deployments are narrow.
+MOST_DENSE_COUNTS = 512
 #: Polls between two heartbeats to the whole group.
 HEARTBEAT_EVERY = 6
 #: Polls between two statuses to the gateways.
@@ -191,7 +194,7 @@
         if leader == self._state.rank:
             self._add_demand(counts, now)
         elif (counts or changed) and leader is not None:
-            state = _with_counts(self._state, counts)
+            state = _with_counts(self._state, self._sent_counts(counts))
             self._socket.send(state, self._agents([self._group.address(leader)]))
         if self._polls % HEARTBEAT_EVERY == 0:
             self._socket.send(self._state, self._peer_addresses(now))
@@ -226,8 +229,11 @@
             return
         now = self._clock()
         self._group.record_heartbeat(state, now)
-        if state.counts:
-            self._add_demand(state.counts, now)
+        if state.counts and self._demand is not None:
+            counts = state.counts
+            if self._demand.size > MOST_DENSE_COUNTS:
+                counts = from_pairs(counts, self._demand.size)
+            self._add_demand(counts, now)
 
     def _on_subscription(self, address: Address) -> None:
         self._subscribers[address] = self._clock() + SUBSCRIPTION_S
@@ -242,6 +248,11 @@
         )
         self._socket.send(status, list(self._subscribers))
 
+    def _sent_counts(self, counts: list[int]) -> list[int]:
+        if len(counts) <= MOST_DENSE_COUNTS:
+            return counts
+        return to_pairs(counts, len(self._state.experts))
+
     def _add_demand(self, counts: list[int], now: float) -> None:
         if self._demand is not None and counts:
             self._demand.add(counts, now)
--- a/packages/maps/src/slatehoist/maps/coordinator.py
+++ b/packages/maps/src/slatehoist/maps/coordinator.py
@@ -9,7 +9,13 @@
 from slatehoist.maps.demand import DemandWindow
 from slatehoist.maps.grants import Grants
 from slatehoist.maps.peers import Address, Group, PeerState, agent_address, make_state
-from slatehoist.maps.placement import Placement, copies_by_rank, is_valid, skew
+from slatehoist.maps.placement import (
+    Demand,
+    Placement,
+    copies_by_rank,
+    is_valid,
+    skew,
+)
 from slatehoist.maps.planner import PlanLimits, plan
 from slatehoist.maps.rank import GroupSpec, RankClient, RankUnreachableError
 from slatehoist.maps.switch import (
@@ -25,9 +31,9 @@
 
 log = logging.getLogger(__name__)
 
-#: Skew of a planned placement under newer demand from which on it is given up before
-#: it is in use. A plan's own skew lies at 1.2 to 1.6.
-OUTDATED_SKEW = 2.1
+#: Skew beyond the one that a plan expects from which on it is given up before it is in
+#: use. Passes of the same demand differ by a few tenths.
+OUTDATED_SKEW = 0.8
 #: Seconds for which a hold may stand before its coordinator is taken as gone. A switch
 #: holds the group for some milliseconds, an undone one for half a second.
 HOLD_PATIENCE_S = 0.7
@@ -48,19 +54,36 @@
 
     Attributes
     ----------
-    copies_per_rank : int
-        Copies that a rank makes for one plan. More would make the plan late.
+    copy_time_s : float
+        Seconds for which a rank may copy for one plan; one copy is made in any case.
+        More would make the plan late: demand stays the same for some seconds.
     least_gain : float
         Fall of a set's norm, in mean rank loads, that a copy must bring.
     least_skew_gain : float
         Fall of the skew that a switch must bring.
     """
 
-    copies_per_rank: int = 1
+    copy_time_s: float = 0.4
     least_gain: float = 0.03
     least_skew_gain: float = 0.15
 
 
+def is_outdated(
+    planned: Placement, demand: Demand, pace: list[float], expected: float
+) -> bool:
+    """Whether the demand that a placement was planned for is over.
+
+    Parameters
+    ----------
+    demand : sequence
+        Newest demand.
+    expected : float
+        Skew of the placement under the demand that it was planned for. It may be high,
+        as with a slow rank that takes several plans to empty.
+    """
+    return skew(planned, demand, pace) > expected + OUTDATED_SKEW
+
+
 class Coordinator:
     """Coordinate the group while this agent leads it.
 
@@ -226,9 +249,8 @@
         ):
             return
         spec = self._spec
-        limits = PlanLimits(
-            spec.places, spec.spare, self._cfg.copies_per_rank, self._cfg.least_gain
-        )
+        copies = max(1, round(self._cfg.copy_time_s / spec.copy_s))
+        limits = PlanLimits(spec.places, spec.spare, copies, self._cfg.least_gain)
         pace = [report.pace for report in view.reports]
         planned = plan(view.placement, demand, limits, pace)
         before = skew(view.placement, demand, pace)
@@ -258,7 +280,7 @@
             planned,
             version,
             copy_s,
-            functools.partial(self._is_outdated, planned, pace),
+            functools.partial(self._is_outdated, planned, pace, after),
         )
         self._metrics.switches.labels(result.value).inc()
         log.info(
@@ -272,10 +294,11 @@
         if result is Result.SWITCHED:
             await self._await_map(version)
 
-    def _is_outdated(self, planned: Placement, pace: list[float]) -> bool:
-        """Whether the demand that a placement was planned for is over."""
+    def _is_outdated(
+        self, planned: Placement, pace: list[float], expected: float
+    ) -> bool:
         demand = self._demand.estimate()
-        return demand is not None and skew(planned, demand, pace) > OUTDATED_SKEW
+        return demand is not None and is_outdated(planned, demand, pace, expected)
 
     async def _await_map(self, version: int) -> None:
         """Wait until the ranks report the new map, or for as long as one pass takes."""
--- a/packages/maps/src/slatehoist/maps/demand.py
+++ b/packages/maps/src/slatehoist/maps/demand.py
@@ -5,6 +5,9 @@
 
 #: Length of a bucket in seconds: about one pass.
 BUCKET_S = 0.1
+#: Share of a set's tokens from which on an expert's count is sent to the coordinator.
+#: The dozen experts above it have four fifths of the tokens.
+SENT_SHARE = 0.01
 #: Buckets that an estimate uses at least. One pass of a whole group shows a change of
 #: demand well enough; waiting for a second costs more than it tells.
 LEAST_BUCKETS = 1
@@ -15,6 +18,35 @@
 CHANGE_RATIO = 0.35
 
 
+def to_pairs(counts: Sequence[int], sets: int) -> list[int]:
+    """Give the larger counts as index and count in turn, to send them in few bytes."""
+    experts = len(counts) // sets
+    pairs = []
+    for start in range(0, len(counts), experts):
+        part = counts[start : start + experts]
+        least = max(1, sum(part) * SENT_SHARE)
+        for index, count in enumerate(part, start):
+            if count >= least:
+                pairs += (index, count)
+    return pairs
+
+
+def from_pairs(pairs: Sequence[int], size: int) -> list[int]:
+    """Undo `to_pairs`; counts that were not sent are 0.
+
+    Raises
+    ------
+    ValueError
+        If an index lies outside.
+    """
+    counts = [0] * size
+    for index, count in zip(pairs[::2], pairs[1::2], strict=True):
+        if not 0 <= index < size:
+            raise ValueError(f"index {index} of {size} counts")
+        counts[index] = count
+    return counts
+
+
 class DemandWindow:
     """Estimate the demand over the time for which it has stayed the same.
 
@@ -43,6 +75,11 @@
             if value:
                 bucket[index] += value
 
+    @property
+    def size(self) -> int:
+        """Number of counts in a reading."""
+        return self._sets * self._experts
+
     def clear(self) -> None:
         """Forget everything."""
         self._buckets.clear()
--- a/packages/maps/tests/test_maps_decisions.py
+++ b/packages/maps/tests/test_maps_decisions.py
@@ -7,7 +7,8 @@
 from hypothesis import strategies as st
 
 from slatehoist.maps import PlanLimits, plan
-from slatehoist.maps.demand import BUCKET_S, DemandWindow
+from slatehoist.maps.coordinator import is_outdated
+from slatehoist.maps.demand import BUCKET_S, DemandWindow, from_pairs, to_pairs
 from slatehoist.maps.peers import FRESH_S, Group, PeerState
 from slatehoist.maps.placement import (
     copies_by_rank,
@@ -92,6 +93,20 @@
         self.assertGreater(before, 4.0)
         self.assertLess(skew(placement, demand, pace), 2.0)
 
+    def test_plan_is_outdated_by_other_demand_and_not_by_its_own(self):
+        demand = popularity(random.Random(2))
+        pace = [12.0] + [1.0] * (RANKS - 1)
+        placement = initial_placement(SETS, RANKS, EXPERTS)
+        planned = plan(placement, demand, LIMITS, pace)
+        expected = skew(planned, demand, pace)
+        self.assertGreater(expected, 2.1)
+        self.assertFalse(is_outdated(planned, demand, pace, expected))
+        other = popularity(random.Random(3))
+        even = [1.0] * RANKS
+        planned = plan(placement, demand, LIMITS, even)
+        expected = skew(planned, demand, even)
+        self.assertTrue(is_outdated(planned, other, even, expected))
+
     def test_no_demand_moves_nothing(self):
         placement = initial_placement(SETS, RANKS, EXPERTS)
         demand = [[0.0] * EXPERTS for _ in range(SETS)]
@@ -116,6 +131,13 @@
             self.feed(window, noisy, index * BUCKET_S, 1)
         self.assertAlmostEqual(window.estimate()[0][0], 0.65, delta=0.02)
 
+    def test_larger_counts_come_through_in_few_numbers(self):
+        counts = [900, 3, 80, 17] + [1, 500, 2, 497]
+        pairs = to_pairs(counts, 2)
+        self.assertEqual(from_pairs(pairs, 8), [900, 0, 80, 17, 0, 500, 0, 497])
+        with self.assertRaises(ValueError):
+            from_pairs([8, 1], 8)
+
     def test_counts_of_another_shape_are_an_error(self):
         with self.assertRaises(ValueError):
             DemandWindow(1, 4).add([1, 2], 0.0)
