--- a/packages/gateway/src/slatehoist/gateway/settings.py
+++ b/packages/gateway/src/slatehoist/gateway/settings.py
@@ -47,7 +47,7 @@
 
 #: Part of `revoke_s` for which credentials are trusted after the last read. The rest
 #: covers notifications of the store that are late by about a second.
-TRUST_RATIO = 0.7
+TRUST_RATIO = 0.78
 #: Age of the configuration, in seconds, from which on an instance is not ready: two
 #: reads have failed. The platform needs two more seconds to send callers elsewhere,
 #: and credentials stop to be trusted about then.
