Wait for an idle engine before the queued cells stall it

Now reproduced each time: with the cells kill:*, replace:*, pause:*, freeze:* in one world, pause:sidecar/queued took 23.4 to 24.1 s in four of four runs, 20 s of it waiting for the fillers. Cause: after kill:entry/queued the attempt of the killed entry is still running (sidecar log: reader_gone for three attempts, two of which end later, the third one never; engine /load: running 1, waiting 1; sidecar load 3). The next cell stalls the engine at once, so that attempt keeps its slot until it is given up as an orphan after 20 s, which is as long as the cell waits. Ruled out: a slot lost in the entry after a thaw (its log has nothing but its start; the slot is held in sidecar and engine), the adaptive limit (engine has no step time then). Change: the cell first waits until engine and sidecar report no work. A slot that is lost for good now fails there, with its name.

--- a/tools/faults/requests.py
+++ b/tools/faults/requests.py
@@ -58,6 +58,9 @@
 
 async def run_queued(world: World, fault: str, injection: Injection) -> None:
     """Put in a fault while the request waits in a sidecar's queue."""
+    # An attempt whose entry was killed holds its slot until it ends, and would never
+    # end at a stalled engine. A slot that is lost for good fails here.
+    await until(lambda: _is_idle(world, 0), what="the first engine to be idle")
     await world.stall(0, True)
     fillers = [unique("filler") for _ in range(BATCH)]
     session, address = world.session, world.entries[0].http
@@ -78,6 +81,15 @@
     await asyncio.gather(*running)
 
 
+async def _is_idle(world: World, engine: int) -> bool:
+    """Tell whether an engine and the sidecar beside it have no work."""
+    status = await world.status(world.entries[0])
+    sidecar = status["sidecars"][f"sidecar-{engine}"]
+    async with world.session.get(f"{world.urls[f'engine-{engine}']}/load") as resp:
+        load = await resp.json()
+    return not (sidecar["load"] or load["running"] or load["waiting"])
+
+
 async def _fill(world: World, filler: str) -> None:
     """Take a slot of the first engine; send again until the filler is there."""
     address = world.entries[0].http
