Stop requests that crash servers, over all gateways

Weighed: the ledger of suspects of the older design, which needs a queue before each endpoint to run suspects apart; a plain count shared through the store. The count is enough for the promise and keeps a popular request clear by its successes. Change: CrashTally (routing) counts, CrashReports (gateway) tells a crash from a broken link by what is seen of the server within 3 s, writes and follows rows of the store.

--- a/packages/gateway/src/slatehoist/gateway/directory.py
+++ b/packages/gateway/src/slatehoist/gateway/directory.py
@@ -62,7 +62,7 @@
                 and not self._endpoints[name].draining
             ],
             restarted=[
-                e
+                self._endpoints[name]
                 for name, e in fresh.items()
                 if name in self._endpoints
                 and e.started_at_ms != self._endpoints[name].started_at_ms
@@ -95,7 +95,13 @@
 
 
 class Changes:
-    """Difference between two lists of endpoints."""
+    """Difference between two lists of endpoints.
+
+    Attributes
+    ----------
+    removed, restarted : list of Endpoint
+        As they were listed before.
+    """
 
     def __init__(
         self,
--- a/packages/gateway/src/slatehoist/gateway/exchange.py
+++ b/packages/gateway/src/slatehoist/gateway/exchange.py
@@ -60,6 +60,8 @@
         self.may_have_run = False
         #: Whether it was refused because the endpoints' group does not run.
         self.group_closed = False
+        #: Whether it was refused because it crashed too many endpoints.
+        self.blocked = False
         self.failure: Reply | None = None
         self.stream: web.StreamResponse | None = None
         self.last_event_id = info.last_event_id
--- a/packages/gateway/src/slatehoist/gateway/forwarding.py
+++ b/packages/gateway/src/slatehoist/gateway/forwarding.py
@@ -8,6 +8,7 @@
 from aiohttp import web
 
 from slatehoist.gateway.codec import Forwarding, HeaderCodec
+from slatehoist.gateway.crash_reports import CrashReports, digest_of
 from slatehoist.gateway.directory import EndpointDirectory
 from slatehoist.gateway.events import EventSplitter
 from slatehoist.gateway.exchange import Exchange, Outcome, Reply
@@ -30,7 +31,7 @@
     UpstreamRequest,
 )
 from slatehoist.observe import GatewayMetrics
-from slatehoist.routing import Candidate, Chooser, SharedRetryBudget
+from slatehoist.routing import Candidate, Chooser, CrashTally, SharedRetryBudget
 
 log = logging.getLogger(__name__)
 
@@ -55,6 +56,8 @@
         health: EndpointHealth,
         upstream: Upstream,
         chooser: Chooser,
+        tally: CrashTally,
+        crashes: CrashReports,
         metrics: GatewayMetrics,
         clock: Callable[[], float],
     ) -> None:
@@ -64,6 +67,8 @@
         self._health = health
         self._upstream = upstream
         self._chooser = chooser
+        self._tally = tally
+        self._crashes = crashes
         self._metrics = metrics
         self._clock = clock
         self._budgets: dict[str, SharedRetryBudget] = {}
@@ -85,10 +90,14 @@
         """
         budget = self._budget(exchange.service.name)
         budget.record_first(self._clock())
+        digest = digest_of(exchange)
         while True:
             now = self._clock()
             if exchange.ends_at - now < MIN_ATTEMPT_S:
                 return None
+            if self._tally.is_blocked(digest, now):
+                exchange.blocked = True
+                return None
             if not await self._group_runs(exchange):
                 exchange.group_closed = True
                 return None
@@ -99,7 +108,10 @@
             self._metrics.attempts.labels(outcome.value).inc()
             self._log_attempt(exchange, endpoint, outcome, now)
             if outcome is Outcome.DELIVERED:
+                self._tally.record_success(digest, self._clock())
                 return resp
+            if outcome is Outcome.BROKEN:
+                self._crashes.note_broken(endpoint, digest)
             exchange.may_have_run |= outcome.may_have_run
             if not self._goes_on(exchange, outcome, budget):
                 return None
@@ -177,8 +189,10 @@
             async with asyncio.timeout(self._attempt_s(exchange)):
                 reply = await self._upstream.send(self._request(exchange, endpoint))
                 return await self._receive(exchange, endpoint, reply)
-        except NotSentError:
+        except NotSentError as exc:
             self._note_failure(endpoint)
+            if exc.refused:
+                self._crashes.note_down(endpoint)
             return Outcome.NOT_SENT, None
         except TimeoutError:
             self._note_failure(endpoint)
@@ -230,6 +244,7 @@
                 endpoint.endpoint_id, info.running, info.waiting or 0, self._clock()
             )
         if info.wrong_instance:
+            self._crashes.note_down(endpoint)
             self._directory.remove(endpoint.endpoint_id)
             return Outcome.WRONG_INSTANCE, None
         if reply.status in _SUCCESS:
--- a/packages/gateway/src/slatehoist/gateway/gateway.py
+++ b/packages/gateway/src/slatehoist/gateway/gateway.py
@@ -13,7 +13,7 @@
 from slatehoist.gateway.model import Kind, RequestInfo, Route
 from slatehoist.gateway.settings import STALE_LOOKUP_S
 from slatehoist.observe import GatewayMetrics
-from slatehoist.routing import return_delay_s
+from slatehoist.routing import CRASH_MEMORY_S, return_delay_s
 
 log = logging.getLogger(__name__)
 
@@ -197,6 +197,8 @@
             self._log_end(exchange, "outcome_unknown", now)
             raise RefusalError(502, "the outcome is unknown")
         self._log_end(exchange, "not_run", now)
+        if exchange.blocked:
+            raise RefusalError(503, "this request crashes endpoints", CRASH_MEMORY_S)
         if exchange.group_closed:
             raise RefusalError(503, "the group of endpoints is forming", _GROUP_WAIT_S)
         raise RefusalError(503, "no endpoint took the request", _ENDPOINT_WAIT_S)
--- a/packages/gateway/src/slatehoist/gateway/health.py
+++ b/packages/gateway/src/slatehoist/gateway/health.py
@@ -19,9 +19,6 @@
 #: Part of a service's endpoints that may be ejected, so that a fault of the network
 #: near this instance cannot empty the service.
 MAX_EJECTED_RATIO = 0.5
-#: Weight of the newest outcome in the moving failure ratio.
-FAILURE_GAIN = 0.15
-
 
 #: Pace from which on an endpoint gets no work while others are there. In a lock-step
 #: group it would make all the others wait.
@@ -46,7 +43,6 @@
     __slots__ = (
         "ejected_until",
         "ejection_s",
-        "failure_ratio",
         "failures",
         "inflight",
         "reported",
@@ -59,7 +55,6 @@
 
     def __init__(self) -> None:
         self.failures = 0
-        self.failure_ratio = 0.0
         self.ejection_s = FIRST_EJECTION_S
         self.ejected_until = float("-inf")
         self.inflight = 0
@@ -96,13 +91,11 @@
         record = self.record(endpoint_id)
         record.failures = 0
         record.ejection_s = FIRST_EJECTION_S
-        record.failure_ratio *= 1 - FAILURE_GAIN
 
     def failed(self, endpoint_id: str, now: float) -> bool:
         """Note a failure; return whether the endpoint is ejected by it."""
         record = self.record(endpoint_id)
         record.failures += 1
-        record.failure_ratio += FAILURE_GAIN * (1 - record.failure_ratio)
         if record.failures < EJECT_FAILURES or now < record.ejected_until:
             return False
         record.ejected_until = now + record.ejection_s
--- a/packages/gateway/src/slatehoist/gateway/process.py
+++ b/packages/gateway/src/slatehoist/gateway/process.py
@@ -11,6 +11,7 @@
 
 from slatehoist.gateway.catalogue import Catalogue
 from slatehoist.gateway.codec import DeploymentSource, HeaderCodec
+from slatehoist.gateway.crash_reports import CrashReports
 from slatehoist.gateway.directory import EndpointDirectory
 from slatehoist.gateway.forwarding import Forwarder
 from slatehoist.gateway.gateway import Gateway
@@ -30,8 +31,8 @@
 from slatehoist.gateway.sync import ConfigurationSync, EndpointSync
 from slatehoist.gateway.upstream import Upstream
 from slatehoist.observe import GatewayMetrics, serve_metrics
-from slatehoist.routing import LoadAwareChooser
-from slatehoist.storage import Table
+from slatehoist.routing import CrashTally, LoadAwareChooser
+from slatehoist.storage import WatchableTable
 
 log = logging.getLogger(__name__)
 
@@ -66,8 +67,8 @@
     Parameters
     ----------
     source : DeploymentSource
-    table : Table
-        Store in which the gateways are counted.
+    table : WatchableTable
+        Store in which the gateways are counted and crashes are reported.
     codec : HeaderCodec
     clock : callable
         Gives seconds that go on while the machine is suspended.
@@ -79,7 +80,7 @@
         self,
         cfg: GatewaySettings,
         source: DeploymentSource,
-        table: Table,
+        table: WatchableTable,
         codec: HeaderCodec,
         clock: Callable[[], float],
         ready_path: str,
@@ -104,6 +105,8 @@
         """Begin to follow the platform and to serve."""
         self._upstream = Upstream()
         chooser = LoadAwareChooser(self._rng)
+        tally = CrashTally()
+        crashes = CrashReports(self._table, self._cfg.instance, tally, self._clock)
         forwarder = Forwarder(
             self._cfg,
             self._codec,
@@ -111,6 +114,8 @@
             self._health,
             self._upstream,
             chooser,
+            tally,
+            crashes,
             self._metrics,
             self._clock,
         )
@@ -124,12 +129,18 @@
         )
         loops = [
             ConfigurationSync(self._source, self.catalogue, self._clock),
-            EndpointSync(self._source, self.directory, self._health, self._clock),
+            EndpointSync(
+                self._source, self.directory, self._health, crashes, self._clock
+            ),
             InstanceRegistry(
                 self._table, self._cfg.instance, forwarder.share_with, self._clock
             ),
         ]
         self._tasks = [asyncio.create_task(loop.run()) for loop in loops]
+        self._tasks += [
+            asyncio.create_task(crashes.write()),
+            asyncio.create_task(crashes.follow()),
+        ]
         self._forwarder = forwarder
         if self._cfg.status_listen is not None:
             feed = StatusFeed(
--- a/packages/gateway/src/slatehoist/gateway/settings.py
+++ b/packages/gateway/src/slatehoist/gateway/settings.py
@@ -16,8 +16,6 @@
         Address for metrics; None for none.
     status_listen : tuple of (str, int) or None
         Address for statuses of ranks; None if there are no agents.
-    drain_s : float
-        Time in which a leaving endpoint must get no more work.
     grace_s : float
         Time between SIGTERM and SIGKILL.
     revoke_s : float
@@ -26,8 +24,6 @@
         Bound on repeats to a service by all instances together.
     stall_s : float
         Time for which endpoints wait for a peer of their group before they give up.
-    group_size_hint : int
-        Instances assumed to share the retry allowance until they are counted.
     """
 
     instance: str
@@ -36,7 +32,6 @@
     ready_listen: str
     metrics_listen: tuple[str, int] | None = None
     status_listen: tuple[str, int] | None = None
-    drain_s: float = 2.0
     grace_s: float = 8.0
     revoke_s: float = 5.0
     retry_ratio: float = 0.2
@@ -58,9 +53,6 @@
 #: Seconds between reads of the endpoint list: under half of the shortest drain time
 #: (2 s) that deployments state, so one lost read is borne.
 ENDPOINT_POLL_S = 0.8
-#: Seconds that a call to the store may take beyond its wait; on slow days it answers
-#: in a quarter of a second.
-STORE_TIMEOUT_S = 0.9
 #: Seconds before a failed call to the store is repeated.
 STORE_RETRY_S = 0.3
 #: Seconds after an outage of the store within which lapsed endpoints list themselves
@@ -105,3 +97,8 @@
 #: Part of the retry ratio that is used, so that different windows of the instances
 #: cannot add up to more than the whole.
 RETRY_RATIO_USED = 0.75
+#: Seconds between a response that breaks off and the sign that its endpoint is down
+#: within which they count as one crash: some reads of the endpoint list.
+CRASH_CONFIRM_S = 3.0
+#: Seconds that a wait for other gateways' crash reports lasts; it costs one call.
+CRASH_FEED_WAIT_S = 10.0
--- a/packages/gateway/src/slatehoist/gateway/sync.py
+++ b/packages/gateway/src/slatehoist/gateway/sync.py
@@ -6,6 +6,7 @@
 
 from slatehoist.gateway.catalogue import Catalogue
 from slatehoist.gateway.codec import DeploymentSource
+from slatehoist.gateway.crash_reports import CrashReports
 from slatehoist.gateway.directory import EndpointDirectory
 from slatehoist.gateway.health import EndpointHealth
 from slatehoist.gateway.settings import (
@@ -106,11 +107,13 @@
         source: DeploymentSource,
         directory: EndpointDirectory,
         health: EndpointHealth,
+        crashes: CrashReports,
         clock: Callable[[], float],
     ) -> None:
         self._source = source
         self._directory = directory
         self._health = health
+        self._crashes = crashes
         self._clock = clock
         self._dependency = Dependency("endpoint list")
 
@@ -133,6 +136,8 @@
         changes = self._directory.update(listed, self._clock())
         for endpoint in [*changes.removed, *changes.restarted]:
             self._health.forget(endpoint.endpoint_id)
+            if not endpoint.draining:
+                self._crashes.note_down(endpoint)
         if changes:
             log.info(
                 "endpoints_changed",
--- a/packages/gateway/src/slatehoist/gateway/upstream.py
+++ b/packages/gateway/src/slatehoist/gateway/upstream.py
@@ -23,7 +23,17 @@
 
 
 class NotSentError(Exception):
-    """Report that a request did not reach the endpoint."""
+    """Report that a request did not reach the endpoint.
+
+    Attributes
+    ----------
+    refused : bool
+        Whether nothing listens at the address.
+    """
+
+    def __init__(self, reason: str, refused: bool) -> None:
+        super().__init__(reason)
+        self.refused = refused
 
 
 class BrokenReplyError(Exception):
@@ -103,7 +113,8 @@
                 allow_redirects=False,
             )
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as exc:
-            raise NotSentError(f"{req.address}: {exc}") from exc
+            refused = isinstance(exc.__cause__, ConnectionRefusedError)
+            raise NotSentError(f"{req.address}: {exc}", refused) from exc
         except (aiohttp.ClientError, OSError, ValueError) as exc:
             raise BrokenReplyError(f"{req.address}: {exc!r}") from exc
 
--- a/packages/routing/src/slatehoist/routing/__init__.py
+++ b/packages/routing/src/slatehoist/routing/__init__.py
@@ -1,6 +1,8 @@
 """Decisions on where, when and how often a request runs; free of clocks and I/O."""
 
 from slatehoist.routing.affinity import PrefixIndex, prefix_keys
+from slatehoist.routing.crashes import MEMORY_S as CRASH_MEMORY_S
+from slatehoist.routing.crashes import CrashTally
 from slatehoist.routing.fairness import FairQueue, Ticket
 from slatehoist.routing.limits import (
     AdaptiveLimit,
@@ -26,10 +28,12 @@
 from slatehoist.routing.suspects import Crash, SuspectLedger, Verdict
 
 __all__ = [
+    "CRASH_MEMORY_S",
     "AdaptiveLimit",
     "Candidate",
     "Chooser",
     "Crash",
+    "CrashTally",
     "FairQueue",
     "LoadAwareChooser",
     "Peer",
--- a/packages/storage/src/slatehoist/storage/base.py
+++ b/packages/storage/src/slatehoist/storage/base.py
@@ -97,6 +97,11 @@
 class WatchableTable(Table, Protocol):
     """Table service whose changes can be waited for."""
 
+    async def snapshot(
+        self, table: str, start: str = "", end: str = ""
+    ) -> tuple[list[Row], int]:
+        """Read rows with keys from one up to another, and the version to go on from."""
+
     async def changes(self, table: str, since: int, wait_s: float) -> Feed:
         """Wait for rows that change after a version; none after the wait is over.
 
--- a/standins/src/slatehoist_standins/deployment.py
+++ b/standins/src/slatehoist_standins/deployment.py
@@ -82,6 +82,10 @@
         self._rows[table, key] = StoreRow(b"", self._version, True)
         self._wake()
 
+    def rows(self, table: str) -> list[str]:
+        """Give the keys of a table."""
+        return [key for key, _ in self._live(table)]
+
     def compact(self) -> None:
         """Forget the history."""
         self._version += 1
@@ -194,6 +198,10 @@
         )
 
 
+#: Part of a body that crashes whichever server begins to run it.
+CRASHING = b"crashes the server"
+
+
 class Arrival(NamedTuple):
     """Request as a server got it."""
 
@@ -217,6 +225,7 @@
         self.behaviours = behaviours or ["ok"]
         self.arrivals: list[Arrival] = []
         self.cancelled = 0
+        self.crashes = 0
         #: Requests whose connection was reset while no answer had been given.
         self.resets = 0
         self.event_pause_s = 0.0
@@ -296,6 +305,10 @@
                 self.resets += 1
             self.cancelled += 1
             return False
+        if CRASHING in arrival.body:
+            self.crashes += 1
+            self._server.close()
+            return self._end(writer, True)
         if behaviour in ("close", "reset"):
             return self._end(writer, behaviour == "reset")
         if behaviour == "garbage":
