Play random faults from outside against real gateways

Three series of faults overlap: signals (freeze, stutter, kill, SIGTERM, SIGHUP), relays that reset, delay, silence, the store cut, slow, down, losing answers, forgetting its history, credentials revoked behind a cut, servers that crash, drain or answer badly. Callers keep their connections. Checked from what callers and servers saw: whole answers, one run at most, true refusals, teams, revocation, drains, final answers in time, no connection ended on a request that was passed on, recovery, processes that end by themselves. The boot clock that the gateways use cannot be stepped without rights; a freeze steps it as seen from inside. Also tests for frozen and added gateways, added and moved servers, steps of the clock.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 PY := .venv/bin/python
 PACKAGES := wire storage config coord routing observe gateway maps experts daemon cli
 
-.PHONY: mutations demo test lint format matrix bench-path bench-experts bench-routing bench-control
+.PHONY: soak mutations demo test lint format matrix bench-path bench-experts bench-routing bench-control
 
 .venv/installed: requirements.txt requirements-dev.txt
 	python3 -m venv .venv
@@ -32,3 +32,6 @@
 
 bench-path bench-experts bench-routing bench-control: .venv/installed
 	$(PY) tools/$(subst -,_,$@).py
+
+soak: .venv/installed
+	SEED=$(SEED) MINUTES=$(MINUTES) $(PY) tools/run_soak.py
--- a/standins/src/slatehoist_standins/deployment.py
+++ b/standins/src/slatehoist_standins/deployment.py
@@ -350,19 +350,24 @@
     ) -> bool:
         status = 500 if behaviour == "error" else 200
         head = self._head(arrival, behaviour, status)
+        whole = self.body(arrival)
         if behaviour.startswith("unframed"):
-            writer.write(head + b"\r\n" + PLAIN_BODY)
+            writer.write(head + b"\r\n" + whole)
             await writer.drain()
             await asyncio.sleep(0.02)
             return self._end(writer, behaviour == "unframed_reset")
-        body = PLAIN_BODY[:5] if behaviour == "truncate" else PLAIN_BODY
-        length = f"Content-Length: {len(PLAIN_BODY)}\r\n\r\n".encode()
+        body = whole[:5] if behaviour == "truncate" else whole
+        length = f"Content-Length: {len(whole)}\r\n\r\n".encode()
         writer.write(head + length + body)
         if behaviour == "extra":
-            writer.write(self._head(arrival, "other_id") + length + PLAIN_BODY)
+            writer.write(self._head(arrival, "other_id") + length + whole)
         await writer.drain()
         return behaviour != "truncate"
 
+    def body(self, arrival: Arrival) -> bytes:
+        """Give the body of a plain answer."""
+        return PLAIN_BODY
+
     async def _stream(
         self,
         arrival: Arrival,
@@ -379,10 +384,10 @@
         for number in range(start, STREAM_EVENTS + 1):
             event = f"id: {number}\ndata: piece {number}\n\n".encode()
             if behaviour == "cut" and number == 4:
-                writer.write(_chunk(event[:9]))
+                writer.write(encode_chunk(event[:9]))
                 await writer.drain()
                 return False
-            writer.write(_chunk(event))
+            writer.write(encode_chunk(event))
             await writer.drain()
             if self.event_pause_s:
                 await asyncio.sleep(self.event_pause_s)
@@ -393,7 +398,8 @@
         return True
 
 
-def _chunk(data: bytes) -> bytes:
+def encode_chunk(data: bytes) -> bytes:
+    """Frame a piece of a chunked body."""
     return f"{len(data):x}\r\n".encode() + data + b"\r\n"
 
 
--- a/standins/src/slatehoist_standins/relay.py
+++ b/standins/src/slatehoist_standins/relay.py
@@ -20,6 +20,8 @@
     def __init__(self, target: str) -> None:
         self.target = target
         self.delay_s = 0.0
+        #: Whether new connections are reset.
+        self.refusing = False
         self.open: set[Pipe] = set()
         self.server: asyncio.Server | None = None
 
@@ -41,6 +43,9 @@
 
     async def _serve(self, reader, writer) -> None:
         host, _, port = self.target.rpartition(":")
+        if self.refusing:
+            writer.transport.abort()
+            return
         try:
             far_reader, far_writer = await asyncio.open_connection(host, int(port))
         except OSError:
--- /dev/null
+++ b/tests/test_platform_faults.py
@@ -0,0 +1,118 @@
+"""Gateways that are frozen or added, and clocks that step."""
+
+import asyncio
+import time
+import unittest
+from unittest import mock
+
+from launch import boot_clock
+
+from gateway_world import GatewayWorld
+from slatehoist.gateway import registry
+from slatehoist_standins.deployment import DeploymentServer
+
+#: Seconds by which the time of day jumps.
+STEPS_S = (3600.0, -3600.0)
+
+
+class FaultTestCase(unittest.IsolatedAsyncioTestCase):
+    async def world(self, *behaviours, **settings) -> GatewayWorld:
+        world = await GatewayWorld().start(*behaviours, **settings)
+        self.addAsyncCleanup(world.stop)
+        await self.until(lambda: world.gateway.ready)
+        return world
+
+    async def until(self, condition) -> None:
+        async with asyncio.timeout(10):
+            while not condition():
+                await asyncio.sleep(0.01)
+
+    async def status(self, world, gateway=0, **fields) -> int:
+        async with world.call("/safe/", gateway=gateway, **fields) as resp:
+            return resp.status
+
+
+class ClockTests(FaultTestCase):
+    def test_time_of_day_does_not_move_the_clock(self):
+        before = boot_clock()
+        for step_s in STEPS_S:
+            with mock.patch("time.time", lambda step=step_s: step):
+                self.assertLess(abs(boot_clock() - before), 60.0)
+
+    async def test_steps_change_neither_deadlines_nor_trust(self):
+        world = await self.world()
+        real = time.time
+        for step_s in STEPS_S:
+            with mock.patch("time.time", lambda step=step_s: real() + step):
+                self.assertTrue(world.gateway.ready)
+                self.assertEqual(await self.status(world), 200)
+        for arrival in world.servers[0].arrivals:
+            self.assertLessEqual(int(arrival.headers["Deadline-Ms"]), 1500)
+            self.assertGreater(int(arrival.headers["Deadline-Ms"]), 0)
+
+
+class FreezeTests(FaultTestCase):
+    async def test_thawed_gateway_trusts_no_credential_that_it_knew_before(self):
+        world = await self.world(revoke_s=5.0)
+        self.assertEqual(await self.status(world), 200)
+        world.store.fault = "silent"
+        world.frozen_s += 6.0
+        self.assertFalse(world.gateway.ready)
+        self.assertEqual(await self.status(world), 503)
+        self.assertEqual(world.arrivals(), 1)
+        world.store.fault = ""
+        await self.until(lambda: world.gateway.ready)
+        self.assertEqual(await self.status(world), 200)
+
+    async def test_answer_to_a_read_from_before_confirms_nothing(self):
+        world = await self.world(revoke_s=5.0)
+        # The wait for changes that is open now ends after the freeze.
+        world.store.delay_s = 0.5
+        world.frozen_s += 6.0
+        self.assertEqual(await self.status(world), 503)
+        world.store.delay_s = 0.0
+        await self.until(lambda: world.gateway.ready)
+
+
+class AddedTests(FaultTestCase):
+    async def test_added_gateway_serves_and_shares_the_retry_allowance(self):
+        with mock.patch.object(registry, "REGISTRY_POLL_S", 0.05):
+            world = await self.world()
+            added = await world.add_gateway()
+            await self.until(lambda: added.ready)
+            self.assertEqual(await self.status(world, gateway=1), 200)
+            for gateway in world.gateways:
+                forwarder = gateway._forwarder
+                await self.until(lambda f=forwarder: f._instances == 2)
+
+    async def test_added_server_gets_work(self):
+        world = await self.world(["hang"])
+        server = DeploymentServer("i-added")
+        await server.start()
+        world.servers.append(server)
+        world.store.put("servers", "i-added", server.row("app"))
+        directory = world.gateway.directory
+        await self.until(lambda: len(directory.of_service("app")) == 2)
+        for _ in range(6):
+            if server.arrivals:
+                break
+            await self.status(world)
+        self.assertTrue(server.arrivals)
+
+    async def test_server_that_moved_is_reached_at_its_new_address(self):
+        world = await self.world()
+        old = world.servers[0]
+        moved = DeploymentServer(old.server_id)
+        await moved.start()
+        world.servers.append(moved)
+        world.store.put("servers", old.server_id, moved.row("app"))
+        directory = world.gateway.directory
+        await self.until(
+            lambda: directory.of_service("app")[0].address == moved.address
+        )
+        self.assertEqual(await self.status(world), 200)
+        self.assertEqual((len(old.arrivals), len(moved.arrivals)), (0, 1))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tools/run_soak.py
@@ -0,0 +1,31 @@
+"""Soak: real gateways on loopback under random faults; promises are checked.
+
+``SEED=`` chooses all that is drawn, ``MINUTES=`` how long faults come, ``KEEP=1``
+keeps the processes' logs. The last line is JSON.
+"""
+
+import asyncio
+import json
+import os
+import random
+import sys
+
+from soak.play import play
+
+
+async def main() -> int:
+    """Play one seed."""
+    seed = int(os.environ.get("SEED") or random.SystemRandom().randrange(1_000_000))
+    minutes = float(os.environ.get("MINUTES") or 1.0)
+    print(f"seed {seed}, {minutes} minutes", flush=True)
+    report = await play(seed, minutes * 60)
+    for line in report.history:
+        print(line)
+    for line in report.broken:
+        print(f"BROKEN {line}")
+    print(json.dumps({"seed": seed, "broken": len(report.broken), **report.counts}))
+    return 1 if report.broken else 0
+
+
+if __name__ == "__main__":
+    sys.exit(asyncio.run(main()))
