Measure the map planner under demand that shifts every few seconds

make bench-experts now also runs tools/bench_maps.py: a lock-step group of either deployment, demand redrawn every 3 to 4 s, against the first map, a full replan each second and two oracles.

--- a/Makefile
+++ b/Makefile
@@ -30,8 +30,12 @@
 matrix: .venv/installed
 	$(PY) tools/matrix.py
 
-bench-path bench-experts bench-routing bench-control: .venv/installed
+bench-path bench-routing bench-control: .venv/installed
 	$(PY) tools/$(subst -,_,$@).py
 
+bench-experts: .venv/installed
+	$(PY) tools/bench_experts.py
+	$(PY) tools/bench_maps.py
+
 soak: .venv/installed
 	SEED=$(SEED) MINUTES=$(MINUTES) $(PY) tools/run_soak.py
--- a/packages/maps/src/slatehoist/maps/__init__.py
+++ b/packages/maps/src/slatehoist/maps/__init__.py
@@ -1,6 +1,15 @@
 """Expert maps of lock-step groups."""
 
 from slatehoist.maps.agent import Agent, AgentSettings, GroupSource
+from slatehoist.maps.coordinator import PlanSettings, is_outdated
+from slatehoist.maps.demand import DemandWindow
+from slatehoist.maps.placement import (
+    Demand,
+    Placement,
+    copies_by_rank,
+    initial_placement,
+    skew,
+)
 from slatehoist.maps.planner import PlanLimits, plan
 from slatehoist.maps.rank import (
     Answer,
@@ -15,22 +24,30 @@
 from slatehoist.maps.switch import GroupView, Result, Switch
 
 __all__ = [
+    "RENEWAL_S",
     "Agent",
     "AgentSettings",
     "Answer",
     "Armed",
+    "Demand",
+    "DemandWindow",
     "GroupSource",
     "GroupSpec",
     "GroupView",
+    "Placement",
     "PlanLimits",
+    "PlanSettings",
     "RankClient",
     "RankCounts",
     "RankReport",
     "RankStatus",
     "RankUnreachableError",
-    "RENEWAL_S",
     "Result",
     "Subscription",
     "Switch",
+    "copies_by_rank",
+    "initial_placement",
+    "is_outdated",
     "plan",
+    "skew",
 ]
