Log what an endpoint was chosen by with each attempt

Now: reported load and its age, requests of our own in flight, pace, age of the list. Two copies of a function for milliseconds became one. Test: the line lacked the fields before.

--- a/packages/gateway/src/slatehoist/gateway/forwarding.py
+++ b/packages/gateway/src/slatehoist/gateway/forwarding.py
@@ -30,7 +30,7 @@
     Upstream,
     UpstreamRequest,
 )
-from slatehoist.observe import GatewayMetrics
+from slatehoist.observe import GatewayMetrics, milliseconds
 from slatehoist.routing import Candidate, Chooser, CrashTally, SharedRetryBudget
 
 log = logging.getLogger(__name__)
@@ -104,9 +104,10 @@
             endpoint = self._choose(exchange, now)
             if endpoint is None:
                 return None
+            inputs = self._choice_inputs(endpoint, now)
             outcome, resp = await self._attempt(exchange, endpoint)
             self._metrics.attempts.labels(outcome.value).inc()
-            self._log_attempt(exchange, endpoint, outcome, now)
+            self._log_attempt(exchange, endpoint, outcome, now, inputs)
             if outcome is Outcome.DELIVERED:
                 self._tally.record_success(digest, self._clock())
                 return resp
@@ -165,6 +166,17 @@
             return None
         return next(e for e in endpoints if e.endpoint_id == chosen.name)
 
+    def _choice_inputs(self, endpoint: Endpoint, now: float) -> dict[str, object]:
+        """Give what an endpoint was chosen by, for the log."""
+        record = self._health.record(endpoint.endpoint_id)
+        return {
+            "load": record.reported,
+            "load_age_ms": milliseconds(now - record.reported_at),
+            "own_inflight": record.inflight,
+            "pace": record.pace,
+            "list_age_ms": milliseconds(now - (self._directory.updated_at or now)),
+        }
+
     def _candidate(self, endpoint: Endpoint, now: float) -> Candidate:
         record = self._health.record(endpoint.endpoint_id)
         return Candidate(
@@ -344,7 +356,12 @@
             )
 
     def _log_attempt(
-        self, exchange: Exchange, endpoint: Endpoint, outcome: Outcome, began: float
+        self,
+        exchange: Exchange,
+        endpoint: Endpoint,
+        outcome: Outcome,
+        began: float,
+        inputs: dict[str, object],
     ) -> None:
         log.info(
             "attempt",
@@ -356,5 +373,6 @@
                 "attempt": len(exchange.tried),
                 "took_ms": round((self._clock() - began) * 1000),
                 "left_ms": round((exchange.ends_at - self._clock()) * 1000),
+                **inputs,
             },
         )
--- a/packages/gateway/src/slatehoist/gateway/gateway.py
+++ b/packages/gateway/src/slatehoist/gateway/gateway.py
@@ -12,7 +12,7 @@
 from slatehoist.gateway.forwarding import Forwarder
 from slatehoist.gateway.model import Kind, RequestInfo, Route
 from slatehoist.gateway.settings import STALE_LOOKUP_S
-from slatehoist.observe import GatewayMetrics
+from slatehoist.observe import GatewayMetrics, milliseconds
 from slatehoist.routing import CRASH_MEMORY_S, return_delay_s
 
 log = logging.getLogger(__name__)
@@ -237,7 +237,7 @@
                 "why": refusal.reason,
                 "retry_after_s": delay_s,
                 "config": self._catalogue.version,
-                "config_age_ms": _milliseconds(self._catalogue.age_s(now)),
+                "config_age_ms": milliseconds(self._catalogue.age_s(now)),
             },
         )
         self._metrics.answers.labels(str(refusal.status), "gateway").inc()
@@ -250,7 +250,3 @@
 
 #: Seconds before its end at which a request counts as timed out.
 _ALMOST_OVER_S = 0.05
-
-
-def _milliseconds(seconds: float) -> int | None:
-    return round(seconds * 1000) if seconds != float("inf") else None
--- a/packages/observe/src/slatehoist/observe/__init__.py
+++ b/packages/observe/src/slatehoist/observe/__init__.py
@@ -1,6 +1,6 @@
 """Event logs and metrics of the processes."""
 
-from slatehoist.observe.logs import BoundedHandler, configure_logging
+from slatehoist.observe.logs import BoundedHandler, configure_logging, milliseconds
 from slatehoist.observe.metrics import AgentMetrics, GatewayMetrics, serve_metrics
 
 __all__ = [
@@ -8,5 +8,6 @@
     "BoundedHandler",
     "GatewayMetrics",
     "configure_logging",
+    "milliseconds",
     "serve_metrics",
 ]
--- a/packages/observe/src/slatehoist/observe/logs.py
+++ b/packages/observe/src/slatehoist/observe/logs.py
@@ -116,3 +116,8 @@
     logging.getLogger("transitions").setLevel(logging.ERROR)
     for name in ("aiohttp.access", "aiohttp.server", "asyncio"):
         logging.getLogger(name).setLevel(logging.ERROR)
+
+
+def milliseconds(seconds: float) -> int | None:
+    """Give a time for the log; None if it is infinite, as the age of nothing is."""
+    return None if seconds in (float("inf"), float("-inf")) else round(seconds * 1000)
--- a/tests/test_platform_gateway.py
+++ b/tests/test_platform_gateway.py
@@ -65,6 +65,18 @@
             self.assertEqual(resp.status, 401)
         self.assertEqual(world.arrivals(), 0)
 
+    async def test_log_of_an_attempt_names_what_it_was_chosen_by(self):
+        world = await self.world()
+        with self.assertLogs("slatehoist.gateway.forwarding", "INFO") as logs:
+            for _ in range(2):
+                async with world.call("/safe/") as resp:
+                    self.assertEqual(resp.status, 200)
+        first, second = [r for r in logs.records if r.msg == "attempt"]
+        self.assertIsNone(first.load_age_ms)
+        self.assertEqual((second.load, second.own_inflight, second.pace), (1, 0, 1.0))
+        self.assertGreaterEqual(second.load_age_ms, 0)
+        self.assertGreaterEqual(second.list_age_ms, 0)
+
     async def test_stream_is_passed_on_whole(self):
         world = await self.world()
         async with world.call("/stream/", "POST", data=b"x") as resp:
