Keep the retry allowance through restarts and joins of gateways

Cause: found by exploring the registry and the budget together: a gateway that starts again has forgotten its repeats, and those that have not counted a new gateway use larger parts. Tried and not taken: no allowance until a part is safe (21 s after a start). It holds, but 12 tests of single repeats failed, rightly: a gateway that was just started repeats nothing. Change: half of the allowance is shared out; the row tells when an instance joined and when its last process started; an old count is not used.

--- a/packages/gateway/src/slatehoist/gateway/forwarding.py
+++ b/packages/gateway/src/slatehoist/gateway/forwarding.py
@@ -15,10 +15,10 @@
 from slatehoist.gateway.health import EndpointHealth, GroupState
 from slatehoist.gateway.model import Endpoint
 from slatehoist.gateway.settings import (
-    ASSUMED_INSTANCES,
     FORMING_POLL_S,
     FORMING_WAIT_S,
     MIN_ATTEMPT_S,
+    REGISTRY_COUNTED_S,
     REPEAT_AFTER_OBJECTIVES,
     RETRY_RATIO_USED,
     SILENCE_MARGIN_S,
@@ -31,7 +31,14 @@
     UpstreamRequest,
 )
 from slatehoist.observe import GatewayMetrics, milliseconds
-from slatehoist.routing import Candidate, Chooser, CrashTally, SharedRetryBudget
+from slatehoist.routing import (
+    AllowanceShare,
+    Candidate,
+    Chooser,
+    CrashTally,
+    Membership,
+    SharedRetryBudget,
+)
 
 log = logging.getLogger(__name__)
 
@@ -73,12 +80,12 @@
         self._clock = clock
         self._budgets: dict[str, SharedRetryBudget] = {}
         self._relays: dict[str, set[asyncio.Timeout]] = {}
-        self._instances = ASSUMED_INSTANCES
+        self._share = AllowanceShare(cfg.retry_window_s, REGISTRY_COUNTED_S)
         self.draining = False
 
-    def share_with(self, instances: int) -> None:
-        """Share the retry allowance with so many instances, this one included."""
-        self._instances = instances
+    def share_with(self, membership: Membership) -> None:
+        """Share the retry allowance."""
+        self._share.record(membership, self._clock())
 
     async def forward(self, exchange: Exchange) -> web.StreamResponse | None:
         """Make attempts until the request is answered or nothing is left to try.
@@ -144,7 +151,8 @@
             exchange.attempts += 1
         if exchange.attempts >= exchange.route.max_attempts:
             return False
-        return budget.spend(self._clock(), self._instances)
+        now = self._clock()
+        return budget.spend(now, self._share.part(now))
 
     def _budget(self, service: str) -> SharedRetryBudget:
         budget = self._budgets.get(service)
--- a/packages/gateway/src/slatehoist/gateway/settings.py
+++ b/packages/gateway/src/slatehoist/gateway/settings.py
@@ -87,12 +87,11 @@
 LEAVE_ROTATION_S = 3.2
 #: Part of the grace time that is left unused, for the process to end by itself.
 GRACE_MARGIN_S = 0.7
-#: Instances assumed to share the retry allowance until they are counted. The parts must
-#: never add up to more than the allowance; deployments known have up to 18.
-ASSUMED_INSTANCES = 18
 #: Seconds between counts of the instances, and between renewals of the own row. Both
 #: are priced calls, and the number changes only when instances are added or replaced.
 REGISTRY_POLL_S = 10.0
+#: Seconds until all instances have counted a new one: one count and a slow call.
+REGISTRY_COUNTED_S = REGISTRY_POLL_S + 1.0
 REGISTRY_RENEWAL_S = 60.0
 #: Part of the retry ratio that is used, so that different windows of the instances
 #: cannot add up to more than the whole.
--- a/packages/gateway/tests/test_gateway_decisions.py
+++ b/packages/gateway/tests/test_gateway_decisions.py
@@ -152,7 +152,7 @@
             if now < 20.0:
                 budget.record_first(now)
                 first.append(now)
-            if budget.spend(now, instances):
+            if budget.spend(now, 1 / instances):
                 repeats.append(now)
             recent = sum(now - 10.0 <= t for t in repeats)
             # Requests count from the window, or up to one window before it.
--- a/packages/gateway/tests/test_gateway_registry.py
+++ b/packages/gateway/tests/test_gateway_registry.py
@@ -14,11 +14,14 @@
         self.counts = []
 
     def registry(self, name):
-        return InstanceRegistry(self.table, name, self.counts.append, lambda: self.now)
+        return InstanceRegistry(self.table, name, self.record, lambda: self.now)
+
+    def record(self, membership):
+        self.counts.append(membership.instances)
+        self.membership = membership
 
     async def look(self, registry):
-        await registry._renew()
-        await registry._count()
+        await registry.step()
 
     async def test_all_instances_are_counted(self):
         for name in ("a", "b", "c"):
@@ -27,9 +30,19 @@
 
     async def test_restarted_instance_counts_once(self):
         for _ in range(3):
+            self.now += 1.0
             await self.look(self.registry("a"))
+            self.assertEqual(self.membership.joined_at, 1.0)
+        self.assertEqual(self.membership.previous_start, 2.0)
         self.assertEqual(self.counts[-1], 1)
 
+    async def test_machine_whose_clock_began_anew_joins_anew(self):
+        self.now = 500.0
+        await self.look(self.registry("a"))
+        self.now = 3.0
+        await self.look(self.registry("a"))
+        self.assertEqual(self.membership.joined_at, 3.0)
+
     async def test_instance_that_is_gone_is_forgotten(self):
         await self.look(self.registry("gone"))
         stays = self.registry("stays")
--- a/packages/routing/src/slatehoist/routing/__init__.py
+++ b/packages/routing/src/slatehoist/routing/__init__.py
@@ -13,6 +13,8 @@
     home_entry,
 )
 from slatehoist.routing.retries import (
+    AllowanceShare,
+    Membership,
     RetryBudget,
     SharedRetryBudget,
     retry_after_s,
@@ -30,12 +32,14 @@
 __all__ = [
     "CRASH_MEMORY_S",
     "AdaptiveLimit",
+    "AllowanceShare",
     "Candidate",
     "Chooser",
     "Crash",
     "CrashTally",
     "FairQueue",
     "LoadAwareChooser",
+    "Membership",
     "Peer",
     "PrefixIndex",
     "QuotaHolder",
--- a/packages/routing/src/slatehoist/routing/retries.py
+++ b/packages/routing/src/slatehoist/routing/retries.py
@@ -2,6 +2,7 @@
 
 import random
 from collections import deque
+from typing import NamedTuple
 
 #: Seconds over which first tries earn retries.
 BUDGET_WINDOW_S = 10.0
@@ -85,11 +86,75 @@
     return max(min(delay_s, left_s * RETURN_RATIO), 0.0)
 
 
+#: Part of a shared allowance that all instances together use while none starts again.
+#: The other half is for the second process of an instance within one window.
+STEADY_RATIO = 0.5
+#: Instances that are assumed to share an allowance while an instance cannot know them.
+#: Deployments known have up to 18.
+ASSUMED_INSTANCES = 18
+
+
+class Membership(NamedTuple):
+    """What an instance knows of those that share with it.
+
+    Attributes
+    ----------
+    instances : int
+        Instances counted, this one included.
+    joined_at : float
+        When this one could first be counted, in an earlier process maybe.
+    previous_start : float
+        When its previous process started; minus infinity if there was none.
+    """
+
+    instances: int
+    joined_at: float
+    previous_start: float
+
+
+class AllowanceShare:
+    """Part of a shared allowance that this instance may use.
+
+    The parts must not add up to more than the whole in any window, though processes
+    that start again forget what they used, and others count a new instance late.
+
+    Parameters
+    ----------
+    window_s : float
+        Length of the window in which the allowance counts, in seconds.
+    count_s : float
+        Longest time in seconds until all instances have counted a new one.
+    """
+
+    def __init__(self, window_s: float, count_s: float) -> None:
+        self._window_s = window_s
+        self._count_s = count_s
+        self._membership: Membership | None = None
+        self._recorded_at = float("-inf")
+
+    def record(self, membership: Membership, now: float) -> None:
+        """Take in who shares."""
+        self._membership = membership
+        self._recorded_at = now
+
+    def part(self, now: float) -> float:
+        """Give the part of the allowance, from 0 to 1."""
+        known = self._membership
+        if known is None or now - self._recorded_at > self._count_s:
+            return STEADY_RATIO / ASSUMED_INSTANCES
+        counted_at = known.joined_at + self._count_s
+        # Before that a third process could use a part within one window.
+        alone_at = known.previous_start + self._window_s
+        if now < max(counted_at, alone_at):
+            return STEADY_RATIO / ASSUMED_INSTANCES
+        return STEADY_RATIO / known.instances
+
+
 class SharedRetryBudget:
     """Bound the repeats that all instances send to a service in any window.
 
     Each instance keeps to its own part: a ratio of its own first sends, which add up
-    over the instances, and an equal part of the allowance.
+    over the instances, and its part of the allowance; see `AllowanceShare`.
 
     Parameters
     ----------
@@ -112,18 +177,18 @@
         """Count the first send of a request."""
         self._first.append(now)
 
-    def spend(self, now: float, instances: int) -> bool:
+    def spend(self, now: float, part: float) -> bool:
         """Take one repeat, if the window has room for it.
 
         Parameters
         ----------
-        instances : int
-            Instances that share the allowance.
+        part : float
+            Part of the allowance that may be used here.
         """
         for times in (self._first, self._repeats):
             while times and now - times[0] > self._window_s:
                 times.popleft()
-        limit = len(self._first) * self._ratio + self._allowance / max(instances, 1)
+        limit = len(self._first) * self._ratio + self._allowance * part
         if len(self._repeats) + 1 > limit:
             return False
         self._repeats.append(now)
--- a/tests/test_platform_faults.py
+++ b/tests/test_platform_faults.py
@@ -83,7 +83,12 @@
             self.assertEqual(await self.status(world, gateway=1), 200)
             for gateway in world.gateways:
                 forwarder = gateway._forwarder
-                await self.until(lambda f=forwarder: f._instances == 2)
+                await self.until(
+                    lambda f=forwarder: (
+                        f._share._membership is not None
+                        and f._share._membership.instances == 2
+                    )
+                )
 
     async def test_added_server_gets_work(self):
         world = await self.world(["hang"])
--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -15,6 +15,9 @@
 #: Longest freeze or cut, in seconds; longer than credentials are trusted.
 MAX_LENGTH_S = 6.0
 
+#: Characters of a process's log that a finding shows.
+LOG_TAIL = 600
+
 Fault = Callable[["Faults", Gateway], Awaitable[None]]
 
 
@@ -52,6 +55,14 @@
             self.history.append(f"{self.elapsed():6.1f} s {name} {gateway.name}")
             await FAULTS[name](self, gateway)
 
+    async def await_ready(self, gateway: Gateway) -> None:
+        """Wait for a gateway that was started; note it if it does not come."""
+        try:
+            await self.world.wait_ready(gateway)
+        except TimeoutError:
+            tail = self.world.log(gateway.name)[-LOG_TAIL:]
+            self.findings.append(f"{gateway.name}: not ready after its start: {tail}")
+
     def elapsed(self) -> float:
         """Give the seconds since the first fault could come."""
         return time.monotonic() - self._began
@@ -86,7 +97,7 @@
         faults.world.kill(gateway.name)
         await asyncio.sleep(faults.rng.random())
         faults.world.restart(gateway.name)
-        await faults.world.wait_ready(gateway)
+        await faults.await_ready(gateway)
     gateway.stopping = False
 
 
@@ -99,7 +110,7 @@
         took_s = await faults.world.end_gateway(gateway)
         if took_s >= GRACE_S:
             faults.findings.append(f"{gateway.name}: runs {took_s:.1f} s after SIGTERM")
-        await faults.world.wait_ready(gateway)
+        await faults.await_ready(gateway)
     gateway.stopping = False
 
 
