Name the sidecar's and entry's ideas by the field's terms

eager is fail_fast, spacious has_headroom, hear observe_heartbeat, doubt mark_unavailable, tell and ask notify and query, bury forbid. run_tests counts a test with failed subtests once: it printed -5 passed.

--- a/packages/daemon/src/slatehoist/daemon/entry/attempts.py
+++ b/packages/daemon/src/slatehoist/daemon/entry/attempts.py
@@ -56,14 +56,14 @@
     def __init__(self, attempt_id: str) -> None:
         self.attempt_id = attempt_id
         self.position = 0
-        self.heard = False
+        self.responded = False
         self.head_seen = False
         self.outcome: Outcome | None = None
         self._digest = xxhash.xxh3_64(attempt_id.encode())
 
     def take(self, frame) -> Head | bytes | None:
         """Take in a frame; give what is new for the caller."""
-        self.heard = True
+        self.responded = True
         if isinstance(frame, Data):
             return self._take_data(frame)
         if isinstance(frame, Head) and not self.head_seen:
@@ -128,7 +128,7 @@
             pass
         silent_queries = 0
         while progress.outcome is None and silent_queries < MAX_QUERIES:
-            progress.heard = False
+            progress.responded = False
             try:
                 async for piece in self._query(address, req, progress):
                     yield piece
@@ -136,7 +136,7 @@
                 break
             except (TimeoutError, aiohttp.ClientError, WireError):
                 pass
-            silent_queries = 0 if progress.heard else silent_queries + 1
+            silent_queries = 0 if progress.responded else silent_queries + 1
         yield progress.outcome or Unknown(req.attempt_id, "sidecar_gone")
 
     async def ask(
--- a/packages/daemon/src/slatehoist/daemon/entry/directory.py
+++ b/packages/daemon/src/slatehoist/daemon/entry/directory.py
@@ -28,7 +28,7 @@
         self.inflight = 0
         self.inflight_at_beat = 0
 
-    def hear(self, beat: Heartbeat, now: float) -> None:
+    def observe_heartbeat(self, beat: Heartbeat, now: float) -> None:
         """Take in a heartbeat."""
         self.beat = beat
         self.beat_at = now
@@ -38,9 +38,9 @@
     def observe_load(self, load: float, now: float) -> None:
         """Take in the load that came with an answer."""
         if self.beat is not None:
-            self.hear(self.beat._replace(load=load), now)
+            self.observe_heartbeat(self.beat._replace(load=load), now)
 
-    def doubt(self) -> None:
+    def mark_unavailable(self) -> None:
         """Send no new work until the next heartbeat."""
         self.up = False
 
@@ -81,7 +81,7 @@
         self.sidecars: dict[str, PeerInstance] = {}
         self.entries: dict[str, PeerInstance] = {}
         self.instances: list[Instance] = []
-        self.last_heard = float("-inf")
+        self.last_heartbeat_at = float("-inf")
         self.newest_revision = 0
         self._replica = replica
         self._heartbeat = heartbeat
@@ -134,22 +134,22 @@
         )
 
     def revisions(self) -> dict[str, int]:
-        """Give the revision in force at each process that is heard."""
-        heard = {
+        """Give the revision in force at each live process."""
+        revisions = {
             peer.instance.name: peer.beat.revision
             for peer in self.everyone()
             if peer.up and peer.beat is not None
         }
-        heard[self.me.name] = self._replica.revision
-        return heard
+        revisions[self.me.name] = self._replica.revision
+        return revisions
 
-    async def ask_entries(self, kind: str, msg, timeout_s: float) -> None:
+    async def query_entries(self, kind: str, msg, timeout_s: float) -> None:
         """Send something to every other entry and wait until they have it."""
-        heard = [n for n in self.entries.values() if n.up]
-        asks = (n.link.ask(kind, msg, bool, timeout_s) for n in heard)
+        live = [n for n in self.entries.values() if n.up]
+        asks = (n.link.ask(kind, msg, bool, timeout_s) for n in live)
         await asyncio.gather(*asks, return_exceptions=True)
 
-    async def tell_entries(self, kind: str, msg) -> None:
+    async def notify_entries(self, kind: str, msg) -> None:
         """Send a note to every other entry."""
         for peer in list(self.entries.values()):
             with contextlib.suppress(Exception):
@@ -208,8 +208,8 @@
         return peer
 
     def _on_heartbeat(self, peer: PeerInstance, beat: Heartbeat) -> None:
-        self.last_heard = self._clock()
-        peer.hear(beat, self.last_heard)
+        self.last_heartbeat_at = self._clock()
+        peer.observe_heartbeat(beat, self.last_heartbeat_at)
         self.newest_revision = max(self.newest_revision, beat.revision)
         if beat.revision < self._replica.revision:
             changes = encode_changes(self._replica, beat.revision)
--- a/packages/daemon/src/slatehoist/daemon/entry/dispatch.py
+++ b/packages/daemon/src/slatehoist/daemon/entry/dispatch.py
@@ -17,7 +17,6 @@
 from slatehoist.daemon.entry.guard import CrashGuard
 from slatehoist.daemon.entry.keyed import KeyedRequest, Replay
 from slatehoist.daemon.entry.outcomes import (
-    EAGER_SENDS,
     FREE_REFUSALS,
     Attempts,
     error_of,
@@ -31,7 +30,7 @@
     PrefixIndex,
     RetryBudget,
     Verdict,
-    may_be_eager,
+    may_fail_fast,
 )
 from slatehoist.wire.messages import (
     AttemptRequest,
@@ -152,7 +151,7 @@
     ) -> PeerInstance | None:
         """Choose where to send next; a suspect waits until it may run by itself."""
         while True:
-            peer, attempts.spacious = self._choose(req, attempts.tried)
+            peer, attempts.has_headroom = self._choose(req, attempts.tried)
             if peer is not None:
                 return peer
             if not attempts.suspect_busy or self._clock() >= req.deadline:
@@ -220,7 +219,7 @@
         if isinstance(outcome, Broken) and outcome.crash_id:
             await self._guard.report_crash(outcome.crash_id, outcome.digests)
         elif isinstance(outcome, Unknown) or is_unreachable(outcome):
-            peer.doubt()
+            peer.mark_unavailable()
         if isinstance(outcome, Unknown):
             self._metrics.count(Metric.UNKNOWN)
             self._abandon(peer, attempt)
@@ -255,7 +254,7 @@
             digest=req.digest,
             suspect=verdict == Verdict.SUSPECT,
             keyed=bool(req.key),
-            eager=attempts.spacious and attempts.sends < EAGER_SENDS and not req.key,
+            fail_fast=attempts.may_fail_fast and not req.key,
         )
 
     def _choose(
@@ -272,9 +271,9 @@
             prefix = req.prefixes[-1] if req.prefixes else 0
             chosen = self._chooser.choose(candidates, zone, holders, prefix)
             span.set_attribute("candidates", len(candidates))
-            spacious = may_be_eager(candidates)
+            has_headroom = may_fail_fast(candidates)
             name = chosen.name if chosen else ""
-            return self._directory.sidecars.get(name), spacious
+            return self._directory.sidecars.get(name), has_headroom
 
     def _may_retry(
         self, req: CallerRequest, answer: CallerAnswer, attempts: Attempts
--- a/packages/daemon/src/slatehoist/daemon/entry/guard.py
+++ b/packages/daemon/src/slatehoist/daemon/entry/guard.py
@@ -56,7 +56,7 @@
             log.warning("crash", extra={"crash": crash_id, "suspects": len(digests)})
             report = CrashReport(crash_id, digests)
             self._background.spawn(self._keep(report))
-            telling = self._directory.ask_entries("crash", report, ACK_TIMEOUT_S)
+            telling = self._directory.query_entries("crash", report, ACK_TIMEOUT_S)
             self._tellings[crash_id] = self._background.spawn(telling)
         telling = self._tellings.get(crash_id)
         if telling is not None:
@@ -67,7 +67,7 @@
         """Take in that a request ran to its end."""
         if self._ledger.report_cleared(digest, self._clock()):
             note = SuspectCleared(digest)
-            self._background.spawn(self._directory.tell_entries("cleared", note))
+            self._background.spawn(self._directory.notify_entries("cleared", note))
 
     async def on_crash(self, peer: str, body: bytes) -> bool:
         """Take in another entry's crash, and say so."""
--- a/packages/daemon/src/slatehoist/daemon/entry/outcomes.py
+++ b/packages/daemon/src/slatehoist/daemon/entry/outcomes.py
@@ -9,7 +9,7 @@
 from slatehoist.wire.messages import Broken, BrokenReason, NotRun, NotRunReason
 
 #: First sends of a request that ask to be refused rather than queued.
-EAGER_SENDS = 2
+FAIL_FAST_SENDS = 2
 #: Refusals that cost the endpoint nothing: the request just goes elsewhere.
 FREE_REFUSALS = frozenset(
     {
@@ -37,10 +37,15 @@
         self.tried: set[str] = set()
         self.busy: set[str] = set()
         self.suspect_busy: set[str] = set()
-        self.spacious = False
+        self.has_headroom = False
         self.may_have_run = False
         self.outcome: Outcome | None = None
 
+    @property
+    def may_fail_fast(self) -> bool:
+        """Whether the next send asks to be refused rather than queued."""
+        return self.has_headroom and self.sends < FAIL_FAST_SENDS
+
     def note(self, peer: PeerInstance, outcome: Outcome, now: float) -> None:
         """Take in the outcome of one send."""
         name = peer.instance.name
@@ -54,7 +59,7 @@
             peer.observe_load(outcome.load, now)
         elif outcome.reason == NotRunReason.SUSPECT_BUSY:
             self.suspect_busy.add(name)
-        if self.sends == EAGER_SENDS:
+        if self.sends == FAIL_FAST_SENDS:
             self.tried -= self.busy
 
     def truthful(self, error: CallerError) -> CallerError:
--- a/packages/daemon/src/slatehoist/daemon/entry/process.py
+++ b/packages/daemon/src/slatehoist/daemon/entry/process.py
@@ -66,7 +66,7 @@
         self.lifecycle = Lifecycle()
         self.replica = Replica()
         self.metrics = Metrics(cfg.observe.statsd)
-        self._table_heard = clock()
+        self._table_seen_at = clock()
         self.background = Background()
 
     async def start(self) -> None:
@@ -252,7 +252,7 @@
     async def _sync(self) -> None:
         try:
             changes = await self.store.changes_since(self.replica.revision)
-            self._table_heard = self.clock()
+            self._table_seen_at = self.clock()
             self.replica.apply(changes)
         except PlatformError:
             await self._sync_from_peers()
@@ -273,7 +273,7 @@
 
     def _judge_readiness(self) -> None:
         """Take new work only while the newest configuration can be heard of."""
-        heard = max(self._table_heard, self.directory.last_heard)
+        heard = max(self._table_seen_at, self.directory.last_heartbeat_at)
         if self.clock() - heard > self.cfg.blind_s:
             self.lifecycle.become_unsure()
         else:
--- a/packages/daemon/src/slatehoist/daemon/sidecar/admission.py
+++ b/packages/daemon/src/slatehoist/daemon/sidecar/admission.py
@@ -77,7 +77,7 @@
             return Err(Refused(NotRunReason.DRAINING, MIN_WAIT_S))
         if req.suspect and self._suspect_running:
             return Err(Refused(NotRunReason.SUSPECT_BUSY, MIN_WAIT_S))
-        if req.eager and not self._has_free_slot():
+        if req.fail_fast and not self._has_free_slot():
             return Err(Refused(NotRunReason.BUSY, MIN_WAIT_S))
         if self._is_hopeless(req, deadline, now):
             return self._refuse(req.member, NotRunReason.DEADLINE)
--- a/packages/daemon/src/slatehoist/daemon/sidecar/attempts.py
+++ b/packages/daemon/src/slatehoist/daemon/sidecar/attempts.py
@@ -155,14 +155,14 @@
             return attempt.state
         if attempt_id in self._ran:
             return AttemptState.BROKEN
-        self.bury(attempt_id, now)
+        self.forbid(attempt_id, now)
         return AttemptState.NEVER_SEEN
 
     def has_run(self, attempt_id: str) -> bool:
         """Tell whether an attempt ran whose answer is gone."""
         return attempt_id in self._ran
 
-    def bury(self, attempt_id: str, now: float) -> None:
+    def forbid(self, attempt_id: str, now: float) -> None:
         """Leave a tombstone for an attempt that never arrived."""
         self._tombstones[attempt_id] = now + TOMBSTONE_S
 
@@ -201,7 +201,7 @@
         attempt_id = attempt.req.attempt_id
         del self._attempts[attempt_id]
         if attempt.state == AttemptState.NOT_RUN:
-            self.bury(attempt_id, now)
+            self.forbid(attempt_id, now)
             return
         memory_s = KEYED_MEMORY_S if attempt.req.keyed else MEMORY_S
         self._ran[attempt_id] = now + memory_s
--- a/packages/daemon/src/slatehoist/daemon/sidecar/server.py
+++ b/packages/daemon/src/slatehoist/daemon/sidecar/server.py
@@ -87,7 +87,7 @@
         if self._table.has_run(attempt_id):
             last = Broken(attempt_id, BrokenReason.ANSWER_GONE)
             return web.Response(body=encode_frame(last))
-        self._table.bury(attempt_id, self._clock())
+        self._table.forbid(attempt_id, self._clock())
         return _not_run(attempt_id, NotRunReason.TOMBSTONE)
 
     async def _get_state(self, req: web.Request) -> web.Response:
--- a/packages/daemon/tests/test_daemon_sidecar.py
+++ b/packages/daemon/tests/test_daemon_sidecar.py
@@ -46,7 +46,7 @@
     async def test_an_eager_request_is_refused_when_all_slots_are_in_use(self):
         await self.enter("a")
         await self.enter("b")
-        refused = (await self.enter("c", eager=True)).unwrap_err()
+        refused = (await self.enter("c", fail_fast=True)).unwrap_err()
         self.assertEqual(refused.reason, NotRunReason.BUSY)
 
     async def test_only_one_suspect_runs_at_a_time(self):
--- a/packages/routing/src/slatehoist/routing/__init__.py
+++ b/packages/routing/src/slatehoist/routing/__init__.py
@@ -24,7 +24,7 @@
     Candidate,
     Chooser,
     LoadAwareChooser,
-    may_be_eager,
+    may_fail_fast,
 )
 from slatehoist.routing.subset import Peer, choose_subset, subset_size
 from slatehoist.routing.suspects import Crash, SuspectLedger, Verdict
@@ -53,7 +53,7 @@
     "Verdict",
     "choose_subset",
     "home_entry",
-    "may_be_eager",
+    "may_fail_fast",
     "prefix_keys",
     "retry_after_s",
     "return_delay_s",
--- a/packages/routing/src/slatehoist/routing/selection.py
+++ b/packages/routing/src/slatehoist/routing/selection.py
@@ -24,8 +24,8 @@
 ZONE_PENALTY = 0.15
 #: Endpoints that a prefix's hash names, best first.
 HASHED_HOLDERS = 3
-#: Part of all slots in use above which requests are not eager.
-EAGER_LIMIT = 0.97
+#: Part of all slots in use above which requests wait rather than fail fast.
+FAIL_FAST_LOAD = 0.97
 #: Load up to which an endpoint is taken to have a free slot for its prefixes.
 AFFINITY_FREE = 0.95
 #: Extra load, beyond that, at which a cached prefix is not worth waiting for.
@@ -119,7 +119,7 @@
     )
 
 
-def may_be_eager(candidates: Sequence[Candidate]) -> bool:
+def may_fail_fast(candidates: Sequence[Candidate]) -> bool:
     """Tell whether a request should ask to be refused rather than queued.
 
     While there are free slots somewhere, a refusal by a full endpoint costs one way
@@ -127,7 +127,7 @@
     """
     slots = sum(candidate.concurrency for candidate in candidates)
     work = sum(max(c.reported_load, c.own_inflight) for c in candidates)
-    return len(candidates) > 1 and work < slots * EAGER_LIMIT
+    return len(candidates) > 1 and work < slots * FAIL_FAST_LOAD
 
 
 class LoadAwareChooser:
--- a/packages/routing/tests/test_routing_limits.py
+++ b/packages/routing/tests/test_routing_limits.py
@@ -12,7 +12,7 @@
     TokenBucket,
     choose_subset,
     home_entry,
-    may_be_eager,
+    may_fail_fast,
     prefix_keys,
     retry_after_s,
     subset_size,
@@ -129,8 +129,8 @@
 
     def test_no_request_is_eager_when_all_are_full(self):
         full = [make_candidate(f"e{i}", reported_load=40) for i in range(3)]
-        self.assertFalse(may_be_eager(full))
-        self.assertTrue(may_be_eager([*full, make_candidate("free")]))
+        self.assertFalse(may_fail_fast(full))
+        self.assertTrue(may_fail_fast([*full, make_candidate("free")]))
 
 
 class SubsetTests(unittest.TestCase):
--- a/packages/wire/src/slatehoist/wire/links.py
+++ b/packages/wire/src/slatehoist/wire/links.py
@@ -209,7 +209,7 @@
             model=self, states=self.STATES, initial="idle", auto_transitions=False
         )
         self._lifecycle.add_transition("dial", ["idle", "silent"], "dialling")
-        self._lifecycle.add_transition("hear", ["dialling", "up"], "up")
+        self._lifecycle.add_transition("receive", ["dialling", "up"], "up")
         self._lifecycle.add_transition("fall_silent", ["dialling", "up"], "silent")
         self._lifecycle.add_transition("shut", "*", "closed")
 
@@ -288,7 +288,7 @@
         envelope = decode(data, Envelope)
         self.traffic = self.traffic.plus_received(len(data))
         if self.state != "closed":
-            self.hear()
+            self.receive()
         body = bytes(envelope.body)
         if envelope.kind == "heartbeat":
             self._on_heartbeat(decode(body, Heartbeat))
--- a/packages/wire/src/slatehoist/wire/messages.py
+++ b/packages/wire/src/slatehoist/wire/messages.py
@@ -62,7 +62,7 @@
         Whether the request was in flight on an endpoint that crashed.
     keyed : bool
         Whether the request has an idempotency key, so that others may ask for it.
-    eager : bool
+    fail_fast : bool
         Whether to be refused rather than queued.
     """
 
@@ -82,7 +82,7 @@
     digest: str
     suspect: bool = False
     keyed: bool = False
-    eager: bool = False
+    fail_fast: bool = False
     traceparent: str = ""
 
 
--- a/tools/bench_routing.py
+++ b/tools/bench_routing.py
@@ -16,7 +16,7 @@
 
 WORKERS = 6
 #: Sends that ask to be refused rather than queued, as in the product.
-EAGER_SENDS = 2
+FAIL_FAST_SENDS = 2
 
 SETUPS = {
     "12 at 0.8": Setup(),
@@ -56,7 +56,7 @@
         case "central":
             return run_central(setup)
         case "slatehoist":
-            return run(setup, LoadAwareChooser(rng), eager=EAGER_SENDS)
+            return run(setup, LoadAwareChooser(rng), fail_fast=FAIL_FAST_SENDS)
         case "random":
             return run(setup, choosers.RandomChooser(rng))
         case "round robin":
--- a/tools/models/endpoints.py
+++ b/tools/models/endpoints.py
@@ -19,7 +19,7 @@
     Peer,
     PrefixIndex,
     choose_subset,
-    may_be_eager,
+    may_fail_fast,
     subset_size,
 )
 
@@ -134,17 +134,17 @@
     decode_s: float
 
 
-def run(setup: Setup, chooser, use_holders: bool = True, eager: int = 0) -> Outcome:
-    """Run a trial with a chooser; ``eager`` sends ask to be refused if full."""
-    return _Trial(setup, chooser, use_holders, eager).run()
+def run(setup: Setup, chooser, use_holders: bool = True, fail_fast: int = 0) -> Outcome:
+    """Run a trial with a chooser; ``fail_fast`` sends ask to be refused if full."""
+    return _Trial(setup, chooser, use_holders, fail_fast).run()
 
 
 class _Trial:
     def __init__(
-        self, setup: Setup, chooser, use_holders: bool, eager: int = 0
+        self, setup: Setup, chooser, use_holders: bool, fail_fast: int = 0
     ) -> None:
         self.setup = setup
-        self.eager = eager
+        self.fail_fast = fail_fast
         self.chooser = chooser
         self.use_holders = use_holders
         self.rng = random.Random(setup.seed)
@@ -196,7 +196,7 @@
         )
         endpoint = self.by_name[chosen.name]
         full = endpoint.running >= endpoint.slots or endpoint.queue
-        if tries < self.eager and full and may_be_eager(candidates):
+        if tries < self.fail_fast and full and may_fail_fast(candidates):
             own = job.entry.inflight[endpoint.name]
             job.entry.reports[endpoint.name] = (endpoint.load(), own, now)
             again = (job, tries + 1)
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -56,7 +56,11 @@
     tests = [test for test in flatten(load_tests()) if pattern in test.id()]
     runner = unittest.TextTestRunner(stream=sys.stdout, verbosity=2)
     result = runner.run(unittest.TestSuite(tests))
-    bad = {test.id() for test, _ in [*result.failures, *result.errors]}
+    # A subtest that failed counts as the test that it belongs to.
+    bad = {
+        getattr(test, "test_case", test).id()
+        for test, _ in [*result.failures, *result.errors]
+    }
     bad |= {test.id() for test in result.unexpectedSuccesses}
     red = known_red()
     for test_id in sorted(bad & red):
