--- /dev/null
+++ b/tests/test_platform_process.py
@@ -0,0 +1,73 @@
+"""A gateway as a real process: output that nobody reads, signals, its exit."""
+
+import asyncio
+import random
+import signal
+import subprocess
+import sys
+import unittest
+from pathlib import Path
+
+import aiohttp
+
+sys.path.insert(0, str(Path(__file__).parents[1] / "tools"))
+
+from soak.callers import Caller  # noqa: E402
+from soak.world import GRACE_S, World  # noqa: E402
+
+#: Requests sent while the output is not read: their log lines are several times the
+#: 64 KiB that a pipe holds.
+REQUESTS = 600
+
+
+class UnreadWorld(World):
+    """World whose gateways write to pipes that nobody reads."""
+
+    def spawn(self, name: str, command: list[str]) -> subprocess.Popen:
+        """Start a process; its output goes to a pipe."""
+        if not name.startswith("gateway"):
+            return super().spawn(name, command)
+        proc = subprocess.Popen(
+            command, stdout=subprocess.PIPE, stderr=subprocess.DEVNULL
+        )
+        self.processes[name], self.commands[name] = proc, command
+        return proc
+
+
+class ProcessTests(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.world = await UnreadWorld(random.Random(1)).__aenter__()
+        await self.world.start()
+        self.addAsyncCleanup(self.stop)
+
+    async def stop(self):
+        await self.world.stop()
+        for proc in self.world.processes.values():
+            proc.stdout.close()
+        await self.world.__aexit__()
+
+    async def test_unread_output_does_not_hold_up_requests(self):
+        gateway = self.world.gateways[0]
+        caller = Caller(self.world, gateway, random.Random(1))
+        credential = next(iter(self.world.credentials))
+        async with aiohttp.ClientSession() as session:
+            for _ in range(REQUESTS // 20):
+                results = await asyncio.gather(
+                    *(caller.request(session, "safe", credential) for _ in range(20))
+                )
+                self.assertEqual({r.status for r in results}, {200})
+        self.assertTrue(await self.world.is_ready(gateway))
+
+    async def test_signals_in_series_end_in_an_orderly_exit(self):
+        gateway = self.world.gateways[0]
+        proc = self.world.processes[gateway.name]
+        for signum in (signal.SIGHUP, signal.SIGTERM, signal.SIGHUP, signal.SIGTERM):
+            proc.send_signal(signum)
+        async with asyncio.timeout(GRACE_S):
+            while proc.poll() is None:
+                await asyncio.sleep(0.05)
+        self.assertEqual(proc.returncode, 0)
+
+
+if __name__ == "__main__":
+    unittest.main()
