Show what runs on the platform, and which configuration is in force where

slatehoist fleet ADDRESS... reads the metrics of gateways and agents: configuration in force at k of n, endpoints, groups, who leads, skew; what cannot be read is named and fails the command. Weighed: rows in the store, which would be written more often and priced, and a status call on the processes, which the metrics already are.

--- a/packages/cli/src/slatehoist/cli/main.py
+++ b/packages/cli/src/slatehoist/cli/main.py
@@ -15,6 +15,12 @@
 import cappa
 
 from slatehoist.cli.client import Api, ApiError, UnreachableError
+from slatehoist.cli.fleet import (
+    FLEET_HEADS,
+    process_row,
+    read_processes,
+    summarize,
+)
 from slatehoist.cli.output import (
     RESOURCE_HEADS,
     print_json,
@@ -273,12 +279,44 @@
         print("\n".join(format_story(events)))
 
 
+@cappa.command(help="Show what gateways and agents say in their metrics.")
+@dataclass
+class Fleet:
+    """Arguments of ``slatehoist fleet``."""
+
+    addresses: Annotated[list[str], cappa.Arg(help="Metrics addresses, host:port.")]
+    output: Output = "table"
+
+    def __call__(self) -> None:
+        """Read all at once and print them; fails if one could not be read."""
+        processes = _run(read_processes(self.addresses))
+        summary = summarize(processes)
+        if self.output == "json":
+            print_json(summary)
+        else:
+            print_table(FLEET_HEADS, [process_row(p) for p in processes])
+            print(_in_force(summary))
+        if summary["unread"]:
+            _fail(EXIT_UNREACHABLE, f"not read: {', '.join(summary['unread'])}")
+
+
 @cappa.command(name="slatehoist", help="Operators' command line.")
 @dataclass
 class Operator:
     """Arguments of ``slatehoist``."""
 
-    command: cappa.Subcommands[Apply | Get | Delete | Watch | Status | Explain | Trace]
+    command: cappa.Subcommands[
+        Apply | Get | Delete | Watch | Status | Explain | Trace | Fleet
+    ]
+
+
+def _in_force(summary: dict[str, Any]) -> str:
+    if not summary["gateways"]:
+        return "no gateway was read"
+    return (
+        f"configuration {summary['configuration']} in force at "
+        f"{summary['in_force']} of {summary['gateways']} gateways"
+    )
 
 
 def _print_resources(documents: list[dict], output: str) -> None:
