Explore two coordinators at once and a restart at each order of a switch

A restart at each order, with the order before it late, lost or unanswered: no pass with two maps. No change to the product.

--- a/packages/maps/tests/map_builders.py
+++ b/packages/maps/tests/map_builders.py
@@ -42,6 +42,7 @@
 
     def __init__(self, size: int) -> None:
         self.size = size
+        self.epoch = 1
         self.step = 0
         self.maps = [0] * size
         self.prepared: list[int | None] = [None] * size
@@ -71,12 +72,20 @@
         if len(set(self.maps)) > 1:
             self.violations.append((step, list(self.maps)))
 
+    def restart(self) -> None:
+        """Restart a rank: the group forms anew, with its first map."""
+        self.epoch += 1
+        self.maps = [0] * self.size
+        self.prepared = [None] * self.size
+        self.armed = [None] * self.size
+        self.held = [None] * self.size
+
     def reports(self) -> list[RankReport]:
         """Give the state of each rank."""
         return [
             RankReport(
                 group="g",
-                epoch=1,
+                epoch=self.epoch,
                 rank=rank,
                 size=self.size,
                 is_open=True,
@@ -89,8 +98,10 @@
             for rank in range(self.size)
         ]
 
-    def carry_out(self, rank: int, order: str, args: tuple) -> Answer:
+    def carry_out(self, rank: int, order: str, epoch: int, args: tuple) -> Answer:
         """Carry out an order as the engines do."""
+        if epoch != self.epoch:
+            return Answer.REFUSED
         return getattr(self, f"_{order}")(rank, *args)
 
     def _prepare(self, rank: int, version: int, placement) -> Answer:
@@ -154,49 +165,51 @@
 
     async def prepare(self, epoch, version, placement) -> Answer:
         """Prepare a map."""
-        return await self._give("prepare", version, placement)
+        return await self._give("prepare", epoch, version, placement)
 
     async def arm(self, epoch, version, step) -> Answer:
         """Arm a map."""
-        return await self._give("arm", version, step)
+        return await self._give("arm", epoch, version, step)
 
     async def disarm(self, epoch, version) -> Answer:
         """Disarm a map."""
-        return await self._give("disarm", version)
+        return await self._give("disarm", epoch, version)
 
     async def hold(self, epoch, step) -> Answer:
         """Hold a pass."""
-        return await self._give("hold", step)
+        return await self._give("hold", epoch, step)
 
     async def release(self, epoch, step) -> Answer:
         """Release a pass."""
-        return await self._give("release", step)
+        return await self._give("release", epoch, step)
 
-    async def _give(self, order: str, *args) -> Answer:
+    async def _give(self, order: str, epoch: int, *args) -> Answer:
         play = self._play
         if not self._by_coordinator:
             await asyncio.sleep(0.001)
             if self._index == 0 and play.frozen():
                 await asyncio.sleep(0.25)
                 return Answer.UNKNOWN
-            return play.engine.carry_out(self._index, order, args)
+            return play.engine.carry_out(self._index, order, epoch, args)
         await play._thawed()
         event = play.faults.get(play.orders, "ok")
         play.orders += 1
         if event == "freeze_before":
             play.frozen_until = play.now() + FREEZE_S
+        if event == "restart":
+            play.engine.restart()
         if event == "idle":
             play.engine.idle_until = play.now() + IDLE_S
         await play._thawed()
         await asyncio.sleep(0.001)
         if event == "late":
             asyncio.get_running_loop().call_later(
-                LATE_S, play.engine.carry_out, self._index, order, args
+                LATE_S, play.engine.carry_out, self._index, order, epoch, args
             )
         if event in ("late", "lost"):
             await asyncio.sleep(0.25)
             return Answer.UNKNOWN
-        answer = play.engine.carry_out(self._index, order, args)
+        answer = play.engine.carry_out(self._index, order, epoch, args)
         if event == "freeze_after":
             play.frozen_until = play.now() + FREEZE_S
         if event == "answer_lost":
--- a/packages/maps/tests/test_maps_switch_exploration.py
+++ b/packages/maps/tests/test_maps_switch_exploration.py
@@ -16,6 +16,7 @@
 from slatehoist.maps import Answer, GroupView, Result, Switch
 from slatehoist.maps.placement import initial_placement
 from slatehoist.maps.switch import (
+    EpochChangedError,
     coordinator_of,
     may_grant,
     next_version,
@@ -77,10 +78,10 @@
         ]
         await asyncio.sleep(PLAY_S)
         for task in tasks:
-            if task.done() and task.exception() is not None:
-                raise task.exception()
             task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        for end in await asyncio.gather(*tasks, return_exceptions=True):
+            if isinstance(end, Exception):
+                raise end
 
     def now(self) -> float:
         return asyncio.get_running_loop().time()
@@ -222,6 +223,110 @@
     return count, bad
 
 
+class RivalPlay(Play):
+    """Play with a second coordinator, of another rank, that begins a little later.
+
+    Parameters
+    ----------
+    delay_s : float
+        Time between the two beginnings.
+    """
+
+    def __init__(
+        self, faults: dict[int, str], delay_s: float, mutation: str = ""
+    ) -> None:
+        super().__init__(faults, mutation)
+        self.delay_s = delay_s
+        self.grants: dict[int, tuple[int, int]] = {}
+
+    async def _settle(self) -> None:
+        """Let nobody settle: what is left must not break anything by itself."""
+
+    async def _coordinate(self) -> None:
+        await asyncio.gather(
+            self._switch_once(COORDINATOR, 0.0), self._switch_once(1, self.delay_s)
+        )
+
+    async def _switch_once(self, own: int, delay_s: float) -> None:
+        await asyncio.sleep(delay_s)
+        holder = (own + 1) % RANKS
+        ranks = [FakeRank(self, index, True) for index in range(RANKS)]
+        switch = self._switch(ranks, own, holder)
+        switch._grant = functools.partial(self._ask_rival_grant, holder)
+        reports = self.engine.reports()
+        if any(r.held is not None or r.armed for r in reports):
+            return
+        known = [max(r.prepared or 0, r.map_version) for r in reports]
+        placement = initial_placement(1, RANKS, 6)
+        view = GroupView(1, placement, reports, self.last_step)
+        version = next_version(known, own)
+        self.results.append(await switch.run(view, placement, version, 0.1))
+
+    async def _ask_rival_grant(self, holder: int, version: int, step: int) -> bool:
+        await asyncio.sleep(0.001)
+        if self.mutation == "no_grant":
+            return True
+        if self.grants.get(holder) != (version, step):
+            if not may_grant(self.engine.reports()[holder], version, step):
+                return False
+            self.grants[holder] = (version, step)
+        return True
+
+
+#: Seconds between the beginnings of two coordinators: each order takes 1 ms and passes
+#: come each 20 ms, so all their orders meet in some way.
+RIVAL_DELAYS_S = [number * 0.0005 for number in range(60)]
+RIVAL_EVENTS = ("answer_lost", "late", "lost")
+
+
+def explore_rivals(mutation: str = "") -> tuple[int, list[tuple]]:
+    """Play two coordinators with all single faults; give plays and violations."""
+    count, bad = 0, []
+    for delay_s in RIVAL_DELAYS_S:
+        base = RivalPlay({}, delay_s, mutation)
+        base.run()
+        count += 1
+        if base.engine.violations:
+            bad.append((delay_s, {}))
+        for order in range(base.orders):
+            for event in RIVAL_EVENTS:
+                play = RivalPlay({order: event}, delay_s, mutation)
+                play.run()
+                count += 1
+                if play.engine.violations:
+                    bad.append((delay_s, {order: event}))
+                    if mutation:
+                        return count, bad
+    return count, bad
+
+
+class RestartTests(unittest.TestCase):
+    def test_no_order_of_before_a_restart_counts_after_it(self):
+        base = Play({})
+        base.run()
+        for order in range(base.orders):
+            for event in ("ok", "late", "lost", "answer_lost"):
+                play = Play({order: "restart", order - 1: event})
+                try:
+                    play.run()
+                except EpochChangedError:
+                    # The coordinator gives up, and plans anew on the new group.
+                    self.assertEqual(play.engine.epoch, 2)
+                with self.subTest(order=order, event=event):
+                    self.assertEqual(play.engine.violations, [])
+
+
+class RivalTests(unittest.TestCase):
+    def test_two_coordinators_never_give_a_pass_two_maps(self):
+        count, bad = explore_rivals()
+        print(f"plays of two coordinators: {count}")
+        self.assertEqual(bad, [])
+
+    def test_rivals_without_a_hold_are_caught(self):
+        _, bad = explore_rivals("no_hold")
+        self.assertTrue(bad)
+
+
 class SwitchExplorationTests(unittest.TestCase):
     def test_undisturbed_switch_takes_effect(self):
         play = Play({})
