--- a/standins/src/slatehoist_standins/deployment.py
+++ b/standins/src/slatehoist_standins/deployment.py
@@ -198,6 +198,8 @@
         )
 
 
+#: Seconds after an early answer until the rest of the request's body is read.
+EARLY_PAUSE_S = 0.2
 #: Part of a body that crashes whichever server begins to run it.
 CRASHING = b"crashes the server"
 
@@ -216,8 +218,8 @@
 
     Behaviours are ``ok``, ``shed``, ``error``, ``close``, ``reset``, ``hang``,
     ``truncate``, ``unframed``, ``unframed_reset``, ``other_id``, ``no_proof``,
-    ``garbage``, ``extra`` and, for streams, ``cut`` in the middle of an event. The
-    last one is repeated.
+    ``garbage``, ``extra``, ``early`` and, for streams, ``cut`` in the middle of an
+    event. The last one is repeated.
     """
 
     def __init__(self, server_id: str, behaviours: list[str] | None = None) -> None:
@@ -260,7 +262,11 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         try:
-            while arrival := await self._read(reader):
+            while head := await self._read_head(reader):
+                if self.behaviours[0] == "early":
+                    await self._answer_early(head, reader, writer)
+                    continue
+                arrival = await self._read_body(head, reader)
                 self.arrivals.append(arrival)
                 if not await self._answer(arrival, reader, writer):
                     break
@@ -269,13 +275,29 @@
         finally:
             writer.close()
 
-    async def _read(self, reader: asyncio.StreamReader) -> Arrival | None:
+    async def _answer_early(
+        self,
+        head: Arrival,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        """Reject a request before its body is in, and read on later."""
+        self._next_behaviour()
+        writer.write(self._head(head, "early", 400) + b"Content-Length: 0\r\n\r\n")
+        await writer.drain()
+        await asyncio.sleep(EARLY_PAUSE_S)
+        self.arrivals.append(await self._read_body(head, reader))
+
+    async def _read_head(self, reader: asyncio.StreamReader) -> Arrival | None:
         head = await reader.readuntil(b"\r\n\r\n")
         first, *lines = head.decode("latin-1").split("\r\n")[:-2]
         method, target, _ = first.split(" ")
         headers = dict(line.split(": ", 1) for line in lines)
-        size = int(headers.get("Content-Length", "0"))
-        return Arrival(method, target, headers, await reader.readexactly(size))
+        return Arrival(method, target, headers, b"")
+
+    async def _read_body(self, head: Arrival, reader: asyncio.StreamReader) -> Arrival:
+        size = int(head.headers.get("Content-Length", "0"))
+        return head._replace(body=await reader.readexactly(size))
 
     def _next_behaviour(self) -> str:
         if len(self.behaviours) > 1:
--- a/tests/test_platform_faults.py
+++ b/tests/test_platform_faults.py
@@ -62,6 +62,25 @@
         await self.until(lambda: world.gateway.ready)
 
 
+class RecoveryTests(FaultTestCase):
+    async def test_all_serve_again_after_everything_stopped(self):
+        world = await self.world(["ok"], ["ok"])
+        await world.add_gateway()
+        for gateway in world.gateways:
+            await gateway.stop()
+        for number, server in enumerate(world.servers):
+            await server.stop()
+            world.store.remove("servers", server.server_id)
+            again = DeploymentServer(f"i-again-{number}")
+            await again.start()
+            self.addAsyncCleanup(again.stop)
+            world.store.put("servers", again.server_id, again.row("app"))
+        for number in (2, 3):
+            gateway = await world.add_gateway(instance=f"gateway-{number - 2}")
+            await self.until(lambda g=gateway: g.ready)
+            self.assertEqual(await self.status(world, gateway=number), 200)
+
+
 class AddedTests(FaultTestCase):
     async def test_added_gateway_serves_and_shares_the_retry_allowance(self):
         with mock.patch.object(registry, "REGISTRY_POLL_S", 0.05):
--- a/tests/test_platform_gateway.py
+++ b/tests/test_platform_gateway.py
@@ -134,6 +134,22 @@
                 self.assertEqual(resp.status, 200)
                 self.assertEqual(await resp.read(), PLAIN_BODY)
 
+    async def test_early_answer_leaves_no_part_of_a_body_to_the_next_request(self):
+        world = await self.world(["early", "ok"])
+        limits = {"maxBodyBytes": 10_000_000}
+        world.store.put("op", "config", make_configuration(2, limits=limits))
+        await self.until(lambda: world.gateway.catalogue.version == 2)
+        body = b"long" * 500_000
+        async with world.call("/unsafe/", "POST", data=body) as resp:
+            self.assertEqual(resp.status, 400)
+            self.assertEqual(resp.headers["Server-Stamp"], "proof-of-i-0")
+        for _ in range(3):
+            async with world.call("/unsafe/", "POST", data=b"next") as resp:
+                self.assertEqual(resp.status, 200)
+        arrivals = world.servers[0].arrivals
+        self.assertEqual(arrivals[-1].body, b"next")
+        self.assertLessEqual({a.body for a in arrivals}, {body, b"next"})
+
     async def test_unframed_answer_that_ends_in_order_is_whole(self):
         world = await self.world(["unframed"])
         async with world.call("/safe/") as resp:
@@ -231,6 +247,18 @@
         async with world.call("/moved/") as resp:
             self.assertEqual(resp.status, 401)
 
+    async def test_many_routes_more_are_served_like_the_first(self):
+        world = await self.world()
+        doc = make_configuration(3)
+        doc["routes"] += [
+            make_route(f"more-{n}", f"/more-{n}/", "safe", "app") for n in range(493)
+        ]
+        world.store.put("op", "config", doc)
+        await self.until(lambda: world.gateway.catalogue.version == 3)
+        for path in ("/safe/", "/more-0/x", "/more-49/", "/more-492/y"):
+            async with world.call(path) as resp:
+                self.assertEqual(resp.status, 200, path)
+
     async def test_unreadable_rows_and_history_do_no_harm(self):
         world = await self.world()
         world.store.put_bytes("servers", "i-bad", b"\xff\x00")
