--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -11,7 +11,10 @@
 #: Seconds of faults of one seed.
 SECONDS = 6.0
 #: Seeds played in CI, with what each once showed.
-SEEDS = {1: "a plain sample"}
+SEEDS = {
+    1: "a plain sample",
+    108: "a gateway was not ready 20 s after a kill; see KNOWN-RED.txt",
+}
 
 
 class SoakTests(unittest.IsolatedAsyncioTestCase):
