--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -31,7 +31,7 @@
     StoreDownError,
     Write,
 )
-from slatehoist_standins.deployment import DeploymentStore
+from slatehoist_standins.deployment_store import DeploymentStore
 
 SETTINGS = """\
 node=front-1
--- a/tests/test_platform_crashes.py
+++ b/tests/test_platform_crashes.py
@@ -5,7 +5,7 @@
 
 from gateway_world import GatewayTestCase, GatewayWorld
 from slatehoist.routing.crashes import MAX_CRASHES
-from slatehoist_standins.deployment import CRASHING
+from slatehoist_standins.deployment_server import CRASHING
 
 
 class CrashTests(GatewayTestCase):
--- a/tests/test_platform_faults.py
+++ b/tests/test_platform_faults.py
@@ -8,7 +8,7 @@
 
 from gateway_world import GatewayTestCase
 from slatehoist.gateway import registry
-from slatehoist_standins.deployment import DeploymentServer
+from slatehoist_standins.deployment_server import DeploymentServer
 
 #: Seconds by which the time of day jumps.
 STEPS_S = (3600.0, -3600.0)
--- a/tests/test_platform_gateway.py
+++ b/tests/test_platform_gateway.py
@@ -7,7 +7,7 @@
 import aiohttp
 
 from gateway_world import GatewayTestCase, make_configuration, make_route
-from slatehoist_standins.deployment import PLAIN_BODY, STREAM_EVENTS, stream_body
+from slatehoist_standins.deployment_server import PLAIN_BODY, STREAM_EVENTS, stream_body
 
 
 def setUpModule():
--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -1,10 +1,11 @@
 """Faults of the soak, in series and overlapping, drawn from a seed."""
 
 import asyncio
+import contextlib
 import random
 import signal
 import time
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterator
 
 from soak.world import GRACE_S, REVOKE_S, Gateway, World
 
@@ -139,26 +140,29 @@
         gateway.caller_relay.set_mode("hole", 0.0)
 
 
-async def cut_store(faults: Faults, gateway: Gateway) -> None:
-    """Cut a gateway off from the store, with or without a reset."""
+@contextlib.contextmanager
+def store_cut(gateway: Gateway, mode: str) -> Iterator[None]:
+    """Cut a gateway off from the store while the block runs."""
+    relay = gateway.store_relay
     with gateway.faults.during():
-        relay = gateway.store_relay
         relay.refusing = True
-        relay.set_mode(faults.rng.choice(["cut", "hole"]), 0.0)
-        await asyncio.sleep(faults.length_s())
+        relay.set_mode(mode, 0.0)
+        yield
         relay.refusing = False
         relay.set_mode("cut", 0.0)
 
 
+async def cut_store(faults: Faults, gateway: Gateway) -> None:
+    """Cut a gateway off from the store, with or without a reset."""
+    with store_cut(gateway, faults.rng.choice(["cut", "hole"])):
+        await asyncio.sleep(faults.length_s())
+
+
 async def revoke_behind_cut(faults: Faults, gateway: Gateway) -> None:
     """Take a credential away while a gateway cannot hear of it."""
-    with gateway.faults.during():
-        gateway.store_relay.refusing = True
-        gateway.store_relay.set_mode("hole", 0.0)
+    with store_cut(gateway, "hole"):
         faults.world.rotate_credential()
         await asyncio.sleep(REVOKE_S + faults.length_s() / 2)
-        gateway.store_relay.refusing = False
-        gateway.store_relay.set_mode("cut", 0.0)
 
 
 async def delay_store(faults: Faults, gateway: Gateway) -> None:
--- a/tools/soak/servers.py
+++ b/tools/soak/servers.py
@@ -4,7 +4,11 @@
 import time
 from typing import NamedTuple
 
-from slatehoist_standins.deployment import Arrival, DeploymentServer, encode_chunk
+from slatehoist_standins.deployment_server import (
+    Arrival,
+    DeploymentServer,
+    encode_chunk,
+)
 
 #: Pieces of a stream.
 PIECES = 12
