Log and count each request that was lost at an endpoint

An attempt that a caller abandoned left no line, no line related an attempt to the digest of the crash reports, evidence that came too late was dropped without a line, and the reports of other gateways were counted without one.

Change: attempts carry the digest and the endpoint's start time and end as abandoned if the caller left; endpoint_ended lists the lost requests, counted or not, with their age; crash_report_read is one line a report; three counters. No decision changes.

--- a/packages/gateway/src/slatehoist/gateway/crash_reports.py
+++ b/packages/gateway/src/slatehoist/gateway/crash_reports.py
@@ -5,15 +5,13 @@
 import logging
 from collections.abc import Callable
 
-import xxhash
-
-from slatehoist.gateway.exchange import Exchange
 from slatehoist.gateway.model import Endpoint
 from slatehoist.gateway.settings import (
     CRASH_CONFIRM_S,
     CRASH_LONG_POLL_S,
     STORE_RETRY_S,
 )
+from slatehoist.observe import GatewayMetrics, milliseconds
 from slatehoist.routing import CRASH_RETENTION_S, CrashTally
 from slatehoist.storage import HistoryLostError, PlatformError, WatchableTable, Write
 
@@ -25,15 +23,6 @@
 _MAX_ROWS_PER_WRITE = 100
 
 
-def request_digest(exchange: Exchange) -> str:
-    """Return a digest that is the same each time a caller sends the request."""
-    content = xxhash.xxh3_128()
-    for part in (exchange.req.method, exchange.req.raw_path, exchange.team):
-        content.update(part.encode() + b"\0")
-    content.update(exchange.body)
-    return content.hexdigest()
-
-
 class CrashReports:
     """Record which requests an endpoint was running when it crashed.
 
@@ -52,52 +41,64 @@
         table: WatchableTable,
         instance: str,
         tally: CrashTally,
+        metrics: GatewayMetrics,
         clock: Callable[[], float],
     ) -> None:
         self._table = table
         self._instance = instance
         self._tally = tally
+        self._metrics = metrics
         self._clock = clock
         #: For each crash id, the digests of requests with a broken reply, with times.
-        self._broken_replies: dict[str, list[tuple[str, float]]] = {}
-        self._down_at: dict[str, float] = {}
+        self._losses: dict[str, list[tuple[str, float]]] = {}
+        self._ended_at: dict[str, float] = {}
         self._unsent: dict[str, Write] = {}
         #: For each row, the time at which this gateway wrote or first read it.
         self._seen_at: dict[str, float] = {}
         self._write_needed = asyncio.Event()
         self._version: int | None = None
 
-    def record_broken_reply(self, endpoint: Endpoint, digest: str) -> None:
+    def record_loss(self, endpoint: Endpoint, digest: str) -> None:
         """Record a request whose reply was cut off or missing."""
         now = self._clock()
         crash_id = _crash_id(endpoint)
-        if now - self._down_at.get(crash_id, float("-inf")) < CRASH_CONFIRM_S:
+        if now - self._ended_at.get(crash_id, float("-inf")) < CRASH_CONFIRM_S:
             self._report_crash(crash_id, [digest], now)
             return
-        self._broken_replies[crash_id] = [
-            *self._recent_broken_replies(crash_id, now),
+        self._losses[crash_id] = [
+            *self._recent_losses(crash_id, now),
             (digest, now),
         ]
 
-    def record_down(self, endpoint: Endpoint) -> None:
+    def record_end(self, endpoint: Endpoint) -> None:
         """Record that an endpoint is down, restarted or replaced by another one."""
         now = self._clock()
         crash_id = _crash_id(endpoint)
-        self._down_at[crash_id] = now
-        digests = [digest for digest, _ in self._recent_broken_replies(crash_id, now)]
-        self._broken_replies.pop(crash_id, None)
+        self._ended_at[crash_id] = now
+        known = self._losses.pop(crash_id, [])
+        digests = [d for d, at in known if now - at < CRASH_CONFIRM_S]
+        if known:
+            # A request that was lost and is not counted shows that the news was late.
+            log.info(
+                "endpoint_ended",
+                extra={
+                    "crash": crash_id,
+                    "lost": [d for d, _ in known],
+                    "counted": digests,
+                    "lost_ms_ago": [milliseconds(now - at) for _, at in known],
+                },
+            )
         if digests:
             self._report_crash(crash_id, digests, now)
 
-    def _recent_broken_replies(
-        self, crash_id: str, now: float
-    ) -> list[tuple[str, float]]:
-        broken = self._broken_replies.get(crash_id, [])
+    def _recent_losses(self, crash_id: str, now: float) -> list[tuple[str, float]]:
+        broken = self._losses.get(crash_id, [])
         return [(digest, at) for digest, at in broken if now - at < CRASH_CONFIRM_S]
 
     def _report_crash(self, crash_id: str, digests: list[str], now: float) -> None:
         for digest in digests:
             crashes = self._tally.record_crash(digest, crash_id, now)
+            self._metrics.crash_reports.labels("own").inc()
             key = f"{digest}/{crash_id}/{self._instance}"
             value = {"digest": digest, "crash": crash_id}
             self._unsent[key] = Write(CRASHES, key, value)
@@ -115,13 +116,14 @@
                     await self._write_needed.wait()
             self._write_needed.clear()
             try:
-                await self._write_all()
+                await self.write_pending()
             except PlatformError as exc:
                 log.info("crash_reports_unsent", extra={"why": str(exc)})
                 await asyncio.sleep(STORE_RETRY_S)
                 self._write_needed.set()
 
-    async def _write_all(self) -> None:
+    async def write_pending(self) -> None:
+        """Write the reports that are not stored yet, and remove expired ones."""
         now = self._clock()
         expired = [
             key for key, at in self._seen_at.items() if self._is_expired(key, now - at)
@@ -153,14 +155,15 @@
         """Count the crashes that all gateways report, until cancelled."""
         while True:
             try:
-                await self._read_reports()
+                await self.read_reports()
             except HistoryLostError:
                 self._version = None
             except PlatformError as exc:
                 log.debug("crash_reports_unread", extra={"why": str(exc)})
                 await asyncio.sleep(STORE_RETRY_S)
 
-    async def _read_reports(self) -> None:
+    async def read_reports(self) -> None:
+        """Count the reports that are new in the store, or wait for one."""
         if self._version is None:
             rows, self._version = await self._table.snapshot(CRASHES)
         else:
@@ -169,7 +172,20 @@
         now = self._clock()
         for row in rows:
             self._seen_at.setdefault(row.key, now)
-            self._tally.record_crash(row.value["digest"], row.value["crash"], now)
+            digest, crash_id = row.value["digest"], row.value["crash"]
+            crashes = self._tally.record_crash(digest, crash_id, now)
+            if row.key.endswith(f"/{self._instance}"):
+                continue
+            self._metrics.crash_reports.labels("other").inc()
+            log.info(
+                "crash_report_read",
+                extra={
+                    "digest": digest,
+                    "crash": crash_id,
+                    "crashes": crashes,
+                    "version": row.version,
+                },
+            )
 
 
 def _crash_id(endpoint: Endpoint) -> str:
--- a/packages/gateway/src/slatehoist/gateway/exchange.py
+++ b/packages/gateway/src/slatehoist/gateway/exchange.py
@@ -3,6 +3,7 @@
 from enum import StrEnum
 from typing import NamedTuple
 
+import xxhash
 from aiohttp import web
 
 from slatehoist.gateway.model import Kind, RequestInfo, Route, Service
@@ -19,6 +20,7 @@
       cannot continue a stream that was partly sent.
     - ``broken``: the response is missing, cut off or malformed.
     - ``timed_out``: the attempt or the stream exceeded its timeout.
+    - ``abandoned``: the caller left before the response was complete.
     """
 
     DELIVERED = "delivered"
@@ -28,11 +30,29 @@
     FAILED = "failed"
     BROKEN = "broken"
     TIMED_OUT = "timed_out"
+    ABANDONED = "abandoned"
 
     @property
     def may_have_run(self) -> bool:
         """Return True if the endpoint may have run the request, even in part."""
-        return self in (Outcome.FAILED, Outcome.BROKEN, Outcome.TIMED_OUT)
+        return self is Outcome.FAILED or self.lost
+
+    @property
+    def lost(self) -> bool:
+        """Return True if the request reached an endpoint and its response did not end.
+
+        The endpoint may have crashed while it ran the request.
+        """
+        return self in (Outcome.BROKEN, Outcome.TIMED_OUT, Outcome.ABANDONED)
+
+
+def request_digest(method: str, target: str, team: str, body: bytes) -> str:
+    """Return a digest that is the same each time a caller sends the request."""
+    content = xxhash.xxh3_128()
+    for part in (method, target, team):
+        content.update(part.encode() + b"\0")
+    content.update(body)
+    return content.hexdigest()
 
 
 class Reply(NamedTuple):
@@ -59,6 +79,8 @@
     ) -> None:
         self.req = req
         self.body = body
+        #: Identifies the request in crash reports; see `request_digest`.
+        self.digest = request_digest(req.method, req.raw_path, team, body)
         self.info = info
         self.route = route
         self.service = service
--- a/packages/gateway/src/slatehoist/gateway/forwarding.py
+++ b/packages/gateway/src/slatehoist/gateway/forwarding.py
@@ -18,7 +18,7 @@
 from aiohttp import web
 
 from slatehoist.gateway.codec import Forwarding, HeaderCodec
-from slatehoist.gateway.crash_reports import CrashReports, request_digest
+from slatehoist.gateway.crash_reports import CrashReports
 from slatehoist.gateway.directory import EndpointDirectory
 from slatehoist.gateway.events import EventSplitter
 from slatehoist.gateway.exchange import Exchange, Outcome, Reply
@@ -111,13 +111,13 @@
         """
         budget = self._retry_budget(exchange.service.name)
         budget.record_first_attempt(self._clock())
-        digest = request_digest(exchange)
         while True:
             now = self._clock()
             if exchange.deadline_at - now < MIN_ATTEMPT_S:
                 return None
-            if self._tally.is_blocked(digest, now):
+            if self._tally.is_blocked(exchange.digest, now):
                 exchange.blocked = True
+                self._metrics.blocked_requests.inc()
                 return None
             if not await self._wait_for_open_group(exchange):
                 exchange.group_closed = True
@@ -126,14 +126,19 @@
             if endpoint is None:
                 return None
             selection = self._selection_log_fields(endpoint, now)
-            outcome, resp = await self._attempt(exchange, endpoint)
-            self._metrics.attempts.labels(outcome.value).inc()
-            self._log_attempt(exchange, endpoint, outcome, now, selection)
+            outcome, resp = Outcome.ABANDONED, None
+            try:
+                outcome, resp = await self._attempt(exchange, endpoint)
+            finally:
+                self._metrics.attempts.labels(outcome.value).inc()
+                if outcome.lost:
+                    self._metrics.lost_requests.labels(outcome.value).inc()
+                self._log_attempt(exchange, endpoint, outcome, now, selection)
             if outcome is Outcome.DELIVERED:
-                self._tally.record_success(digest, self._clock())
+                self._tally.record_success(exchange.digest, self._clock())
                 return resp
             if outcome is Outcome.BROKEN:
-                self._crashes.record_broken_reply(endpoint, digest)
+                self._crashes.record_loss(endpoint, exchange.digest)
             exchange.may_have_run |= outcome.may_have_run
             if not self._should_retry(exchange, outcome, budget):
                 return None
@@ -238,7 +243,7 @@
         except NotSentError as exc:
             self._record_failure(endpoint)
             if exc.refused:
-                self._crashes.record_down(endpoint)
+                self._crashes.record_end(endpoint)
             return Outcome.NOT_SENT, None
         except TimeoutError:
             self._record_failure(endpoint)
@@ -296,7 +301,7 @@
                 endpoint.endpoint_id, info.running, info.waiting or 0, self._clock()
             )
         if info.wrong_instance:
-            self._crashes.record_down(endpoint)
+            self._crashes.record_end(endpoint)
             self._directory.remove(endpoint.endpoint_id)
             return Outcome.WRONG_INSTANCE, None
         if reply.status in _SUCCESS_STATUSES:
@@ -423,6 +428,8 @@
                 "request": exchange.info.request_id,
                 "route": exchange.route.name,
                 "endpoint": endpoint.endpoint_id,
+                "started_at_ms": endpoint.started_at_ms,
+                "digest": exchange.digest,
                 "outcome": outcome.value,
                 "attempt": len(exchange.tried),
                 "took_ms": round((self._clock() - started_at) * 1000),
--- a/packages/gateway/src/slatehoist/gateway/gateway.py
+++ b/packages/gateway/src/slatehoist/gateway/gateway.py
@@ -221,6 +221,8 @@
                 "request": exchange.info.request_id,
                 "route": exchange.route.name,
                 "kind": Kind(exchange.route.kind).value,
+                "digest": exchange.digest,
+                "blocked": exchange.blocked,
                 "tried": sorted(exchange.tried),
                 "config": self._catalogue.version,
                 "config_age_ms": round(self._catalogue.age_s(now) * 1000),
--- a/packages/gateway/src/slatehoist/gateway/process.py
+++ b/packages/gateway/src/slatehoist/gateway/process.py
@@ -107,7 +107,9 @@
         self._upstream = Upstream()
         chooser = LoadAwareChooser(self._rng)
         tally = CrashTally()
-        crashes = CrashReports(self._table, self._cfg.instance, tally, self._clock)
+        crashes = CrashReports(
+            self._table, self._cfg.instance, tally, self._metrics, self._clock
+        )
         forwarder = Forwarder(
             self._cfg,
             self._codec,
--- a/packages/gateway/src/slatehoist/gateway/sync.py
+++ b/packages/gateway/src/slatehoist/gateway/sync.py
@@ -133,7 +133,7 @@
             started_at = self._clock()
             try:
                 listed = await self._source.endpoints()
-                self._apply_list(listed)
+                self.apply(listed)
                 self._dependency.record_success()
             except PlatformError as exc:
                 self._directory.record_outage()
@@ -144,14 +144,15 @@
                 max(0.0, ENDPOINT_POLL_S - (self._clock() - started_at))
             )
 
-    def _apply_list(self, listed: list) -> None:
+    def apply(self, listed: list) -> None:
+        """Replace the endpoints by a list that was read, and act on the changes."""
         changes = self._directory.update(listed, self._clock())
         # These are the endpoints as they were listed before. One that was draining was
         # expected to stop, so this is no crash.
         for endpoint in [*changes.removed, *changes.restarted]:
             self._health.forget(endpoint.endpoint_id)
             if not endpoint.draining:
-                self._crashes.record_down(endpoint)
+                self._crashes.record_end(endpoint)
         if changes:
             log.info(
                 "endpoints_changed",
--- a/packages/observe/src/slatehoist/observe/metrics.py
+++ b/packages/observe/src/slatehoist/observe/metrics.py
@@ -58,6 +58,23 @@
             "Streams moved away from an endpoint that delayed its group.",
             **kwargs,
         )
+        self.lost_requests = Counter(
+            "slatehoist_lost_requests",
+            "Attempts that ended without a complete answer, by how they ended.",
+            ["outcome"],
+            **kwargs,
+        )
+        self.crash_reports = Counter(
+            "slatehoist_crash_reports",
+            "Reports of requests in crashes, by reporter (own or other gateway).",
+            ["reporter"],
+            **kwargs,
+        )
+        self.blocked_requests = Counter(
+            "slatehoist_blocked_requests",
+            "Requests refused because they crashed too many endpoints.",
+            **kwargs,
+        )
         self.config_version = Gauge(
             "slatehoist_configuration_version",
             "Version of the configuration in force.",
