--- /dev/null
+++ b/packages/gateway/tests/gateway_fleet.py
@@ -0,0 +1,338 @@
+"""Simulated servers, gateways and store, without a network and with a simulated clock.
+
+The gateways run the production code of attempts, crash reports and the endpoint list.
+Only their HTTP client, the table and the list in the store are simulated.
+"""
+
+import asyncio
+import random
+from types import SimpleNamespace
+from typing import Any
+
+from gateway_builders import make_route
+
+from slatehoist.gateway import (
+    Endpoint,
+    EndpointDirectory,
+    GatewaySettings,
+    ReplyInfo,
+    RequestInfo,
+    Service,
+)
+from slatehoist.gateway.crash_reports import CrashReports
+from slatehoist.gateway.exchange import Exchange
+from slatehoist.gateway.forwarding import Forwarder
+from slatehoist.gateway.health import EndpointHealth
+from slatehoist.gateway.settings import ENDPOINT_POLL_S, ENDPOINT_RELIST_S
+from slatehoist.gateway.sync import EndpointSync
+from slatehoist.gateway.upstream import BrokenReplyError, NotSentError, UpstreamRequest
+from slatehoist.observe import GatewayMetrics
+from slatehoist.routing import CrashTally, LoadAwareChooser
+from slatehoist.storage import Check, Feed, Row, StoreDownError, Write
+
+#: Seconds between heartbeats, which rewrite a server's row.
+HEARTBEAT_S = 1.2
+#: Seconds without a heartbeat after which a row is removed.
+ROW_TTL_S = 3 * HEARTBEAT_S
+#: Seconds by which one step advances the simulation.
+STEP_S = 0.1
+#: Real seconds for which a gateway waits for a silent server.
+SILENCE_S = 0.03
+#: Simulated seconds after which a gateway or a caller gives up a silent server.
+PATIENCE_S = 1.8
+#: Body of a request that crashes every server which runs it.
+POISON = b"poison"
+
+
+class SharedTable:
+    """`WatchableTable` in memory, with one version for all its rows."""
+
+    def __init__(self) -> None:
+        self._rows: dict[tuple[str, str], Row] = {}
+        self._version = 0
+
+    async def get(self, table: str, key: str) -> Row | None:
+        return self._rows.get((table, key))
+
+    async def scan(self, table: str, prefix: str = "", after: str = "") -> list[Row]:
+        return [
+            row
+            for (name, key), row in sorted(self._rows.items())
+            if name == table and key.startswith(prefix) and key > after
+        ]
+
+    async def snapshot(
+        self, table: str, start: str = "", end: str = ""
+    ) -> tuple[list[Row], int]:
+        return await self.scan(table), self._version
+
+    async def changes(self, table: str, since: int, wait_s: float) -> Feed:
+        rows = [row for row in await self.scan(table) if row.version > since]
+        return Feed(sorted(rows, key=lambda row: row.version), self._version)
+
+    async def transact(self, checks: list[Check], writes: list[Write]) -> None:
+        self._version += 1
+        for write in writes:
+            row_id = (write.table, write.key)
+            self._rows.pop(row_id, None)
+            if write.value is not None:
+                self._rows[row_id] = Row(write.key, self._version, dict(write.value))
+
+
+class Server:
+    """Server of the service ``app``, which registers itself by heartbeats.
+
+    Attributes
+    ----------
+    ending : str
+        How it ends when it runs a poison request: ``reset`` resets its connections and
+        refuses new ones, ``silent`` answers nothing any more, ``unframed`` ends a body
+        that has no length.
+    down_s : float
+        Seconds until it is up again.
+    replaced : bool
+        True if it comes back under a new id.
+    """
+
+    def __init__(self, number: int, started_at: float = 0.0, **faults) -> None:
+        self.address = f"10.0.0.{number}:80"
+        self.ending = "reset"
+        self.down_s = 4.0
+        self.replaced = False
+        vars(self).update(faults)
+        self._number = number
+        self._starts = 0
+        self.row_version = 0
+        self.draining = False
+        self.arrivals: list[float] = []
+        self.crashed_at: list[float] = []
+        self._down_until = 0.0
+        self._start(started_at)
+
+    def _start(self, now: float) -> None:
+        self._starts += 1
+        generation = f"-{self._starts}" if self.replaced else ""
+        self.name = f"e{self._number}{generation}"
+        self._born = self._starts
+        self.is_up = True
+        self.draining = False
+        self._beat(now)
+
+    def _beat(self, now: float) -> None:
+        self._beat_at = now
+        self.row_version += 1
+        self.row = Endpoint(
+            self.name,
+            "app",
+            self.address,
+            "a",
+            6,
+            draining=self.draining,
+            started_at_ms=self._born,
+        )
+
+    def crash(self, now: float) -> None:
+        self.is_up = False
+        self.crashed_at.append(now)
+        self._down_until = now + self.down_s
+
+    def tick(self, now: float) -> None:
+        """Send a heartbeat, restart, or let the row expire, if that is due."""
+        if not self.is_up and now >= self._down_until:
+            self._start(now)
+        if self.is_up and now - self._beat_at >= HEARTBEAT_S:
+            self._beat(now)
+        if now - self._beat_at >= ROW_TTL_S:
+            self.row = None
+
+
+class SimulatedReply:
+    """Whole response of a server."""
+
+    status = 200
+    body = b"whole"
+
+    def __init__(self, framed: bool = True) -> None:
+        self.headers = {"Content-Length": "5"} if framed else {}
+
+    async def read(self) -> bytes:
+        return self.body
+
+    def close(self) -> None:
+        pass
+
+    def release(self) -> None:
+        pass
+
+
+class SimulatedUpstream:
+    """HTTP client of one gateway, whose requests reach the simulated servers.
+
+    Attributes
+    ----------
+    resets_left : int
+        Number of further requests whose connection is reset although the server lives.
+    """
+
+    def __init__(self, fleet: "Fleet") -> None:
+        self._fleet = fleet
+        self.resets_left = 0
+
+    async def send(self, req: UpstreamRequest) -> SimulatedReply:
+        server = self._fleet.at(req.address)
+        self._check_connect(server)
+        server.arrivals.append(self._fleet.now)
+        if self.resets_left:
+            self.resets_left -= 1
+            raise BrokenReplyError("reset")
+        if req.body != POISON:
+            return SimulatedReply()
+        server.crash(self._fleet.now)
+        if server.ending == "reset":
+            raise BrokenReplyError("reset")
+        if server.ending == "silent":
+            await self._fleet.advance(PATIENCE_S)
+            await asyncio.sleep(60)
+        return SimulatedReply(framed=False)
+
+    async def probe(self, address: str) -> None:
+        self._check_connect(self._fleet.at(address))
+
+    def _check_connect(self, server: Server) -> None:
+        if not server.is_up:
+            raise NotSentError(server.address, refused=server.ending != "silent")
+
+
+class SimulatedCodec:
+    """Codec for responses that are always valid."""
+
+    def request_headers(self, headers: Any, forwarding: Any) -> dict[str, str]:
+        return {}
+
+    def reply_headers(self, headers: Any) -> dict[str, str]:
+        return {}
+
+    def read_reply(self, status: int, headers: Any) -> ReplyInfo:
+        return ReplyInfo("id", not_run=False, wrong_instance=False, authentic=True)
+
+
+class SimulatedGateway:
+    """Gateway that reads the list and the crash reports at its own times.
+
+    Attributes
+    ----------
+    cut_off : bool
+        True while the gateway does not reach the store.
+    """
+
+    def __init__(self, fleet: "Fleet", number: int) -> None:
+        self._fleet = fleet
+        self.cut_off = False
+        clock = fleet.clock
+        metrics = GatewayMetrics()
+        self.tally = CrashTally()
+        self.upstream = SimulatedUpstream(fleet)
+        self.crashes = CrashReports(
+            fleet.table, f"gateway-{number}", self.tally, metrics, clock
+        )
+        directory = EndpointDirectory(ENDPOINT_RELIST_S)
+        health = EndpointHealth()
+        self._sync = EndpointSync(None, directory, health, self.crashes, clock)
+        cfg = GatewaySettings(f"gateway-{number}", "a", "", "")
+        self._forwarder = Forwarder(
+            cfg,
+            SimulatedCodec(),
+            directory,
+            health,
+            self.upstream,
+            LoadAwareChooser(random.Random(number)),
+            self.tally,
+            self.crashes,
+            metrics,
+            clock,
+        )
+        self._next_read_at = fleet.now + fleet.rng.random() * ENDPOINT_POLL_S
+        self._directory = directory
+
+    async def start(self) -> None:
+        self._sync.apply(self._fleet.listed())
+
+    async def tick(self) -> None:
+        if self.cut_off:
+            self._directory.record_outage()
+            return
+        if self._fleet.now >= self._next_read_at:
+            self._next_read_at += ENDPOINT_POLL_S
+            self._sync.apply(self._fleet.listed())
+        await self.crashes.write_pending()
+        await self.crashes.read_reports()
+
+    async def send(self, body: bytes = POISON, caller_leaves: bool = False) -> Exchange:
+        """Send a request until the gateway answers it or the caller leaves."""
+        now = self._fleet.now
+        req = SimpleNamespace(method="POST", raw_path="/a/x", headers={})
+        info = RequestInfo("id", None, "key", "")
+        route = make_route(objective_s=SILENCE_S)
+        exchange = Exchange(req, body, info, route, Service("app"), "t", now, now + 5)
+        task = asyncio.create_task(self._forwarder.forward(exchange))
+        if caller_leaves:
+            await asyncio.sleep(SILENCE_S / 3)
+            task.cancel()
+        await asyncio.gather(task, return_exceptions=caller_leaves)
+        return exchange
+
+
+class Fleet:
+    """Simulated servers and gateways that share a table and a clock."""
+
+    def __init__(self, servers: int, gateways: int, seed: int, **faults) -> None:
+        self.now = 100.0
+        self.rng = random.Random(seed)
+        self.table = SharedTable()
+        self.servers = [
+            # Their heartbeats do not coincide.
+            Server(number, self.now - self.rng.random() * HEARTBEAT_S, **faults)
+            for number in range(servers)
+        ]
+        self.gateways = [SimulatedGateway(self, number) for number in range(gateways)]
+
+    async def start(self) -> "Fleet":
+        await self.advance(HEARTBEAT_S)
+        for gateway in self.gateways:
+            await gateway.start()
+        return self
+
+    def clock(self) -> float:
+        return self.now
+
+    def at(self, address: str) -> Server:
+        return next(s for s in self.servers if s.address == address)
+
+    def listed(self) -> list[Endpoint]:
+        return [s.row for s in self.servers if s.row is not None]
+
+    async def advance(self, seconds: float) -> None:
+        for _ in range(round(seconds / STEP_S)):
+            self.now += STEP_S
+            for server in self.servers:
+                server.tick(self.now)
+            for gateway in self.gateways:
+                await gateway.tick()
+            # Background tasks of the gateways, such as probes, run in between.
+            await asyncio.sleep(0)
+
+    def crash_times(self) -> list[float]:
+        return sorted(at for server in self.servers for at in server.crashed_at)
+
+    def count_arrivals(self, after: float) -> int:
+        return sum(at > after for server in self.servers for at in server.arrivals)
+
+
+class SharedTableDown(SharedTable):
+    """Table that refuses every call."""
+
+    async def scan(self, table: str, prefix: str = "", after: str = "") -> list[Row]:
+        raise StoreDownError("refused")
+
+    async def transact(self, checks: list[Check], writes: list[Write]) -> None:
+        raise StoreDownError("refused")
--- /dev/null
+++ b/packages/gateway/tests/test_gateway_crashes.py
@@ -0,0 +1,155 @@
+"""Tests of requests that crash servers: each way to end, and each way the news takes.
+
+A caller sends such a request again each second. No test needs a network.
+"""
+
+import unittest
+
+from gateway_fleet import Fleet, Server
+
+from slatehoist.routing.crashes import MAX_CRASHES
+
+#: Shortest time in seconds, of all deployments, after which all gateways must know of
+#: the crash that reaches the limit.
+NEWS_S = 3.0
+#: Times that a request may still be sent to servers after that.
+MAX_LATE_RETRIES = 3
+#: Seconds for which the caller sends the request again, and the pause between.
+RESEND_FOR_S = 40.0
+RESEND_PAUSE_S = 1.0
+
+
+class CrashTestCase(unittest.IsolatedAsyncioTestCase):
+    async def start_fleet(
+        self, servers: int = 72, gateways: int = 14, seed: int = 1, **faults
+    ) -> Fleet:
+        return await Fleet(servers, gateways, seed, **faults).start()
+
+    async def resend(
+        self,
+        fleet: Fleet,
+        caller_leaves: bool = False,
+        pause_s: float = RESEND_PAUSE_S,
+    ) -> None:
+        """Send a poison request again and again, each time through any gateway."""
+        ends_at = fleet.now + RESEND_FOR_S
+        while fleet.now < ends_at:
+            gateway = fleet.rng.choice(fleet.gateways)
+            await gateway.send(caller_leaves=caller_leaves)
+            await fleet.advance(pause_s)
+
+    def count_late_retries(self, fleet: Fleet) -> int:
+        crashes = fleet.crash_times()
+        if len(crashes) < MAX_CRASHES:
+            return 0
+        return fleet.count_arrivals(after=crashes[MAX_CRASHES - 1] + NEWS_S)
+
+
+class EndingTests(CrashTestCase):
+    """A request that crashes servers is blocked, in whichever way a server ends."""
+
+    async def check(
+        self,
+        caller_leaves: bool = False,
+        pause_s: float = RESEND_PAUSE_S,
+        **faults,
+    ) -> None:
+        for seed in range(1, 4):
+            fleet = await self.start_fleet(seed=seed, **faults)
+            await self.resend(fleet, caller_leaves, pause_s)
+            self.assertGreaterEqual(len(fleet.crash_times()), MAX_CRASHES)
+            late = self.count_late_retries(fleet)
+            self.assertLessEqual(late, MAX_LATE_RETRIES, f"seed {seed}")
+
+    # The gateway must not need news of the end within a fixed time.
+    async def test_server_that_is_back_after_four_seconds_counts_as_crashed(self):
+        await self.check(down_s=4.0)
+
+    async def test_server_that_is_back_after_eight_seconds_counts_as_crashed(self):
+        await self.check(down_s=8.0)
+
+    async def test_server_that_is_back_under_a_new_id_counts_as_crashed(self):
+        await self.check(down_s=4.0, replaced=True)
+
+    # The attempt then ends by a timeout instead of a broken reply.
+    async def test_server_that_falls_silent_counts_as_crashed(self):
+        await self.check(ending="silent", down_s=4.0)
+
+    # The attempt then ends by its cancellation.
+    async def test_server_counts_as_crashed_if_the_caller_left_before(self):
+        await self.check(ending="silent", down_s=4.0, caller_leaves=True)
+
+    # Such a body looks complete.
+    async def test_crash_that_ends_a_body_without_a_length_is_counted(self):
+        await self.check(ending="unframed", down_s=4.0)
+
+    # The next crash must not be taken for the one before, although the gateway does not
+    # know that the server has started again.
+    async def test_each_crash_under_one_id_is_counted_while_the_list_is_stale(self):
+        fleet = await self.start_fleet(servers=1, gateways=1, down_s=1.0)
+        gateway = fleet.gateways[0]
+        gateway.cut_off = True
+        for _ in range(MAX_CRASHES):
+            await gateway.send()
+            await fleet.advance(0.5)
+            await gateway.send(b"sound")
+            await fleet.advance(1.5)
+        self.assertEqual(len(fleet.crash_times()), MAX_CRASHES)
+        self.assertTrue((await gateway.send()).blocked)
+
+    # A drain does not explain the end of a server under a request.
+    async def test_crash_of_a_draining_server_is_counted(self):
+        fleet = await self.start_fleet(servers=8, gateways=1, down_s=1e9)
+        gateway = fleet.gateways[0]
+        for _ in range(MAX_CRASHES):
+            await gateway.send()
+            for server in fleet.servers:
+                server.draining = True
+                if not server.is_up and server.row is not None:
+                    server.row = server.row._replace(draining=True)
+            await fleet.advance(6.0)
+            for server in fleet.servers:
+                server.draining = False
+            await fleet.advance(2.0)
+        self.assertTrue((await gateway.send()).blocked)
+
+
+class SoundRequestTests(CrashTestCase):
+    """A request that crashes no server is not blocked."""
+
+    async def test_resets_by_servers_that_live_on_do_not_block(self):
+        fleet = await self.start_fleet()
+        gateway = fleet.gateways[0]
+        for _ in range(10):
+            gateway.upstream.resets_left = 2
+            await gateway.send(b"sound")
+            await fleet.advance(0.5)
+        self.assertFalse((await gateway.send(b"sound")).blocked)
+
+    # Only losses shortly before the end can be due to the crash.
+    async def test_resets_long_before_the_end_of_a_server_do_not_block(self):
+        fleet = await self.start_fleet(servers=4, gateways=1, down_s=1e9)
+        gateway = fleet.gateways[0]
+        for server in fleet.servers[:MAX_CRASHES]:
+            gateway.upstream.resets_left = 2
+            await gateway.send(b"sound")
+            await fleet.advance(5.0)
+            server.crash(fleet.now)
+            await fleet.advance(6.0)
+        self.assertFalse((await gateway.send(b"sound")).blocked)
+
+
+class ServerTests(unittest.TestCase):
+    """The simulated server behaves as the platform's list describes."""
+
+    def test_row_of_a_crashed_server_expires_after_three_heartbeats(self):
+        server = Server(0, down_s=60.0)
+        server.crash(0.1)
+        server.tick(3.5)
+        self.assertIsNotNone(server.row)
+        server.tick(3.7)
+        self.assertIsNone(server.row)
+
+
+if __name__ == "__main__":
+    unittest.main()
