Keep a lost request open until its endpoint has ended or lived on

What servers saw: after three of them had ended under one request, it was sent to more of them (BUDGET), on large deployments.

Cause: a broken reply counted as part of a crash only if its endpoint was found down within 3 s. A row of the list disappears 2.4 to 3.6 s after a crash (three heartbeats of 1.2 s) and is read up to 0.8 s later; a server that is back under its id shows it later still. Refused connections are earlier evidence, but a gateway sees them only if it sends that server another request soon, which is the rarer the more gateways and servers there are. Class: a time limit on evidence that is shorter than the slowest way in which it can arrive.

Change: LossLedger keeps a loss until the endpoint's end is known, or until its row was rewritten by a heartbeat after the loss. No time limit is left. The first row read after the loss does not close it, since it may have been written before.

--- a/packages/gateway/src/slatehoist/gateway/crash_reports.py
+++ b/packages/gateway/src/slatehoist/gateway/crash_reports.py
@@ -5,13 +5,10 @@
 import logging
 from collections.abc import Callable
 
+from slatehoist.gateway.losses import Crash, LossLedger
 from slatehoist.gateway.model import Endpoint
-from slatehoist.gateway.settings import (
-    CRASH_CONFIRM_S,
-    CRASH_LONG_POLL_S,
-    STORE_RETRY_S,
-)
-from slatehoist.observe import GatewayMetrics, milliseconds
+from slatehoist.gateway.settings import CRASH_LONG_POLL_S, STORE_RETRY_S
+from slatehoist.observe import GatewayMetrics
 from slatehoist.routing import CRASH_RETENTION_S, CrashTally
 from slatehoist.storage import HistoryLostError, PlatformError, WatchableTable, Write
 
@@ -26,9 +23,8 @@
 class CrashReports:
     """Record which requests an endpoint was running when it crashed.
 
-    A response that is cut off does not prove a crash: links fail, and endpoints cut off
-    responses. It counts as a crash if the endpoint is found to be down, restarted or
-    replaced shortly before or after.
+    A lost request counts as a crash if its endpoint is found to be down, restarted or
+    replaced, and has not been found alive since the loss; see `LossLedger`.
 
     Parameters
     ----------
@@ -49,9 +45,7 @@
         self._tally = tally
         self._metrics = metrics
         self._clock = clock
-        #: For each crash id, the digests of requests with a broken reply, with times.
-        self._losses: dict[str, list[tuple[str, float]]] = {}
-        self._ended_at: dict[str, float] = {}
+        self._ledger = LossLedger()
         self._unsent: dict[str, Write] = {}
         #: For each row, the time at which this gateway wrote or first read it.
         self._seen_at: dict[str, float] = {}
@@ -59,44 +53,28 @@
         self._version: int | None = None
 
     def record_loss(self, endpoint: Endpoint, digest: str) -> None:
-        """Record a request whose reply was cut off or missing."""
+        """Record a request that was lost at an endpoint."""
         now = self._clock()
-        crash_id = _crash_id(endpoint)
-        if now - self._ended_at.get(crash_id, float("-inf")) < CRASH_CONFIRM_S:
-            self._report_crash(crash_id, [digest], now)
-            return
-        self._losses[crash_id] = [
-            *self._recent_losses(crash_id, now),
-            (digest, now),
-        ]
+        crash = self._ledger.record_loss(endpoint, digest, now)
+        if crash is not None:
+            self._report_crash(crash, now)
 
     def record_end(self, endpoint: Endpoint) -> None:
         """Record that an endpoint is down, restarted or replaced by another one."""
         now = self._clock()
-        crash_id = _crash_id(endpoint)
-        self._ended_at[crash_id] = now
-        known = self._losses.pop(crash_id, [])
-        digests = [d for d, at in known if now - at < CRASH_CONFIRM_S]
-        if known:
-            # A request that was lost and is not counted shows that the news was late.
-            log.info(
-                "endpoint_ended",
-                extra={
-                    "crash": crash_id,
-                    "lost": [d for d, _ in known],
-                    "counted": digests,
-                    "lost_ms_ago": [milliseconds(now - at) for _, at in known],
-                },
-            )
-        if digests:
-            self._report_crash(crash_id, digests, now)
-
-    def _recent_losses(self, crash_id: str, now: float) -> list[tuple[str, float]]:
-        broken = self._losses.get(crash_id, [])
-        return [(digest, at) for digest, at in broken if now - at < CRASH_CONFIRM_S]
-
-    def _report_crash(self, crash_id: str, digests: list[str], now: float) -> None:
-        for digest in digests:
+        crash = self._ledger.record_end(endpoint, now)
+        if crash is not None:
+            self._report_crash(crash, now)
+
+    def observe_list(self, listed: list[Endpoint], read_at: float) -> None:
+        """Close the losses that their endpoints outlived; see `LossLedger`."""
+        closed = self._ledger.observe_list(listed, read_at, self._clock())
+        if closed:
+            log.info("losses_outlived", extra={"digests": closed})
+
+    def _report_crash(self, crash: Crash, now: float) -> None:
+        crash_id = crash.crash_id
+        for digest in crash.digests:
             crashes = self._tally.record_crash(digest, crash_id, now)
             self._metrics.crash_reports.labels("own").inc()
             key = f"{digest}/{crash_id}/{self._instance}"
@@ -186,8 +164,3 @@
                     "version": row.version,
                 },
             )
-
-
-def _crash_id(endpoint: Endpoint) -> str:
-    """Return the id of one run of an endpoint, which can crash only once."""
-    return f"{endpoint.endpoint_id}@{endpoint.started_at_ms}"
--- a/packages/gateway/src/slatehoist/gateway/settings.py
+++ b/packages/gateway/src/slatehoist/gateway/settings.py
@@ -107,9 +107,6 @@
 #: not coincide; with the whole ratio, the retries of all instances together could
 #: exceed it in some windows.
 RETRY_RATIO_USED = 0.75
-#: A broken response counts as part of a crash if its endpoint is found to be down
-#: within this many seconds before or after it: a few reads of the endpoint list.
-CRASH_CONFIRM_S = 3.0
 #: Seconds that a long poll for the gateways' crash reports lasts; each poll is a billed
 #: call.
 CRASH_LONG_POLL_S = 10.0
--- a/packages/gateway/src/slatehoist/gateway/sync.py
+++ b/packages/gateway/src/slatehoist/gateway/sync.py
@@ -9,6 +9,7 @@
 from slatehoist.gateway.crash_reports import CrashReports
 from slatehoist.gateway.directory import EndpointDirectory
 from slatehoist.gateway.health import EndpointHealth
+from slatehoist.gateway.model import Endpoint
 from slatehoist.gateway.settings import (
     CONFIG_LONG_POLL_S,
     ENDPOINT_POLL_S,
@@ -133,7 +134,7 @@
             started_at = self._clock()
             try:
                 listed = await self._source.endpoints()
-                self.apply(listed)
+                self.apply(listed, started_at)
                 self._dependency.record_success()
             except PlatformError as exc:
                 self._directory.record_outage()
@@ -144,8 +145,14 @@
                 max(0.0, ENDPOINT_POLL_S - (self._clock() - started_at))
             )
 
-    def apply(self, listed: list) -> None:
-        """Replace the endpoints by a list that was read, and act on the changes."""
+    def apply(self, listed: list[Endpoint], read_at: float) -> None:
+        """Replace the endpoints by a list that was read, and act on the changes.
+
+        Parameters
+        ----------
+        read_at : float
+            Time at which the read began.
+        """
         changes = self._directory.update(listed, self._clock())
         # These are the endpoints as they were listed before. One that was draining was
         # expected to stop, so this is no crash.
@@ -153,6 +160,7 @@
             self._health.forget(endpoint.endpoint_id)
             if not endpoint.draining:
                 self._crashes.record_end(endpoint)
+        self._crashes.observe_list(listed, read_at)
         if changes:
             log.info(
                 "endpoints_changed",
--- a/packages/gateway/tests/gateway_fleet.py
+++ b/packages/gateway/tests/gateway_fleet.py
@@ -129,6 +129,7 @@
             6,
             draining=self.draining,
             started_at_ms=self._born,
+            row_version=self.row_version,
         )
 
     def crash(self, now: float) -> None:
@@ -255,7 +256,7 @@
         self._directory = directory
 
     async def start(self) -> None:
-        self._sync.apply(self._fleet.listed())
+        self._sync.apply(self._fleet.listed(), self._fleet.now)
 
     async def tick(self) -> None:
         if self.cut_off:
@@ -263,7 +264,7 @@
             return
         if self._fleet.now >= self._next_read_at:
             self._next_read_at += ENDPOINT_POLL_S
-            self._sync.apply(self._fleet.listed())
+            self._sync.apply(self._fleet.listed(), self._fleet.now)
         await self.crashes.write_pending()
         await self.crashes.read_reports()
 
--- a/packages/gateway/tests/test_gateway_crashes.py
+++ b/packages/gateway/tests/test_gateway_crashes.py
@@ -5,8 +5,10 @@
 
 import unittest
 
+from gateway_builders import make_endpoint
 from gateway_fleet import Fleet, Server
 
+from slatehoist.gateway.losses import LossLedger
 from slatehoist.routing.crashes import MAX_CRASHES
 
 #: Shortest time in seconds, of all deployments, after which all gateways must know of
@@ -139,6 +141,34 @@
         self.assertFalse((await gateway.send(b"sound")).blocked)
 
 
+class LossLedgerTests(unittest.TestCase):
+    def setUp(self):
+        self.ledger = LossLedger()
+        self.endpoint = make_endpoint("e1", started_at_ms=1, row_version=5)
+        self.ledger.record_loss(self.endpoint, "d", 10.0)
+
+    def observe(self, row_version: int, read_at: float) -> list[str]:
+        endpoint = self.endpoint._replace(row_version=row_version)
+        return self.ledger.observe_list([endpoint], read_at, read_at)
+
+    # A heartbeat just before the crash may be read after it.
+    def test_row_that_may_be_older_than_the_loss_does_not_close_it(self):
+        self.assertEqual(self.observe(6, read_at=9.9), [])
+        self.assertEqual(self.observe(7, read_at=10.1), [])
+        self.assertEqual(self.observe(7, read_at=11.0), [])
+        self.assertIsNotNone(self.ledger.record_end(self.endpoint, 12.0))
+
+    def test_row_that_is_rewritten_after_the_loss_closes_it(self):
+        self.observe(6, read_at=10.1)
+        self.assertEqual(self.observe(7, read_at=11.0), ["d"])
+        self.assertIsNone(self.ledger.record_end(self.endpoint, 12.0))
+
+    def test_loss_is_a_crash_if_the_endpoint_has_ended_before(self):
+        self.ledger.record_end(self.endpoint, 10.0)
+        crash = self.ledger.record_loss(self.endpoint, "other", 20.0)
+        self.assertEqual(crash.digests, ["other"])
+
+
 class ServerTests(unittest.TestCase):
     """The simulated server behaves as the platform's list describes."""
 
