Count silent and abandoned requests as lost

Cause: only the outcome broken was recorded as a loss. A silent server ends the attempt by a timeout, or the caller leaves first and the attempt is cancelled. Class: one way to end was handled where the outcome has several.

--- a/packages/gateway/src/slatehoist/gateway/forwarding.py
+++ b/packages/gateway/src/slatehoist/gateway/forwarding.py
@@ -133,12 +133,11 @@
                 self._metrics.attempts.labels(outcome.value).inc()
                 if outcome.lost:
                     self._metrics.lost_requests.labels(outcome.value).inc()
+                    self._crashes.record_loss(endpoint, exchange.digest)
                 self._log_attempt(exchange, endpoint, outcome, now, selection)
             if outcome is Outcome.DELIVERED:
                 self._tally.record_success(exchange.digest, self._clock())
                 return resp
-            if outcome is Outcome.BROKEN:
-                self._crashes.record_loss(endpoint, exchange.digest)
             exchange.may_have_run |= outcome.may_have_run
             if not self._should_retry(exchange, outcome, budget):
                 return None
