Count the end of a draining endpoint as a crash of the requests it lost

Cause: an endpoint that was listed as draining was expected to stop, so its end was no evidence. But a drain explains only that it gets no new requests; the requests that it lost are those that it did not finish.

--- a/packages/gateway/src/slatehoist/gateway/sync.py
+++ b/packages/gateway/src/slatehoist/gateway/sync.py
@@ -154,12 +154,10 @@
             Time at which the read began.
         """
         changes = self._directory.update(listed, self._clock())
-        # These are the endpoints as they were listed before. One that was draining was
-        # expected to stop, so this is no crash.
+        # These are the endpoints as they were listed before.
         for endpoint in [*changes.removed, *changes.restarted]:
             self._health.forget(endpoint.endpoint_id)
-            if not endpoint.draining:
-                self._crashes.record_end(endpoint)
+            self._crashes.record_end(endpoint)
         self._crashes.observe_list(listed, read_at)
         if changes:
             log.info(
