Tell apart the crashes of an endpoint that starts again under its id

Cause: a crash is identified by the endpoint's id and start time. Until the new start time is read, all crashes have the same id and count once.

Change: a request that was sent after a known end and is lost shows that the endpoint had started again, so the next end is a crash of its own. If the restart is listed first, such losses are carried over to the new run.

--- a/packages/gateway/src/slatehoist/gateway/crash_reports.py
+++ b/packages/gateway/src/slatehoist/gateway/crash_reports.py
@@ -52,20 +52,27 @@
         self._write_needed = asyncio.Event()
         self._version: int | None = None
 
-    def record_loss(self, endpoint: Endpoint, digest: str) -> None:
+    def record_loss(self, endpoint: Endpoint, digest: str, sent_at: float) -> None:
         """Record a request that was lost at an endpoint."""
         now = self._clock()
-        crash = self._ledger.record_loss(endpoint, digest, now)
+        crash = self._ledger.record_loss(endpoint, digest, sent_at, now)
         if crash is not None:
             self._report_crash(crash, now)
 
     def record_end(self, endpoint: Endpoint) -> None:
-        """Record that an endpoint is down, restarted or replaced by another one."""
+        """Record that an endpoint is down, removed or replaced by another one."""
         now = self._clock()
         crash = self._ledger.record_end(endpoint, now)
         if crash is not None:
             self._report_crash(crash, now)
 
+    def record_restart(self, old: Endpoint, current: Endpoint) -> None:
+        """Record that an endpoint is listed with a new start time."""
+        now = self._clock()
+        crash = self._ledger.record_restart(old, current, now)
+        if crash is not None:
+            self._report_crash(crash, now)
+
     def observe_list(self, listed: list[Endpoint], read_at: float) -> None:
         """Close the losses that their endpoints outlived; see `LossLedger`."""
         closed = self._ledger.observe_list(listed, read_at, self._clock())
--- a/packages/gateway/src/slatehoist/gateway/forwarding.py
+++ b/packages/gateway/src/slatehoist/gateway/forwarding.py
@@ -133,7 +133,7 @@
                 self._metrics.attempts.labels(outcome.value).inc()
                 if outcome.lost:
                     self._metrics.lost_requests.labels(outcome.value).inc()
-                    self._crashes.record_loss(endpoint, exchange.digest)
+                    self._crashes.record_loss(endpoint, exchange.digest, now)
                 self._log_attempt(exchange, endpoint, outcome, now, selection)
             if outcome is Outcome.DELIVERED:
                 self._tally.record_success(exchange.digest, self._clock())
--- a/packages/gateway/src/slatehoist/gateway/losses.py
+++ b/packages/gateway/src/slatehoist/gateway/losses.py
@@ -47,29 +47,63 @@
         return row_version != self.row_version
 
 
+class _End(NamedTuple):
+    """Last known end of an endpoint, and the number of ends under its start time."""
+
+    at: float
+    count: int
+
+
 class LossLedger:
-    """Keep the open losses and the recent ends of endpoints."""
+    """Keep the open losses and the recent ends of endpoints.
+
+    An endpoint may start again under its id and end again before its new start time is
+    read from the list. A request that was sent after the known end and is lost shows
+    that it had started again, so the next end is another crash.
+    """
 
     def __init__(self) -> None:
-        #: Open losses by crash id; see `_crash_id`.
+        #: Open losses by run; see `_run_id`.
         self._losses: dict[str, deque[_Loss]] = {}
-        self._ended_at: dict[str, float] = {}
-
-    def record_loss(self, endpoint: Endpoint, digest: str, now: float) -> Crash | None:
-        """Record a lost request; return a crash if its endpoint has ended."""
-        crash_id = _crash_id(endpoint)
-        if crash_id in self._ended_at:
-            return Crash(crash_id, [digest])
-        losses = self._losses.setdefault(crash_id, deque(maxlen=_MAX_OPEN_LOSSES))
-        losses.append(_Loss(digest, now))
+        self._ends: dict[str, _End] = {}
+
+    def record_loss(
+        self, endpoint: Endpoint, digest: str, sent_at: float, now: float
+    ) -> Crash | None:
+        """Record a lost request; return a crash if its endpoint has ended since."""
+        run_id = _run_id(endpoint)
+        end = self._ends.get(run_id)
+        if end is not None and sent_at <= end.at:
+            return Crash(_crash_id(run_id, end), [digest])
+        self._open_losses(run_id).append(_Loss(digest, now))
         return None
 
     def record_end(self, endpoint: Endpoint, now: float) -> Crash | None:
         """Record that an endpoint ended; return a crash if that explains losses."""
-        crash_id = _crash_id(endpoint)
-        self._ended_at[crash_id] = now
-        losses = self._losses.pop(crash_id, None)
-        return Crash(crash_id, [loss.digest for loss in losses]) if losses else None
+        run_id = _run_id(endpoint)
+        losses = self._losses.pop(run_id, None)
+        known = self._ends.get(run_id)
+        count = 1 if known is None else known.count + bool(losses)
+        end = self._ends[run_id] = _End(now, count)
+        if not losses:
+            return None
+        return Crash(_crash_id(run_id, end), [loss.digest for loss in losses])
+
+    def record_restart(
+        self, old: Endpoint, current: Endpoint, now: float
+    ) -> Crash | None:
+        """Record that an endpoint is listed with a new start time.
+
+        Losses after its known end are those of the current run, which has not ended.
+        """
+        if _run_id(old) not in self._ends:
+            return self.record_end(old, now)
+        for loss in self._losses.pop(_run_id(old), ()):
+            self._open_losses(_run_id(current)).append(_Loss(loss.digest, loss.at))
+        return None
+
+    def _open_losses(self, run_id: str) -> deque[_Loss]:
+        return self._losses.setdefault(run_id, deque(maxlen=_MAX_OPEN_LOSSES))
 
     def observe_list(
         self, listed: Iterable[Endpoint], read_at: float, now: float
@@ -83,7 +117,7 @@
         """
         closed = []
         for endpoint in listed:
-            losses = self._losses.get(_crash_id(endpoint))
+            losses = self._losses.get(_run_id(endpoint))
             if losses is None:
                 continue
             outlived = [
@@ -95,15 +129,20 @@
                 losses.remove(loss)
                 closed.append(loss.digest)
             if not losses:
-                del self._losses[_crash_id(endpoint)]
-        self._ended_at = {
-            crash_id: at
-            for crash_id, at in self._ended_at.items()
-            if now - at < _END_RETENTION_S
+                del self._losses[_run_id(endpoint)]
+        self._ends = {
+            run_id: end
+            for run_id, end in self._ends.items()
+            if now - end.at < _END_RETENTION_S
         }
         return closed
 
 
-def _crash_id(endpoint: Endpoint) -> str:
-    """Return the id of one run of an endpoint, which can crash only once."""
+def _run_id(endpoint: Endpoint) -> str:
+    """Return the id of an endpoint since its listed start time."""
     return f"{endpoint.endpoint_id}@{endpoint.started_at_ms}"
+
+
+def _crash_id(run_id: str, end: _End) -> str:
+    """Return the id of an end, which is the same at all gateways for the first end."""
+    return run_id if end.count == 1 else f"{run_id}+{end.count - 1}"
--- a/packages/gateway/src/slatehoist/gateway/sync.py
+++ b/packages/gateway/src/slatehoist/gateway/sync.py
@@ -154,10 +154,13 @@
             Time at which the read began.
         """
         changes = self._directory.update(listed, self._clock())
-        # These are the endpoints as they were listed before.
-        for endpoint in [*changes.removed, *changes.restarted]:
+        current = {endpoint.endpoint_id: endpoint for endpoint in listed}
+        for endpoint in changes.removed:
             self._health.forget(endpoint.endpoint_id)
             self._crashes.record_end(endpoint)
+        for endpoint in changes.restarted:
+            self._health.forget(endpoint.endpoint_id)
+            self._crashes.record_restart(endpoint, current[endpoint.endpoint_id])
         self._crashes.observe_list(listed, read_at)
         if changes:
             log.info(
--- a/packages/gateway/tests/test_gateway_crashes.py
+++ b/packages/gateway/tests/test_gateway_crashes.py
@@ -145,7 +145,7 @@
     def setUp(self):
         self.ledger = LossLedger()
         self.endpoint = make_endpoint("e1", started_at_ms=1, row_version=5)
-        self.ledger.record_loss(self.endpoint, "d", 10.0)
+        self.ledger.record_loss(self.endpoint, "d", 9.0, 10.0)
 
     def observe(self, row_version: int, read_at: float) -> list[str]:
         endpoint = self.endpoint._replace(row_version=row_version)
@@ -165,9 +165,23 @@
 
     def test_loss_is_a_crash_if_the_endpoint_has_ended_before(self):
         self.ledger.record_end(self.endpoint, 10.0)
-        crash = self.ledger.record_loss(self.endpoint, "other", 20.0)
+        crash = self.ledger.record_loss(self.endpoint, "other", 9.5, 20.0)
         self.assertEqual(crash.digests, ["other"])
 
+    def test_loss_after_a_known_end_is_part_of_the_next_crash(self):
+        first = self.ledger.record_end(self.endpoint, 11.0)
+        self.assertIsNone(self.ledger.record_loss(self.endpoint, "d", 12.0, 13.0))
+        second = self.ledger.record_end(self.endpoint, 14.0)
+        self.assertNotEqual(first.crash_id, second.crash_id)
+
+    # The lost request reached the new run, which has not ended.
+    def test_loss_after_a_known_end_is_open_after_the_restart_is_listed(self):
+        self.ledger.record_end(self.endpoint, 11.0)
+        self.ledger.record_loss(self.endpoint, "d", 12.0, 13.0)
+        restarted = self.endpoint._replace(started_at_ms=2, row_version=7)
+        self.assertIsNone(self.ledger.record_restart(self.endpoint, restarted, 14.0))
+        self.assertIsNotNone(self.ledger.record_end(restarted, 15.0))
+
 
 class ServerTests(unittest.TestCase):
     """The simulated server behaves as the platform's list describes."""
