Do not take a body that ends with its connection for a success

What servers saw: a request whose crash ended the body of its answer was never blocked (BUDGET).

Cause: a body without a length is complete if its connection is closed in order, which a crash does, too. Such an answer was recorded as a success, and that clears the request's crashes.

Change: only an answer with a length or in chunks is a success. Any other one is passed on as before, and stays open as a possible loss until its endpoint is seen alive.

--- a/packages/gateway/src/slatehoist/gateway/exchange.py
+++ b/packages/gateway/src/slatehoist/gateway/exchange.py
@@ -96,6 +96,8 @@
         self.group_closed = False
         #: True if the request was refused because it crashed too many endpoints.
         self.blocked = False
+        #: False if the last response ended with its connection, which a crash ends too.
+        self.reply_framed = True
         #: Last server error of an endpoint, returned if no attempt succeeds.
         self.failure_reply: Reply | None = None
         #: Response of which a part may already have been sent to the caller.
--- a/packages/gateway/src/slatehoist/gateway/forwarding.py
+++ b/packages/gateway/src/slatehoist/gateway/forwarding.py
@@ -57,6 +57,8 @@
 _SUCCESS_STATUSES = range(200, 300)
 #: Statuses with which an endpoint can state that it did not run the request.
 _NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
+#: Statuses whose responses have no body.
+_BODILESS_STATUSES = frozenset({204, 304})
 #: Number of endpoints tried from which a failed connect is no longer retried. A failed
 #: connect carried no request, so trying another endpoint is safe; more tries would use
 #: up the caller's deadline.
@@ -136,12 +138,24 @@
                     self._crashes.record_loss(endpoint, exchange.digest, now)
                 self._log_attempt(exchange, endpoint, outcome, now, selection)
             if outcome is Outcome.DELIVERED:
-                self._tally.record_success(exchange.digest, self._clock())
+                self._record_delivery(exchange, endpoint, now)
                 return resp
             exchange.may_have_run |= outcome.may_have_run
             if not self._should_retry(exchange, outcome, budget):
                 return None
 
+    def _record_delivery(
+        self, exchange: Exchange, endpoint: Endpoint, sent_at: float
+    ) -> None:
+        """Record that a request was answered, unless a crash may have ended the body.
+
+        Such a body cannot be told from a whole one, so it is passed on.
+        """
+        if exchange.reply_framed:
+            self._tally.record_success(exchange.digest, self._clock())
+        else:
+            self._crashes.record_loss(endpoint, exchange.digest, sent_at)
+
     async def _wait_for_open_group(self, exchange: Exchange) -> bool:
         """Wait while a group of the service forms, and return True if one is open.
 
@@ -291,6 +305,7 @@
         self, exchange: Exchange, endpoint: Endpoint, reply: aiohttp.ClientResponse
     ) -> tuple[Outcome, web.StreamResponse | None]:
         info = self._codec.read_reply(reply.status, reply.headers)
+        exchange.reply_framed = _is_framed(reply)
         if info.request_id and info.request_id != exchange.info.request_id:
             raise BrokenReplyError(
                 f"{endpoint.address}: response belongs to another request"
@@ -436,3 +451,13 @@
                 **selection,
             },
         )
+
+
+def _is_framed(reply: aiohttp.ClientResponse) -> bool:
+    """Return True if the end of a response does not depend on its connection."""
+    encoding = reply.headers.get("Transfer-Encoding", "").lower()
+    return (
+        reply.status in _BODILESS_STATUSES
+        or "Content-Length" in reply.headers
+        or "chunked" in encoding
+    )
