Probe an endpoint that lost a request, and wait for it if the request is suspected

Cause: the end of an endpoint was learned from the list, 2.4 to 4.4 s after a crash, or by chance from another request to it. Class: a decision that must be prompt relied on news that is slow by design.

Change: a gateway opens a connection, without a request, to an endpoint that lost one; a refused or unanswered connection shows the end within 0.4 s. At most one probe a second and endpoint, since connections are billed; none for attempts that were silent for less than a second (early timeouts, callers that leave). A request that needs only one more crash to be blocked waits for the probe before its next attempt.

--- a/packages/gateway/src/slatehoist/gateway/exchange.py
+++ b/packages/gateway/src/slatehoist/gateway/exchange.py
@@ -96,6 +96,8 @@
         self.group_closed = False
         #: True if the request was refused because it crashed too many endpoints.
         self.blocked = False
+        #: Time at which the current attempt was sent or its response last had data.
+        self.last_data_at = arrived_at
         #: False if the last response ended with its connection, which a crash ends too.
         self.reply_framed = True
         #: Last server error of an endpoint, returned if no attempt succeeds.
--- a/packages/gateway/src/slatehoist/gateway/forwarding.py
+++ b/packages/gateway/src/slatehoist/gateway/forwarding.py
@@ -24,11 +24,13 @@
 from slatehoist.gateway.exchange import Exchange, Outcome, Reply
 from slatehoist.gateway.health import EndpointHealth, GroupState
 from slatehoist.gateway.model import Endpoint
+from slatehoist.gateway.probes import EndpointProbes
 from slatehoist.gateway.settings import (
     ATTEMPT_TIMEOUT_OBJECTIVES,
     GROUP_FORMING_POLL_S,
     GROUP_FORMING_WAIT_S,
     MIN_ATTEMPT_S,
+    PROBE_SILENCE_S,
     REGISTRY_PROPAGATION_S,
     RETRY_RATIO_USED,
     STREAM_IDLE_MARGIN_S,
@@ -78,6 +80,7 @@
         chooser: Chooser,
         tally: CrashTally,
         crashes: CrashReports,
+        probes: EndpointProbes,
         metrics: GatewayMetrics,
         clock: Callable[[], float],
     ) -> None:
@@ -89,6 +92,7 @@
         self._chooser = chooser
         self._tally = tally
         self._crashes = crashes
+        self._probes = probes
         self._metrics = metrics
         self._clock = clock
         self._budgets: dict[str, SharedRetryBudget] = {}
@@ -134,16 +138,36 @@
             finally:
                 self._metrics.attempts.labels(outcome.value).inc()
                 if outcome.lost:
-                    self._metrics.lost_requests.labels(outcome.value).inc()
-                    self._crashes.record_loss(endpoint, exchange.digest, now)
+                    self._record_loss(exchange, endpoint, outcome, now)
                 self._log_attempt(exchange, endpoint, outcome, now, selection)
             if outcome is Outcome.DELIVERED:
                 self._record_delivery(exchange, endpoint, now)
                 return resp
+            if outcome.lost and self._tally.is_suspected(exchange.digest, now):
+                await self._wait_for_probe(endpoint)
             exchange.may_have_run |= outcome.may_have_run
             if not self._should_retry(exchange, outcome, budget):
                 return None
 
+    def _record_loss(
+        self, exchange: Exchange, endpoint: Endpoint, outcome: Outcome, sent_at: float
+    ) -> None:
+        """Record a lost request, and probe the endpoint if it may be down.
+
+        One that was silent for a short time only is not probed: attempts that can be
+        repeated time out early, and callers leave at any time.
+        """
+        self._metrics.lost_requests.labels(outcome.value).inc()
+        self._crashes.record_loss(endpoint, exchange.digest, sent_at)
+        silent_s = self._clock() - exchange.last_data_at
+        if outcome is Outcome.BROKEN or silent_s >= PROBE_SILENCE_S:
+            self._probes.start(endpoint)
+
+    async def _wait_for_probe(self, endpoint: Endpoint) -> None:
+        """Wait until a probe shows whether an endpoint that lost a request is down."""
+        # Waiting does not cancel the probe, for which other requests may wait, too.
+        await asyncio.wait({self._probes.start(endpoint, urgent=True)})
+
     def _record_delivery(
         self, exchange: Exchange, endpoint: Endpoint, sent_at: float
     ) -> None:
@@ -244,6 +268,7 @@
     ) -> tuple[Outcome, web.StreamResponse | None]:
         """Send the request to one endpoint, and pass on its response if it is valid."""
         exchange.tried.add(endpoint.endpoint_id)
+        exchange.last_data_at = self._clock()
         record = self._health.get_record(endpoint.endpoint_id)
         record.inflight += 1
         reply: aiohttp.ClientResponse | None = None
@@ -304,6 +329,7 @@
     async def _handle_reply(
         self, exchange: Exchange, endpoint: Endpoint, reply: aiohttp.ClientResponse
     ) -> tuple[Outcome, web.StreamResponse | None]:
+        exchange.last_data_at = self._clock()
         info = self._codec.read_reply(reply.status, reply.headers)
         exchange.reply_framed = _is_framed(reply)
         if info.request_id and info.request_id != exchange.info.request_id:
@@ -373,6 +399,7 @@
                     timeouts.add(timeout)
                 while chunk := await reply.content.readany():
                     timeout.reschedule(loop.time() + idle_timeout_s)
+                    exchange.last_data_at = self._clock()
                     events = splitter.feed(chunk) if exchange.route.resumable else chunk
                     if events:
                         await self._write_to_caller(exchange, reply, events)
--- a/packages/gateway/src/slatehoist/gateway/process.py
+++ b/packages/gateway/src/slatehoist/gateway/process.py
@@ -17,6 +17,7 @@
 from slatehoist.gateway.gateway import Gateway
 from slatehoist.gateway.health import EndpointHealth
 from slatehoist.gateway.model import CallerLimits
+from slatehoist.gateway.probes import EndpointProbes
 from slatehoist.gateway.registry import InstanceRegistry
 from slatehoist.gateway.settings import (
     ENDPOINT_RELIST_S,
@@ -119,6 +120,7 @@
             chooser,
             tally,
             crashes,
+            EndpointProbes(self._upstream.probe, crashes, self._clock),
             self._metrics,
             self._clock,
         )
--- a/packages/gateway/src/slatehoist/gateway/settings.py
+++ b/packages/gateway/src/slatehoist/gateway/settings.py
@@ -107,6 +107,9 @@
 #: not coincide; with the whole ratio, the retries of all instances together could
 #: exceed it in some windows.
 RETRY_RATIO_USED = 0.75
+#: Seconds without data from an endpoint after which it is probed when a request ends
+#: without an answer: callers leave after two seconds.
+PROBE_SILENCE_S = 1.0
 #: Seconds that a long poll for the gateways' crash reports lasts; each poll is a billed
 #: call.
 CRASH_LONG_POLL_S = 10.0
--- a/packages/gateway/src/slatehoist/gateway/upstream.py
+++ b/packages/gateway/src/slatehoist/gateway/upstream.py
@@ -119,6 +119,23 @@
         except (aiohttp.ClientError, OSError, ValueError) as exc:
             raise BrokenReplyError(f"{req.address}: {exc!r}") from exc
 
+    async def probe(self, address: str) -> None:
+        """Open a connection without a request, and reset it.
+
+        Raises
+        ------
+        NotSentError
+            If the connection was refused, or not accepted in time.
+        """
+        host, _, port = address.rpartition(":")
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                _, writer = await asyncio.open_connection(host, int(port))
+        except (TimeoutError, OSError) as exc:
+            refused = isinstance(exc, ConnectionRefusedError)
+            raise NotSentError(f"{address}: {exc!r}", refused) from exc
+        writer.transport.abort()
+
     async def close(self) -> None:
         """Close all connections."""
         await self._session.close()
--- a/packages/gateway/tests/gateway_fleet.py
+++ b/packages/gateway/tests/gateway_fleet.py
@@ -23,6 +23,7 @@
 from slatehoist.gateway.exchange import Exchange
 from slatehoist.gateway.forwarding import Forwarder
 from slatehoist.gateway.health import EndpointHealth
+from slatehoist.gateway.probes import EndpointProbes
 from slatehoist.gateway.settings import ENDPOINT_POLL_S, ENDPOINT_RELIST_S
 from slatehoist.gateway.sync import EndpointSync
 from slatehoist.gateway.upstream import BrokenReplyError, NotSentError, UpstreamRequest
@@ -249,6 +250,7 @@
             LoadAwareChooser(random.Random(number)),
             self.tally,
             self.crashes,
+            EndpointProbes(self.upstream.probe, self.crashes, clock),
             metrics,
             clock,
         )
--- a/packages/gateway/tests/test_gateway_crashes.py
+++ b/packages/gateway/tests/test_gateway_crashes.py
@@ -63,6 +63,13 @@
             late = self.count_late_retries(fleet)
             self.assertLessEqual(late, MAX_LATE_RETRIES, f"seed {seed}")
 
+    # The news must be there before the list shows the end, some seconds after a crash.
+    async def test_no_further_server_ends_if_crashed_ones_refuse_connections(self):
+        for seed in range(1, 6):
+            fleet = await self.start_fleet(seed=seed, down_s=8.0)
+            await self.resend(fleet)
+            self.assertEqual(len(fleet.crash_times()), MAX_CRASHES, f"seed {seed}")
+
     # The gateway must not need news of the end within a fixed time.
     async def test_server_that_is_back_after_four_seconds_counts_as_crashed(self):
         await self.check(down_s=4.0)
--- a/packages/routing/src/slatehoist/routing/crashes.py
+++ b/packages/routing/src/slatehoist/routing/crashes.py
@@ -40,17 +40,26 @@
 
     def is_blocked(self, digest: str, now: float) -> bool:
         """Return True if a request has crashed too many endpoints."""
+        return self._count(digest, now) >= MAX_CRASHES and not self._succeeded(
+            digest, now
+        )
+
+    def is_suspected(self, digest: str, now: float) -> bool:
+        """Return True if one more crash would block a request."""
+        return self._count(digest, now) >= MAX_CRASHES - 1
+
+    def _count(self, digest: str, now: float) -> int:
         crashes = self._crashes.get(digest)
         if crashes is None:
-            return False
+            return 0
         recent = {
             crash_id: at for crash_id, at in crashes.items() if now - at < RETENTION_S
         }
-        if not recent:
+        if recent:
+            self._crashes[digest] = recent
+        else:
             del self._crashes[digest]
-            return False
-        self._crashes[digest] = recent
-        return len(recent) >= MAX_CRASHES and not self._succeeded(digest, now)
+        return len(recent)
 
     def _succeeded(self, digest: str, now: float) -> bool:
         at = self._successes.get(digest)
