Check whether a request is blocked after it waited for its group

Cause: the check was made before the wait, with the time of before the wait.

Change: check again after the wait, with the present time.

Evidence: the new test crashed a server before, and none after.

--- a/packages/gateway/src/slatehoist/gateway/forwarding.py
+++ b/packages/gateway/src/slatehoist/gateway/forwarding.py
@@ -118,16 +118,18 @@
         budget = self._retry_budget(exchange.service.name)
         budget.record_first_attempt(self._clock())
         while True:
-            now = self._clock()
-            if exchange.deadline_at - now < MIN_ATTEMPT_S:
-                return None
-            if self._tally.is_blocked(exchange.digest, now):
-                exchange.blocked = True
-                self._metrics.blocked_requests.inc()
+            if self._is_blocked(exchange):
                 return None
             if not await self._wait_for_open_group(exchange):
                 exchange.group_closed = True
                 return None
+            # Reports of crashes may have arrived, and the deadline may have passed,
+            # during the wait.
+            if self._is_blocked(exchange):
+                return None
+            now = self._clock()
+            if exchange.deadline_at - now < MIN_ATTEMPT_S:
+                return None
             endpoint = self._choose_endpoint(exchange, now)
             if endpoint is None:
                 return None
@@ -149,6 +151,13 @@
             if not self._should_retry(exchange, outcome, budget):
                 return None
 
+    def _is_blocked(self, exchange: Exchange) -> bool:
+        if not self._tally.is_blocked(exchange.digest, self._clock()):
+            return False
+        exchange.blocked = True
+        self._metrics.blocked_requests.inc()
+        return True
+
     def _record_loss(
         self, exchange: Exchange, endpoint: Endpoint, outcome: Outcome, sent_at: float
     ) -> None:
--- a/packages/gateway/tests/gateway_builders.py
+++ b/packages/gateway/tests/gateway_builders.py
@@ -3,6 +3,7 @@
 from slatehoist.gateway import (
     Configuration,
     Endpoint,
+    EngineSpec,
     Kind,
     Route,
     Service,
@@ -41,3 +42,8 @@
         "teams": (Team("t", ("key",)),),
     }
     return Configuration(version, **{**values, **fields})
+
+
+def make_engine() -> EngineSpec:
+    """Build the cost model of an engine."""
+    return EngineSpec(6, 5.0, 0.4, 0.01, 74_000.0, 512, 7, 700.0, 150.0)
--- a/packages/gateway/tests/gateway_fleet.py
+++ b/packages/gateway/tests/gateway_fleet.py
@@ -14,6 +14,7 @@
 from slatehoist.gateway import (
     Endpoint,
     EndpointDirectory,
+    EngineSpec,
     GatewaySettings,
     ReplyInfo,
     RequestInfo,
@@ -238,7 +239,7 @@
             fleet.table, f"gateway-{number}", self.tally, metrics, clock
         )
         directory = EndpointDirectory(ENDPOINT_RELIST_S)
-        health = EndpointHealth()
+        health = self.health = EndpointHealth()
         self._sync = EndpointSync(None, directory, health, self.crashes, clock)
         cfg = GatewaySettings(f"gateway-{number}", "a", "", "")
         self._forwarder = Forwarder(
@@ -270,13 +271,25 @@
         await self.crashes.write_pending()
         await self.crashes.read_reports()
 
-    async def send(self, body: bytes = POISON, caller_leaves: bool = False) -> Exchange:
+    def observe_groups(self, is_open: bool) -> None:
+        """Record a status of each server, as the agents send them."""
+        for server in self._fleet.servers:
+            self.health.observe_status(server.name, is_open, 1.0, self._fleet.now)
+
+    async def send(
+        self,
+        body: bytes = POISON,
+        caller_leaves: bool = False,
+        engine: EngineSpec | None = None,
+    ) -> Exchange:
         """Send a request until the gateway answers it or the caller leaves."""
         now = self._fleet.now
         req = SimpleNamespace(method="POST", raw_path="/a/x", headers={})
         info = RequestInfo("id", None, "key", "")
         route = make_route(objective_s=SILENCE_S)
-        exchange = Exchange(req, body, info, route, Service("app"), "t", now, now + 5)
+        exchange = Exchange(
+            req, body, info, route, Service("app", engine), "t", now, now + 5
+        )
         task = asyncio.create_task(self._forwarder.forward(exchange))
         if caller_leaves:
             await asyncio.sleep(SILENCE_S / 3)
--- a/packages/gateway/tests/test_gateway_crashes.py
+++ b/packages/gateway/tests/test_gateway_crashes.py
@@ -3,11 +3,13 @@
 A caller sends such a request again each second. No test needs a network.
 """
 
+import asyncio
 import unittest
 
-from gateway_builders import make_endpoint
-from gateway_fleet import Fleet, Server
+from gateway_builders import make_endpoint, make_engine
+from gateway_fleet import POISON, SILENCE_S, Fleet, Server
 
+from slatehoist.gateway.exchange import request_digest
 from slatehoist.gateway.losses import LossLedger
 from slatehoist.routing.crashes import MAX_CRASHES
 
@@ -123,6 +125,26 @@
         self.assertTrue((await gateway.send()).blocked)
 
 
+class NewsTests(CrashTestCase):
+    """The news of a crash is used as soon as it is there, and does not get lost."""
+
+    # The gateway waits up to a second for a group that forms, with the request in hand.
+    async def test_report_that_arrives_while_a_request_waits_for_a_group_blocks_it(
+        self,
+    ):
+        fleet = await self.start_fleet(servers=4, gateways=1)
+        gateway = fleet.gateways[0]
+        gateway.observe_groups(is_open=False)
+        sent = asyncio.create_task(gateway.send(engine=make_engine()))
+        await asyncio.sleep(SILENCE_S)
+        digest = request_digest("POST", "/a/x", "t", POISON)
+        for number in range(MAX_CRASHES):
+            gateway.tally.record_crash(digest, f"crash-{number}", fleet.now)
+        gateway.observe_groups(is_open=True)
+        self.assertTrue((await sent).blocked)
+        self.assertEqual(fleet.crash_times(), [])
+
+
 class SoundRequestTests(CrashTestCase):
     """A request that crashes no server is not blocked."""
 
