Skip unusable rows of the crash reports

What servers would see: after one row that is not as expected (an older build, another writer), a gateway hears of no further crash until it restarts, and sends on requests that all others refuse.

Cause: a missing field raised KeyError in the task that follows the reports, which ends it.

Change: such a row is skipped with a log line.

Evidence: the new test failed with KeyError before, passes now.

--- a/packages/gateway/src/slatehoist/gateway/crash_reports.py
+++ b/packages/gateway/src/slatehoist/gateway/crash_reports.py
@@ -157,7 +157,13 @@
         now = self._clock()
         for row in rows:
             self._seen_at.setdefault(row.key, now)
-            digest, crash_id = row.value["digest"], row.value["crash"]
+            digest, crash_id = row.value.get("digest"), row.value.get("crash")
+            if not isinstance(digest, str) or not isinstance(crash_id, str):
+                log.warning(
+                    "crash_report_unusable",
+                    extra={"key": row.key, "version": row.version, "value": row.value},
+                )
+                continue
             crashes = self._tally.record_crash(digest, crash_id, now)
             if row.key.endswith(f"/{self._instance}"):
                 continue
--- a/packages/gateway/tests/test_gateway_crashes.py
+++ b/packages/gateway/tests/test_gateway_crashes.py
@@ -7,11 +7,13 @@
 import unittest
 
 from gateway_builders import make_endpoint, make_engine
-from gateway_fleet import POISON, SILENCE_S, Fleet, Server
+from gateway_fleet import POISON, SILENCE_S, STEP_S, Fleet, Server
 
+from slatehoist.gateway.crash_reports import CRASHES
 from slatehoist.gateway.exchange import request_digest
 from slatehoist.gateway.losses import LossLedger
 from slatehoist.routing.crashes import MAX_CRASHES
+from slatehoist.storage import Write
 
 #: Shortest time in seconds, of all deployments, after which all gateways must know of
 #: the crash that reaches the limit.
@@ -144,6 +146,18 @@
         self.assertTrue((await sent).blocked)
         self.assertEqual(fleet.crash_times(), [])
 
+    # Such a row must not end the task that follows the reports.
+    async def test_reports_after_an_unusable_row_are_counted(self):
+        fleet = await self.start_fleet(gateways=1)
+        digest = request_digest("POST", "/a/x", "t", POISON)
+        rows = {"odd": {"digest": 7, "crash": "c"}, "empty": {}}
+        for number in range(MAX_CRASHES):
+            rows[f"z{number}"] = {"digest": digest, "crash": f"c{number}"}
+        writes = [Write(CRASHES, key, value) for key, value in rows.items()]
+        await fleet.table.transact([], writes)
+        await fleet.advance(STEP_S)
+        self.assertTrue((await fleet.gateways[0].send()).blocked)
+
 
 class SoundRequestTests(CrashTestCase):
     """A request that crashes no server is not blocked."""
