Share the success of a request that was in a crash

What callers would see: a sound request that was in flight at three crashes is answered by the gateway where it succeeded since, and refused by all others for a minute.

Cause: crashes were shared by all gateways, the success that clears them was not.

Change: a gateway reports the success of a request that had crashes; rows are counted in the order in which they were written.

Evidence: the new test was refused at the other gateways before, and is served now.

--- a/packages/gateway/src/slatehoist/gateway/crash_reports.py
+++ b/packages/gateway/src/slatehoist/gateway/crash_reports.py
@@ -10,11 +10,18 @@
 from slatehoist.gateway.settings import CRASH_LONG_POLL_S, STORE_RETRY_S
 from slatehoist.observe import GatewayMetrics
 from slatehoist.routing import CRASH_RETENTION_S, CrashTally
-from slatehoist.storage import HistoryLostError, PlatformError, WatchableTable, Write
+from slatehoist.storage import (
+    HistoryLostError,
+    PlatformError,
+    Row,
+    WatchableTable,
+    Write,
+)
 
 log = logging.getLogger(__name__)
 
-#: Table with one row per request, crash and gateway that reported it.
+#: Table with one row per request, crash and gateway that reported it, and one per
+#: request that succeeded after a crash.
 CRASHES = "crashes"
 #: Largest number of rows in one transaction; the platform's store accepts 100.
 _MAX_ROWS_PER_WRITE = 100
@@ -79,6 +86,17 @@
         if closed:
             log.info("losses_outlived", extra={"digests": closed})
 
+    def record_success(self, digest: str) -> None:
+        """Record that a request succeeded; report it if it was in a crash before."""
+        if not self._tally.record_success(digest, self._clock()):
+            return
+        key = f"{digest}/success/{self._instance}"
+        # Older instances need a crash id in each row.
+        value = {"digest": digest, "crash": "", "success": True}
+        self._unsent[key] = Write(CRASHES, key, value)
+        log.info("request_cleared", extra={"digest": digest})
+        self._write_needed.set()
+
     def _report_crash(self, crash: Crash, now: float) -> None:
         crash_id = crash.crash_id
         for digest in crash.digests:
@@ -155,25 +173,32 @@
             feed = await self._table.changes(CRASHES, self._version, CRASH_LONG_POLL_S)
             rows, self._version = feed.rows, feed.version
         now = self._clock()
-        for row in rows:
+        # In the order of their writes: a success clears earlier crashes only.
+        for row in sorted(rows, key=lambda row: row.version):
             self._seen_at.setdefault(row.key, now)
-            digest, crash_id = row.value.get("digest"), row.value.get("crash")
-            if not isinstance(digest, str) or not isinstance(crash_id, str):
-                log.warning(
-                    "crash_report_unusable",
-                    extra={"key": row.key, "version": row.version, "value": row.value},
-                )
-                continue
-            crashes = self._tally.record_crash(digest, crash_id, now)
-            if row.key.endswith(f"/{self._instance}"):
-                continue
-            self._metrics.crash_reports.labels("other").inc()
-            log.info(
-                "crash_report_read",
-                extra={
-                    "digest": digest,
-                    "crash": crash_id,
-                    "crashes": crashes,
-                    "version": row.version,
-                },
+            self._count_report(row, now)
+
+    def _count_report(self, row: Row, now: float) -> None:
+        digest, crash_id = row.value.get("digest"), row.value.get("crash")
+        if not isinstance(digest, str) or not isinstance(crash_id, str):
+            log.warning(
+                "crash_report_unusable",
+                extra={"key": row.key, "version": row.version, "value": row.value},
             )
+            return
+        if row.value.get("success"):
+            self._tally.record_success(digest, now)
+            return
+        crashes = self._tally.record_crash(digest, crash_id, now)
+        if row.key.endswith(f"/{self._instance}"):
+            return
+        self._metrics.crash_reports.labels("other").inc()
+        log.info(
+            "crash_report_read",
+            extra={
+                "digest": digest,
+                "crash": crash_id,
+                "crashes": crashes,
+                "version": row.version,
+            },
+        )
--- a/packages/gateway/src/slatehoist/gateway/forwarding.py
+++ b/packages/gateway/src/slatehoist/gateway/forwarding.py
@@ -185,7 +185,7 @@
         Such a body cannot be told from a whole one, so it is passed on.
         """
         if exchange.reply_framed:
-            self._tally.record_success(exchange.digest, self._clock())
+            self._crashes.record_success(exchange.digest)
         else:
             self._crashes.record_loss(endpoint, exchange.digest, sent_at)
 
--- a/packages/gateway/tests/test_gateway_crashes.py
+++ b/packages/gateway/tests/test_gateway_crashes.py
@@ -171,6 +171,22 @@
             await fleet.advance(0.5)
         self.assertFalse((await gateway.send(b"sound")).blocked)
 
+    # Several servers may end at once under a request that many callers send.
+    async def test_success_at_one_gateway_clears_the_request_at_all(self):
+        fleet = await self.start_fleet(gateways=3)
+        digest = request_digest("POST", "/a/x", "t", b"sound")
+        for number in range(MAX_CRASHES - 1):
+            crash = {"digest": digest, "crash": f"c{number}"}
+            await fleet.table.transact([], [Write(CRASHES, f"z{number}", crash)])
+        await fleet.advance(STEP_S)
+        await fleet.gateways[0].send(b"sound")
+        await fleet.advance(STEP_S)
+        crash = {"digest": digest, "crash": "last"}
+        await fleet.table.transact([], [Write(CRASHES, "z-last", crash)])
+        await fleet.advance(STEP_S)
+        for gateway in fleet.gateways:
+            self.assertFalse((await gateway.send(b"sound")).blocked)
+
     # Only losses shortly before the end can be due to the crash.
     async def test_resets_long_before_the_end_of_a_server_do_not_block(self):
         fleet = await self.start_fleet(servers=4, gateways=1, down_s=1e9)
--- a/packages/routing/src/slatehoist/routing/crashes.py
+++ b/packages/routing/src/slatehoist/routing/crashes.py
@@ -30,13 +30,17 @@
         crashes.setdefault(crash_id, now)
         return len(crashes)
 
-    def record_success(self, digest: str, now: float) -> None:
-        """Record a success of a request and drop its crashes."""
-        self._crashes.pop(digest, None)
+    def record_success(self, digest: str, now: float) -> bool:
+        """Record a success of a request and drop its crashes.
+
+        Return True if it had any, so that the other instances need to know.
+        """
+        had_crashes = self._crashes.pop(digest, None) is not None
         self._successes[digest] = now
         self._successes.move_to_end(digest)
         while now - next(iter(self._successes.values())) >= RETENTION_S:
             self._successes.popitem(last=False)
+        return had_crashes
 
     def is_blocked(self, digest: str, now: float) -> bool:
         """Return True if a request has crashed too many endpoints."""
