Block a request again by one crash after its block has ended

Cause: all is forgotten a minute after the crashes, so three more are needed. Besides, the crashes of a request that was never asked for again were kept for ever.

Change: a request that reached the limit is tried once a minute after its last crash, and one further crash blocks it again (half-open circuit breaker), for up to an hour after its last crash. Expired crashes are dropped with each new one.

Evidence: test_request_is_blocked_again_by_one_crash_after_its_block_has_ended and test_requests_whose_crashes_have_expired_are_dropped fail without the change.

--- a/packages/gateway/src/slatehoist/gateway/exchange.py
+++ b/packages/gateway/src/slatehoist/gateway/exchange.py
@@ -94,8 +94,8 @@
         self.may_have_run = False
         #: True if the request was refused because no group of its service is open.
         self.group_closed = False
-        #: True if the request was refused because it crashed too many endpoints.
-        self.blocked = False
+        #: Seconds for which the request is refused because it crashed endpoints.
+        self.blocked_for_s = 0.0
         #: Time at which the current attempt was sent or its response last had data.
         self.last_data_at = arrived_at
         #: False if the last response ended with its connection, which a crash ends too.
@@ -106,6 +106,11 @@
         self.stream: web.StreamResponse | None = None
         self.last_event_id = info.last_event_id
 
+    @property
+    def blocked(self) -> bool:
+        """Return True if the request was refused because it crashed endpoints."""
+        return self.blocked_for_s > 0.0
+
     @property
     def is_stream(self) -> bool:
         """Return True if the response is an event stream."""
--- a/packages/gateway/src/slatehoist/gateway/forwarding.py
+++ b/packages/gateway/src/slatehoist/gateway/forwarding.py
@@ -152,11 +152,11 @@
                 return None
 
     def _is_blocked(self, exchange: Exchange) -> bool:
-        if not self._tally.is_blocked(exchange.digest, self._clock()):
-            return False
-        exchange.blocked = True
-        self._metrics.blocked_requests.inc()
-        return True
+        now = self._clock()
+        exchange.blocked_for_s = self._tally.blocked_for_s(exchange.digest, now)
+        if exchange.blocked:
+            self._metrics.blocked_requests.inc()
+        return exchange.blocked
 
     def _record_loss(
         self, exchange: Exchange, endpoint: Endpoint, outcome: Outcome, sent_at: float
--- a/packages/routing/src/slatehoist/routing/crashes.py
+++ b/packages/routing/src/slatehoist/routing/crashes.py
@@ -8,9 +8,13 @@
 #: Number of crashes after which a request is blocked. Two may be a coincidence when
 #: several endpoints crash at once; each further crash costs another endpoint.
 MAX_CRASHES = 3
-#: Seconds for which crashes and successes are kept. Callers retry within a few seconds,
-#: and the fault that made a request crash endpoints may be fixed after a minute.
+#: Seconds for which crashes and successes are kept, and for which a request is blocked
+#: after its last crash. Callers retry within a few seconds, and the fault that made a
+#: request crash endpoints may be fixed after a minute.
 RETENTION_S = 60.0
+#: Seconds after its last crash for which a request that was blocked is blocked again by
+#: a single further crash.
+CONVICTION_S = 3600.0
 
 
 class CrashTally:
@@ -21,13 +25,20 @@
     """
 
     def __init__(self) -> None:
-        self._crashes: dict[str, dict[str, float]] = {}
+        self._crashes: OrderedDict[str, dict[str, float]] = OrderedDict()
         self._successes: OrderedDict[str, float] = OrderedDict()
+        #: Requests that reached the limit, with the time of their last crash.
+        self._convicted: OrderedDict[str, float] = OrderedDict()
 
     def record_crash(self, digest: str, crash_id: str, now: float) -> int:
         """Count a crash once per ``crash_id``; return the request's crash count."""
         crashes = self._crashes.setdefault(digest, {})
-        crashes.setdefault(crash_id, now)
+        if crash_id not in crashes:
+            crashes[crash_id] = now
+            self._crashes.move_to_end(digest)
+            self._drop_expired(now)
+            if digest in self._convicted or self._count(digest, now) >= MAX_CRASHES:
+                self._convict(digest, now)
         return len(crashes)
 
     def record_success(self, digest: str, now: float) -> bool:
@@ -36,21 +47,43 @@
         Return True if it had any, so that the other instances need to know.
         """
         had_crashes = self._crashes.pop(digest, None) is not None
+        self._convicted.pop(digest, None)
         self._successes[digest] = now
         self._successes.move_to_end(digest)
         while now - next(iter(self._successes.values())) >= RETENTION_S:
             self._successes.popitem(last=False)
         return had_crashes
 
+    def blocked_for_s(self, digest: str, now: float) -> float:
+        """Return the seconds for which a request is blocked; 0 if it is not."""
+        if digest not in self._convicted or self._succeeded(digest, now):
+            return 0.0
+        return max(0.0, self._convicted[digest] + RETENTION_S - now)
+
     def is_blocked(self, digest: str, now: float) -> bool:
-        """Return True if a request has crashed too many endpoints."""
-        return self._count(digest, now) >= MAX_CRASHES and not self._succeeded(
-            digest, now
-        )
+        """Return True if a request has crashed too many endpoints.
+
+        It is tried once more `RETENTION_S` after its last crash.
+        """
+        return self.blocked_for_s(digest, now) > 0.0
 
     def is_suspected(self, digest: str, now: float) -> bool:
         """Return True if one more crash would block a request."""
-        return self._count(digest, now) >= MAX_CRASHES - 1
+        return digest in self._convicted or self._count(digest, now) >= MAX_CRASHES - 1
+
+    def _convict(self, digest: str, now: float) -> None:
+        self._convicted[digest] = now
+        self._convicted.move_to_end(digest)
+        while now - next(iter(self._convicted.values())) >= CONVICTION_S:
+            self._convicted.popitem(last=False)
+
+    def _drop_expired(self, now: float) -> None:
+        """Drop the requests whose last crash has expired."""
+        while self._crashes:
+            digest, crashes = next(iter(self._crashes.items()))
+            if now - max(crashes.values()) < RETENTION_S:
+                return
+            del self._crashes[digest]
 
     def _count(self, digest: str, now: float) -> int:
         crashes = self._crashes.get(digest)
--- a/packages/routing/tests/test_routing_crashes.py
+++ b/packages/routing/tests/test_routing_crashes.py
@@ -46,6 +46,27 @@
         self.assertTrue(self.tally.is_blocked("a", CRASH_RETENTION_S - 1))
         self.assertFalse(self.tally.is_blocked("a", CRASH_RETENTION_S))
 
+    # The request would otherwise crash three endpoints each minute.
+    def test_request_is_blocked_again_by_one_crash_after_its_block_has_ended(self):
+        self.record_crashes("a", MAX_CRASHES)
+        self.assertFalse(self.tally.is_blocked("a", CRASH_RETENTION_S))
+        self.tally.record_crash("a", "a-later", CRASH_RETENTION_S)
+        self.assertTrue(self.tally.is_blocked("a", CRASH_RETENTION_S + 1))
+        self.assertEqual(
+            self.tally.blocked_for_s("a", CRASH_RETENTION_S + 1), CRASH_RETENTION_S - 1
+        )
+
+    def test_crashes_further_apart_than_the_retention_do_not_block(self):
+        for number in range(2 * MAX_CRASHES):
+            now = number * CRASH_RETENTION_S / (MAX_CRASHES - 1)
+            self.tally.record_crash("a", f"a-{number}", now)
+            self.assertFalse(self.tally.is_blocked("a", now))
+
+    def test_requests_whose_crashes_have_expired_are_dropped(self):
+        for number in range(100):
+            self.tally.record_crash(f"r{number}", "crash", float(number))
+        self.assertLessEqual(len(self.tally._crashes), CRASH_RETENTION_S)
+
     def test_old_successes_are_dropped(self):
         # One success per second: those of the last `CRASH_RETENTION_S` are kept.
         for number in range(100):
