Tell the caller of a blocked request when the block ends

What callers saw: a delay of at most a third of their deadline, after which the request was refused again.

Cause: each retry delay is cut so that the retry falls before the deadline. No retry of a blocked request can succeed before the block ends.

Change: such a refusal carries the whole remaining time.

Evidence: the new test got 1.0 s before, and gets 57 s now.

--- a/packages/gateway/src/slatehoist/gateway/gateway.py
+++ b/packages/gateway/src/slatehoist/gateway/gateway.py
@@ -13,7 +13,7 @@
 from slatehoist.gateway.model import Kind, RequestInfo, Route
 from slatehoist.gateway.settings import STALE_LOOKUP_S
 from slatehoist.observe import GatewayMetrics, milliseconds
-from slatehoist.routing import CRASH_RETENTION_S, retry_delay_s
+from slatehoist.routing import retry_delay_s
 
 log = logging.getLogger(__name__)
 
@@ -41,6 +41,9 @@
     use_other_instance : bool
         True if another instance should serve the caller; its connection is closed, so
         that it connects to another instance.
+    hopeless : bool
+        True if no retry before `wait_s` can succeed, at any instance. The caller is
+        told the whole wait, also if it ends after the caller's deadline.
     """
 
     def __init__(
@@ -49,9 +52,11 @@
         reason: str,
         wait_s: float | None = None,
         use_other_instance: bool = False,
+        hopeless: bool = False,
     ) -> None:
         super().__init__(reason)
         self.use_other_instance = use_other_instance
+        self.hopeless = hopeless
         self.status = status
         self.reason = reason
         self.wait_s = wait_s
@@ -209,7 +214,8 @@
             raise RefusalError(502, "the outcome is unknown")
         self._log_failed_request(exchange, "not_run", now)
         if exchange.blocked:
-            raise RefusalError(503, "this request crashes endpoints", CRASH_RETENTION_S)
+            reason = "this request crashes endpoints"
+            raise RefusalError(503, reason, exchange.blocked_for_s, hopeless=True)
         if exchange.group_closed:
             raise RefusalError(503, "the group of endpoints is forming", _GROUP_WAIT_S)
         raise RefusalError(503, "no endpoint took the request", _ENDPOINT_WAIT_S)
@@ -238,8 +244,8 @@
         arrived_at: float,
     ) -> web.Response:
         now = self._clock()
-        delay_s = None
-        if refusal.wait_s is not None:
+        delay_s = refusal.wait_s if refusal.hopeless else None
+        if refusal.wait_s is not None and not refusal.hopeless:
             left_s = (info.deadline_s or _DEFAULT_DEADLINE_S) - (now - arrived_at)
             delay_s = retry_delay_s(refusal.wait_s, left_s, self._rng)
         log.info(
--- a/tests/test_platform_crashes.py
+++ b/tests/test_platform_crashes.py
@@ -6,6 +6,7 @@
 from gateway_world import GatewayTestCase, GatewayWorld
 from slatehoist.gateway.exchange import request_digest
 from slatehoist.gateway.settings import CONFIG_LONG_POLL_S, CRASH_LONG_POLL_S
+from slatehoist.routing import CRASH_RETENTION_S
 from slatehoist.routing.crashes import MAX_CRASHES
 from slatehoist_standins.deployment_server import CRASH_MARKER
 from slatehoist_standins.relay import Relay
@@ -57,6 +58,19 @@
         self.assertLessEqual(self.count_crashes(world), MAX_CRASHES + 1)
         self.assertEqual(await self.send(world, 0, CRASH_MARKER), 503)
 
+    # A shorter delay would bring the caller back only to be refused again.
+    async def test_blocked_caller_is_told_when_the_block_ends(self):
+        world = await self.start_world(["ok"])
+        digest = request_digest("POST", "/safe/", "team-a", CRASH_MARKER)
+        for number in range(MAX_CRASHES):
+            report = {"digest": digest, "crash": f"c{number}"}
+            world.store.put("crashes", f"c{number}", report)
+        await asyncio.sleep(NEWS_S)
+        async with world.call("/safe/", "POST", data=CRASH_MARKER) as resp:
+            delay_s = float(resp.headers["Retry-After"])
+        self.assertGreater(delay_s, CRASH_RETENTION_S - 2 * NEWS_S)
+        self.assertEqual(self.count_crashes(world), 0)
+
     # New connections work, so neither callers nor the platform see a fault.
     async def test_report_is_read_in_time_after_store_connections_go_silent(self):
         world = await self.start_world(["ok"], copies=2)
