Entry: count a request as part of a crash also if its attempt ended before

What callers saw: none reported it; found by looking for the cause of BUDGET at the entry. A request whose engine fell silent and then crashed was sent to every engine.

Cause: only an attempt that itself found the crash reported it. One that ended by a timeout, its deadline, a lost connection or its cancellation was not in the crash, and no attempt was left to carry the news to an entry.

Change: the sidecar keeps such requests until it has seen the endpoint alive, by a reading of its load that was requested afterwards, and adds them to the crash that ends the incarnation. If it finds the crash by that reading, it broadcasts it to its entries, which pass it on.

--- a/packages/daemon/src/slatehoist/daemon/entry/guard.py
+++ b/packages/daemon/src/slatehoist/daemon/entry/guard.py
@@ -77,6 +77,14 @@
         self._tracker.report_crash(report.crash_id, report.digests, self._clock())
         return True
 
+    async def on_endpoint_crash(self, peer: str, body: bytes) -> None:
+        """Record a crash that a sidecar reported, and report it to the other entries.
+
+        A sidecar reports those that it found out after the attempts had ended.
+        """
+        report = decode(body, CrashReport)
+        await self.report_crash(report.crash_id, report.digests)
+
     async def on_cleared(self, peer: str, body: bytes) -> None:
         """Record that a suspect completed at another entry."""
         self._tracker.report_cleared(decode(body, SuspectCleared).digest, self._clock())
--- a/packages/daemon/src/slatehoist/daemon/entry/process.py
+++ b/packages/daemon/src/slatehoist/daemon/entry/process.py
@@ -147,7 +147,10 @@
             cfg.instance.control,
             "live",
         )
-        notification_handlers = {"config": self._on_config}
+        notification_handlers = {
+            "config": self._on_config,
+            "crash": lambda peer, body: self.guard.on_endpoint_crash(peer, body),
+        }
         self.directory = Directory(
             me,
             self.replica,
--- a/packages/daemon/src/slatehoist/daemon/sidecar/attempts.py
+++ b/packages/daemon/src/slatehoist/daemon/sidecar/attempts.py
@@ -9,6 +9,7 @@
 
 import asyncio
 from collections.abc import Callable
+from typing import NamedTuple
 
 import xxhash
 
@@ -17,6 +18,7 @@
     AttemptRequest,
     AttemptState,
     Broken,
+    CrashReport,
     Data,
     Final,
     Head,
@@ -217,10 +219,19 @@
         self._ran[attempt_id] = now + retention_s
 
 
+class Loss(NamedTuple):
+    """Request that ended without a response while an incarnation ran it."""
+
+    digest: str
+    at: float
+
+
 class CrashLog:
     """Record of which requests were in flight at each crash of the endpoint.
 
-    All attempts that a crash ended report the same id and digests.
+    All attempts that a crash ended report the same id and digests. A request that ended
+    before, for example by its deadline at an endpoint that had fallen silent, is part
+    of the crash unless the endpoint was seen alive since.
     """
 
     def __init__(
@@ -229,6 +240,30 @@
         self._endpoint = endpoint
         self._running_digests = running_digests
         self._crashes: dict[str, list[str]] = {}
+        #: Incarnation that was last seen, and the requests lost at it since.
+        self._incarnation = ""
+        self._losses: list[Loss] = []
+
+    def record_loss(self, incarnation: str, digest: str, now: float) -> None:
+        """Record a request that ended without a response."""
+        if incarnation != self._incarnation:
+            self._incarnation, self._losses = incarnation, []
+        self._losses.append(Loss(digest, now))
+
+    def observe_incarnation(
+        self, incarnation: str, sent_at: float
+    ) -> CrashReport | None:
+        """Record that an incarnation runs; return a crash of the one before, if any.
+
+        Parameters
+        ----------
+        sent_at : float
+            Time at which the incarnation was requested.
+        """
+        if incarnation != self._incarnation and self._losses:
+            return CrashReport(*self.record_crash(self._incarnation))
+        self._losses = [loss for loss in self._losses if loss.at >= sent_at]
+        return None
 
     def record_crash(self, incarnation: str) -> tuple[str, list[str]]:
         """Return the crash id of an incarnation and the digests in flight at the crash.
@@ -237,5 +272,9 @@
         """
         crash_id = f"{self._endpoint}/{incarnation}"
         if crash_id not in self._crashes:
-            self._crashes[crash_id] = self._running_digests(incarnation)
+            digests = set(self._running_digests(incarnation))
+            if incarnation == self._incarnation:
+                digests |= {loss.digest for loss in self._losses}
+                self._losses = []
+            self._crashes[crash_id] = sorted(digests)
         return crash_id, self._crashes[crash_id]
--- a/packages/daemon/src/slatehoist/daemon/sidecar/process.py
+++ b/packages/daemon/src/slatehoist/daemon/sidecar/process.py
@@ -149,11 +149,12 @@
         self.admission = Admission(
             FairQueue(cfg.max_queue), limit, cfg.max_wait_s, self.clock
         )
+        self._crash_log = CrashLog(cfg.name, self.table.running_digests)
         self.runner = AttemptRunner(
             self.table,
             self.admission,
             self.endpoint,
-            CrashLog(cfg.name, self.table.running_digests),
+            self._crash_log,
             lambda: self._load.incarnation,
             self._on_crash,
             self.background,
@@ -243,9 +244,20 @@
         else:
             self._missed_loads = 0
             self._apply_load(load)
+            await self._report_crash(load.incarnation, sent_at)
         self.admission.drop_expired()
         self._send_metrics()
 
+    async def _report_crash(self, incarnation: str, sent_at: float) -> None:
+        """Report a crash of the incarnation before, which no attempt can report."""
+        crash = self._crash_log.observe_incarnation(incarnation, sent_at)
+        if crash is not None:
+            log.warning(
+                "crash",
+                extra={"crash": crash.crash_id, "suspects": len(crash.digests)},
+            )
+            await self.links.broadcast("crash", crash)
+
     def _apply_load(self, load: Load) -> None:
         self._update_incarnation(load)
         if load.step_s:
--- a/packages/daemon/src/slatehoist/daemon/sidecar/runner.py
+++ b/packages/daemon/src/slatehoist/daemon/sidecar/runner.py
@@ -159,6 +159,10 @@
         if reason == BrokenReason.ENDPOINT_CRASHED:
             crash_id, digests = self._crashes.record_crash(attempt.endpoint_incarnation)
             self._on_crash(attempt.endpoint_incarnation)
+        else:
+            self._crashes.record_loss(
+                attempt.endpoint_incarnation, attempt.req.digest, self._clock()
+            )
         outcome = Broken(attempt.req.attempt_id, reason, crash_id, digests)
         attempt.fail(outcome, self._clock())
 
--- a/standins/src/slatehoist_standins/engine.py
+++ b/standins/src/slatehoist_standins/engine.py
@@ -26,6 +26,7 @@
 import hashlib
 import json
 import os
+import time
 import uuid
 
 from aiohttp import web
@@ -35,6 +36,9 @@
 
 ENGINE = web.AppKey("engine", "Engine")
 
+#: Seconds for which the engine answers nothing before a crash that a prompt with both
+#: ``SILENT`` and ``POISON`` causes.
+SILENCE_BEFORE_CRASH_S = 6.0
 #: Exit status of a crash that a prompt with ``POISON`` causes.
 CRASH_STATUS = 70
 
@@ -136,6 +140,9 @@
         stream.append_token()
         if "POISON" in stream.prompt and len(stream.tokens) >= self.poison_steps:
             self.record.write("crash", id=stream.id)
+            if "SILENT" in stream.prompt:
+                # Blocks the event loop, so that the engine answers nothing any more.
+                time.sleep(SILENCE_BEFORE_CRASH_S)
             os._exit(CRASH_STATUS)
         if stream.done:
             self.record.write("finish", id=stream.id, tokens=len(stream.tokens))
--- a/tools/faults/poisons.py
+++ b/tools/faults/poisons.py
@@ -5,6 +5,7 @@
 from faults.callers import complete, expected_text
 from faults.cells import Cell, expect
 from faults.world import ENGINES, World, unique_text, wait_until
+from slatehoist_standins.engine import SILENCE_BEFORE_CRASH_S
 
 #: Crashes that one poison request may cause, summed over all entries.
 MAX_CRASHES = 2
@@ -13,8 +14,20 @@
 TOKENS = 40
 
 
-async def run_poison(world: World, with_others: bool, restart_entry: bool) -> None:
-    """Send a poison request repeatedly, through both entries in turn."""
+async def run_poison(
+    world: World,
+    with_others: bool = False,
+    restart_entry: bool = False,
+    silent: bool = False,
+) -> None:
+    """Send a poison request repeatedly, through both entries in turn.
+
+    Parameters
+    ----------
+    silent : bool
+        True if an engine falls silent before it crashes, so that the attempts at it end
+        before the crash is known. The caller then waits until that is so.
+    """
     before = world.crashes()
     restarter = asyncio.create_task(_replace_crashed(world))
     session = world.session
@@ -31,12 +44,15 @@
         await wait_until(
             lambda: all(world.runs(p) for p in other_prompts), what="the other requests"
         )
-    poison = unique_text("POISON")
+    poison = unique_text("SILENT POISON" if silent else "POISON")
     last = None
     for resend in range(RESENDS):
         entry = world.entries[resend % 2]
         last = await complete(session, entry.http, poison, TOKENS, stream=False)
         expect(last.kind != "whole", f"a poison request was answered: {last}")
+        if silent:
+            await asyncio.sleep(SILENCE_BEFORE_CRASH_S)
+            await wait_until(lambda: _has_sidecars(world), what="the engines")
         if restart_entry and resend == 1:
             world.kill("entry-0")
             world.restart("entry-0")
@@ -73,16 +89,20 @@
     """Return the cells for poison requests."""
 
     async def alone(world: World) -> None:
-        await run_poison(world, with_others=False, restart_entry=False)
+        await run_poison(world)
 
     async def among(world: World) -> None:
-        await run_poison(world, with_others=True, restart_entry=False)
+        await run_poison(world, with_others=True)
 
     async def restart(world: World) -> None:
-        await run_poison(world, with_others=False, restart_entry=True)
+        await run_poison(world, restart_entry=True)
+
+    async def silence(world: World) -> None:
+        await run_poison(world, silent=True)
 
     return [
         Cell("poison", "poison", "alone", alone),
         Cell("poison", "poison", "among", among),
         Cell("poison", "poison", "restart", restart),
+        Cell("poison", "poison", "silent", silence),
     ]
