Entry: end a request under which two endpoints have fallen silent

What callers saw: none reported it; found by looking for the cause of BUDGET at the entry. One idempotent request silenced one engine after the other within its own retries.

Cause: the crash of a silent endpoint is known only when it has started again; until then the request is no suspect, so its retries went on up to the limit of tries.

Change: after as many silent endpoints as crashes hold a request, it is answered as unknown instead of being sent again.

--- a/packages/daemon/src/slatehoist/daemon/entry/dispatch.py
+++ b/packages/daemon/src/slatehoist/daemon/entry/dispatch.py
@@ -26,6 +26,7 @@
 from slatehoist.daemon.metrics import Metric, Metrics
 from slatehoist.daemon.tracing import traceparent, tracer
 from slatehoist.routing import (
+    HOLD_CRASHES,
     LoadAwareChooser,
     PrefixIndex,
     RetryBudget,
@@ -299,6 +300,10 @@
             return False
         if isinstance(outcome, Broken) and outcome.reason == BrokenReason.DEADLINE:
             return False
+        if attempts.silent >= HOLD_CRASHES:
+            # The request may be the cause, which is known only when the endpoints have
+            # started again.
+            return False
         if attempts.count >= self._cfg.retry.max_tries:
             return False
         return self._retry_budget(req.member).spend()
--- a/packages/daemon/src/slatehoist/daemon/entry/outcomes.py
+++ b/packages/daemon/src/slatehoist/daemon/entry/outcomes.py
@@ -44,6 +44,8 @@
         True if the sidecars seemed to have free slots when one was last chosen.
     may_have_run : bool
         True if any attempt may have run.
+    silent : int
+        Number of endpoints that fell silent while they ran the request.
     outcome : Outcome or None
         Outcome of the last attempt.
     """
@@ -55,6 +57,7 @@
         self.suspect_busy: set[str] = set()
         self.has_free_slots = False
         self.may_have_run = False
+        self.silent = 0
         self.outcome: Outcome | None = None
 
     @property
@@ -70,6 +73,8 @@
         self.outcome = outcome
         if not isinstance(outcome, NotRun):
             self.may_have_run = True
+            is_broken = isinstance(outcome, Broken)
+            self.silent += is_broken and outcome.reason == BrokenReason.ENDPOINT_SILENT
         elif outcome.reason == NotRunReason.BUSY:
             self.busy.add(name)
             peer.observe_load(outcome.load, now)
--- a/packages/routing/src/slatehoist/routing/__init__.py
+++ b/packages/routing/src/slatehoist/routing/__init__.py
@@ -27,10 +27,16 @@
     may_fail_fast,
 )
 from slatehoist.routing.subset import Peer, choose_subset, subset_size
-from slatehoist.routing.suspects import Crash, SuspectStatus, SuspectTracker
+from slatehoist.routing.suspects import (
+    HOLD_CRASHES,
+    Crash,
+    SuspectStatus,
+    SuspectTracker,
+)
 
 __all__ = [
     "CRASH_RETENTION_S",
+    "HOLD_CRASHES",
     "AdaptiveLimit",
     "AllowanceShare",
     "Candidate",
