Soak: add a caller whose request crashes servers

A caller now sends one again and again through any gateway, also after its credential was revoked; the servers end by a reset, in silence or at the end of a body without a length, and are back under their id after 0.5 to 6 s; all servers send heartbeats. Checked: at most three arrivals later than 4 s after the third crash, through gateways without a disturbance.

GATEWAYS= sets the number of gateways.

--- a/Makefile
+++ b/Makefile
@@ -38,4 +38,4 @@
 	$(PY) tools/bench_maps.py
 
 soak: .venv/installed
-	SEED=$(SEED) MINUTES=$(MINUTES) $(PY) tools/run_soak.py
+	SEED=$(SEED) MINUTES=$(MINUTES) GATEWAYS=$(GATEWAYS) $(PY) tools/run_soak.py
--- a/standins/src/slatehoist_standins/deployment_server.py
+++ b/standins/src/slatehoist_standins/deployment_server.py
@@ -88,10 +88,12 @@
         self.resets = 0
         self.event_pause_s = 0.0
         self.delay_s = 0.0
+        #: Start time in milliseconds, which the server registers.
+        self.born = 1_700_000_000_000
 
-    async def start(self) -> str:
+    async def start(self, port: int = 0) -> str:
         """Listen on loopback and return the address."""
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", port)
         host, port = self._server.sockets[0].getsockname()
         self.address = f"{host}:{port}"
         return self.address
@@ -111,7 +113,7 @@
             "state": state,
             "coldLeftMs": 0,
             "seq": 1,
-            "born": 1_700_000_000_000,
+            "born": self.born,
         }
 
     async def _serve(
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -9,10 +9,12 @@
 from soak.runner import run_seed  # noqa: E402
 
 #: Seconds for which each seed injects faults.
-DURATION_S = 6.0
+DURATION_S = 12.0
 #: Seeds that CI runs, with the failure that each showed before.
 SEEDS = {
     1: "no known failure",
+    7: "a request was sent on after it had crashed three servers; incident BUDGET",
+    8: "the same, with more crashes",
     108: "a gateway was not ready 20 s after a kill; see KNOWN-RED.txt",
 }
 
--- a/tools/run_soak.py
+++ b/tools/run_soak.py
@@ -1,7 +1,8 @@
 """Run real gateways on loopback under random faults and check their guarantees.
 
-``SEED=`` seeds all random draws, ``MINUTES=`` sets how long faults are injected, and
-``KEEP=1`` keeps the logs of the processes. The last line is JSON.
+``SEED=`` seeds all random draws, ``MINUTES=`` sets how long faults are injected,
+``GATEWAYS=`` sets the number of gateways, and ``KEEP=1`` keeps the logs of the
+processes. The last line is JSON.
 """
 
 import asyncio
@@ -11,14 +12,16 @@
 import sys
 
 from soak.runner import run_seed
+from soak.world import GATEWAYS
 
 
 async def main() -> int:
     """Run one seed; return the exit status."""
     seed = int(os.environ.get("SEED") or random.SystemRandom().randrange(1_000_000))
     minutes = float(os.environ.get("MINUTES") or 1.0)
-    print(f"seed {seed}, {minutes} minutes", flush=True)
-    report = await run_seed(seed, minutes * 60)
+    gateways = int(os.environ.get("GATEWAYS") or GATEWAYS)
+    print(f"seed {seed}, {minutes} minutes, {gateways} gateways", flush=True)
+    report = await run_seed(seed, minutes * 60, gateways)
     for line in report.history:
         print(line)
     for line in report.broken:
--- a/tools/soak/runner.py
+++ b/tools/soak/runner.py
@@ -11,7 +11,8 @@
 from soak.callers import Caller
 from soak.faults import FaultInjector
 from soak.guarantees import find_violations
-from soak.world import World
+from soak.poisons import PoisonCaller
+from soak.world import GATEWAYS, World
 
 #: Number of callers of each gateway.
 CALLERS = 6
@@ -30,7 +31,8 @@
         A line for each guarantee that was violated.
     counts : dict of str to int
         Number of requests, in total and by status; ``cut`` counts the responses with
-        status 200 that ended early.
+        status 200 that ended early, ``poison_crashes`` the crashes of servers by a
+        poison request.
     """
 
     history: list[str]
@@ -38,10 +40,10 @@
     counts: dict[str, int]
 
 
-async def run_seed(seed: int, seconds: float) -> Report:
+async def run_seed(seed: int, seconds: float, gateway_count: int = GATEWAYS) -> Report:
     """Run a seed and inject faults for the given number of seconds."""
     rng = random.Random(seed)
-    world = World(rng)
+    world = World(rng, gateway_count)
     async with world:
         await world.start()
         try:
@@ -57,6 +59,11 @@
         for _ in range(CALLERS)
     ]
     tasks = [asyncio.create_task(caller.run()) for caller in callers]
+    poison_caller = PoisonCaller(world, random.Random(rng.getrandbits(32)))
+    tasks += [
+        asyncio.create_task(poison_caller.run()),
+        asyncio.create_task(world.send_heartbeats()),
+    ]
     injector = FaultInjector(world, rng)
     await injector.run(time.monotonic() + seconds)
     for task in tasks:
@@ -64,11 +71,13 @@
     await asyncio.gather(*tasks, return_exceptions=True)
     results = [result for caller in callers for result in caller.results]
     broken = [*injector.findings, *find_violations(world, results)]
+    broken += poison_caller.find_violations()
     broken += [f"{g.name}: not serving" for g in await _find_not_serving(world)]
     for gateway in world.gateways:
         if world.processes[gateway.name].poll() is not None:
             broken.append(f"{gateway.name}: exited unexpectedly")
-    return Report(injector.history, broken, _count_outcomes(results))
+    counts = {**_count_outcomes(results), "poison_crashes": len(world.poison_crashes)}
+    return Report(injector.history, broken, counts)
 
 
 async def _find_not_serving(world: World) -> list:
--- a/tools/soak/servers.py
+++ b/tools/soak/servers.py
@@ -5,11 +5,14 @@
 from typing import NamedTuple
 
 from slatehoist_standins.deployment_server import (
+    CRASH_MARKER,
     Arrival,
     DeploymentServer,
     encode_chunk,
 )
 
+#: Seconds for which a server that hangs keeps its connections open.
+HANG_S = 10.0
 #: Number of events in a stream.
 STREAM_EVENTS = 12
 
@@ -48,6 +51,13 @@
     )
 
 
+class PoisonCrash(NamedTuple):
+    """Crash of a server by a poison request; ``at`` is in monotonic seconds."""
+
+    at: float
+    request_id: str
+
+
 class SoakServer(DeploymentServer):
     """Server that can crash and drain, draws its behaviour, and records its runs.
 
@@ -57,6 +67,12 @@
         All runs by request id, shared by all servers.
     draw_behaviour : callable
         Returns the behaviour for the next response.
+    draw_ending : callable
+        Returns how the server ends when it runs a poison request: ``reset`` resets its
+        connections, ``hang`` leaves them open, and ``unframed`` ends the body of the
+        poison request, which has no length.
+    on_poison : callable
+        Called with the server and the id of a poison request that crashed it.
     """
 
     def __init__(
@@ -65,6 +81,9 @@
         super().__init__(server_id)
         self.runs = runs
         self.draw_behaviour = draw_behaviour
+        self.draw_ending = lambda: "reset"
+        self.on_poison = lambda server, request_id: None
+        self.is_up = True
         #: Seconds before a plain response and after each event of a stream.
         self.pause_s = 0.02
         #: Time at which the store accepted the state ``draining``; None before that.
@@ -73,10 +92,40 @@
 
     def crash(self) -> None:
         """Stop listening and abort all connections."""
+        self.is_up = False
         self._server.close()
         for writer in list(self._writers):
             writer.transport.abort()
 
+    async def restart(self) -> None:
+        """Start again at the same address, under the same id."""
+        self.born += 1
+        await self.start(int(self.address.rpartition(":")[2]))
+        self.is_up = True
+
+    async def _respond(
+        self,
+        arrival: Arrival,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> bool:
+        expected = arrival.headers.get("Expect-Instance")
+        if CRASH_MARKER not in arrival.body or expected != self.server_id:
+            return await super()._respond(arrival, reader, writer)
+        ending = self.draw_ending()
+        self.is_up = False
+        self._server.close()
+        self.on_poison(self, arrival.headers["Request-Id"])
+        if ending == "unframed":
+            writer.write(self._make_head(arrival, "ok") + b"\r\n" + b"cut off")
+            await writer.drain()
+            writer.close()
+        if ending != "hang":
+            self.crash()
+        else:
+            await asyncio.sleep(HANG_S)
+        return False
+
     def _next_behaviour(self) -> str:
         return self.draw_behaviour()
 
--- a/tools/soak/world.py
+++ b/tools/soak/world.py
@@ -12,10 +12,11 @@
 from slatehoist_standins.deployment_store import DeploymentStore
 from slatehoist_standins.fleet import Fleet, free_port
 from slatehoist_standins.relay import Relay
-from soak.servers import Run, SoakServer
+from soak.servers import PoisonCrash, Run, SoakServer
 
 HOST = "api.example"
 LAUNCHER = pathlib.Path(__file__).parents[2] / "platform" / "launch.py"
+#: Default number of gateways.
 GATEWAYS = 3
 SERVERS = 5
 TEAMS = 3
@@ -26,6 +27,14 @@
 ROUTE_TIMEOUT_S = 3.0
 #: Seconds after a fault or a planned stop for which a gateway counts as disturbed.
 SETTLE_S = 4.0
+#: Seconds between heartbeats of a server, and the number of missing ones after which
+#: its row is removed.
+HEARTBEAT_S = 1.2
+MAX_MISSED_HEARTBEATS = 3
+#: Seconds for which a server that a poison request crashed is down: least and most.
+DOWN_S = (0.5, 6.0)
+#: How such a server ends, drawn with equal probability; see `SoakServer.draw_ending`.
+ENDINGS = ("reset", "hang", "unframed")
 #: Faulty behaviours of servers, drawn with equal probability.
 BAD_BEHAVIOURS = (
     "error",
@@ -95,10 +104,13 @@
         Revoked credentials, with the times at which the store accepted the revocation.
     bad_ratio : float
         Fraction of the servers' responses that are faulty.
+    poison_crashes : list of PoisonCrash
+        Crashes of servers by poison requests, in order.
     """
 
-    def __init__(self, rng: random.Random) -> None:
+    def __init__(self, rng: random.Random, gateway_count: int = GATEWAYS) -> None:
         super().__init__()
+        self._gateway_count = gateway_count
         self.rng = rng
         self.store = DeploymentStore()
         self.runs: dict[str, list[Run]] = {}
@@ -108,6 +120,8 @@
         self.revoked: dict[str, float] = {}
         self.credentials = {f"key-{n}-0": f"team-{n}" for n in range(TEAMS)}
         self.bad_ratio = 0.0
+        self.poison_crashes: list[PoisonCrash] = []
+        self._restarts: set[asyncio.Task] = set()
         self.store_fault_spans = TimeSpans()
         self._numbers = iter(range(1, 1_000_000))
         self._version = 0
@@ -118,7 +132,7 @@
         self.publish()
         for _ in range(SERVERS):
             await self.add_server()
-        for index in range(GATEWAYS):
+        for index in range(self._gateway_count):
             await self._add_gateway(f"gateway-{index}")
         await asyncio.gather(*(self.wait_ready(g) for g in self.gateways))
 
@@ -169,10 +183,40 @@
         self.credentials[f"{old.rpartition('-')[0]}-{next(self._numbers)}"] = team
         self.revoked[old] = self.publish()
 
+    async def send_heartbeats(self) -> None:
+        """Rewrite the rows of all servers that are up, until cancelled.
+
+        The row of one that is down is removed when three heartbeats are missing.
+        """
+        missed: dict[str, int] = {}
+        while True:
+            await asyncio.sleep(HEARTBEAT_S)
+            for server in self.servers:
+                name = server.server_id
+                missed[name] = 0 if server.is_up else missed.get(name, 0) + 1
+                if server.is_up:
+                    self.store.put("servers", name, server.row("app"))
+                elif missed[name] == MAX_MISSED_HEARTBEATS:
+                    self.store.remove("servers", name)
+
+    def _on_poison(self, server: SoakServer, request_id: str) -> None:
+        self.poison_crashes.append(PoisonCrash(time.monotonic(), request_id))
+        task = asyncio.create_task(self._restart_server(server))
+        self._restarts.add(task)
+        task.add_done_callback(self._restarts.discard)
+
+    async def _restart_server(self, server: SoakServer) -> None:
+        await asyncio.sleep(self.rng.uniform(*DOWN_S))
+        if server in self.servers:
+            await server.restart()
+            self.store.put("servers", server.server_id, server.row("app"))
+
     async def add_server(self) -> SoakServer:
         """Start a server and add it to the store."""
         name = f"i-{next(self._numbers)}"
         server = SoakServer(name, self.runs, self._draw_behaviour)
+        server.draw_ending = lambda: self.rng.choice(ENDINGS)
+        server.on_poison = self._on_poison
         await server.start()
         self.servers.append(server)
         self.store.put("servers", name, server.row("app"))
