--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -9,7 +9,7 @@
 from soak.runner import run_seed  # noqa: E402
 
 #: Seconds for which each seed injects faults.
-DURATION_S = 12.0
+DURATION_S = 15.0
 #: Seeds that CI runs, with the failure that each showed before.
 SEEDS = {
     1: "no known failure",
