Close a loss by the lifetime of the endpoint's row, and by a success

On the platform a row is not rewritten by heartbeats: a trial of 20 s (Tejoverde, one gateway's log of each read) shows constant versions for live servers, and the removal of the rows of crashed ones 2.8 and 3.2 s later. So losses stayed open as long as their server, and a request lost for another reason could count as crashed when the server was replaced much later.

Change: a loss is closed when the list, read more than four heartbeats after it, still shows the endpoint, and was reliable all that time (no outage, which may delay the removal); and when the request succeeds. The simulated servers of the test no longer rewrite their rows.

--- a/packages/gateway/src/slatehoist/gateway/crash_reports.py
+++ b/packages/gateway/src/slatehoist/gateway/crash_reports.py
@@ -37,12 +37,15 @@
     ----------
     instance : str
         Name of this gateway, which removes its own reports when they are old.
+    row_ttl_s : float
+        Longest time in seconds for which the list shows an endpoint that has ended.
     """
 
     def __init__(
         self,
         table: WatchableTable,
         instance: str,
+        row_ttl_s: float,
         tally: CrashTally,
         metrics: GatewayMetrics,
         clock: Callable[[], float],
@@ -52,7 +55,7 @@
         self._tally = tally
         self._metrics = metrics
         self._clock = clock
-        self._ledger = LossLedger()
+        self._ledger = LossLedger(row_ttl_s)
         self._unsent: dict[str, Write] = {}
         #: For each row, the time at which this gateway wrote or first read it.
         self._seen_at: dict[str, float] = {}
@@ -80,14 +83,17 @@
         if crash is not None:
             self._report_crash(crash, now)
 
-    def observe_list(self, listed: list[Endpoint], read_at: float) -> None:
+    def observe_list(
+        self, listed: list[Endpoint], read_at: float, reliable_since: float
+    ) -> None:
         """Close the losses that their endpoints outlived; see `LossLedger`."""
-        closed = self._ledger.observe_list(listed, read_at, self._clock())
+        closed = self._ledger.observe_list(listed, read_at, reliable_since)
         if closed:
             log.info("losses_outlived", extra={"digests": closed})
 
     def record_success(self, digest: str) -> None:
         """Record that a request succeeded; report it if it was in a crash before."""
+        self._ledger.record_success(digest)
         if not self._tally.record_success(digest, self._clock()):
             return
         key = f"{digest}/success/{self._instance}"
--- a/packages/gateway/src/slatehoist/gateway/directory.py
+++ b/packages/gateway/src/slatehoist/gateway/directory.py
@@ -29,6 +29,8 @@
         #: Endpoints that have not been listed since the last outage.
         self._unseen: set[str] = set()
         self.updated_at: float | None = None
+        #: Time since which no outage delays the removal of endpoints that have left.
+        self.reliable_since = float("inf")
 
     def record_outage(self) -> None:
         """Record that the list could not be read."""
@@ -36,8 +38,11 @@
 
     def update(self, listed: Iterable[Endpoint], now: float) -> "EndpointChanges":
         """Replace the endpoints by a list that was read, and return the changes."""
+        if self._outage or self.updated_at is None:
+            self.reliable_since = now
         if self._outage:
             self._outage = False
+            self.reliable_since = now + self._relist_s
             self._keep_until = now + self._relist_s
             self._unseen = set(self._endpoints)
         current = {endpoint.endpoint_id: endpoint for endpoint in listed}
--- a/packages/gateway/src/slatehoist/gateway/losses.py
+++ b/packages/gateway/src/slatehoist/gateway/losses.py
@@ -2,13 +2,13 @@
 
 A request is lost if it reached an endpoint and its response did not end. That alone
 does not prove a crash: links fail, and endpoints cut off responses. The loss stays open
-until the endpoint is found to have ended, or to have lived on: its row in the list is
-then rewritten by a heartbeat that was sent after the loss. There is no time limit; it
-would have to exceed the slowest way in which the news of an end can arrive.
+until the endpoint is found to have ended or to have lived on. It has lived on if the
+list still shows it when the row of a crashed endpoint would have expired. Only reads of
+the list count for that, so a loss stays open while the list cannot be read.
 """
 
 from collections import deque
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
 from slatehoist.gateway.model import Endpoint
@@ -27,24 +27,11 @@
     digests: list[str]
 
 
-class _Loss:
-    """Lost request, and the first row of its endpoint that was read afterwards."""
+class _Loss(NamedTuple):
+    """Lost request, and the time at which it was lost."""
 
-    __slots__ = ("digest", "at", "row_version")
-
-    def __init__(self, digest: str, at: float) -> None:
-        self.digest = digest
-        self.at = at
-        self.row_version: int | None = None
-
-    def survived_by(self, row_version: int) -> bool:
-        """Record a row that was read after the loss; return True if it is a newer one.
-
-        The first one may have been written before the loss.
-        """
-        if self.row_version is None:
-            self.row_version = row_version
-        return row_version != self.row_version
+    digest: str
+    at: float
 
 
 class _End(NamedTuple):
@@ -60,11 +47,19 @@
     An endpoint may start again under its id and end again before its new start time is
     read from the list. A request that was sent after the known end and is lost shows
     that it had started again, so the next end is another crash.
+
+    Parameters
+    ----------
+    row_ttl_s : float
+        Longest time in seconds for which the list shows an endpoint that has ended.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, row_ttl_s: float) -> None:
+        self._row_ttl_s = row_ttl_s
         #: Open losses by run; see `_run_id`.
         self._losses: dict[str, deque[_Loss]] = {}
+        #: Digests of the open losses, and of some that were closed.
+        self._digests: set[str] = set()
         self._ends: dict[str, _End] = {}
 
     def record_loss(
@@ -76,6 +71,7 @@
         if end is not None and sent_at <= end.at:
             return Crash(_crash_id(run_id, end), [digest])
         self._open_losses(run_id).append(_Loss(digest, now))
+        self._digests.add(digest)
         return None
 
     def record_end(self, endpoint: Endpoint, now: float) -> Crash | None:
@@ -85,6 +81,7 @@
         known = self._ends.get(run_id)
         count = 1 if known is None else known.count + bool(losses)
         end = self._ends[run_id] = _End(now, count)
+        self._drop_old_ends(now)
         if not losses:
             return None
         return Crash(_crash_id(run_id, end), [loss.digest for loss in losses])
@@ -99,14 +96,16 @@
         if _run_id(old) not in self._ends:
             return self.record_end(old, now)
         for loss in self._losses.pop(_run_id(old), ()):
-            self._open_losses(_run_id(current)).append(_Loss(loss.digest, loss.at))
+            self._open_losses(_run_id(current)).append(loss)
         return None
 
-    def _open_losses(self, run_id: str) -> deque[_Loss]:
-        return self._losses.setdefault(run_id, deque(maxlen=_MAX_OPEN_LOSSES))
+    def record_success(self, digest: str) -> None:
+        """Close the losses of a request that succeeded, which crashes no endpoint."""
+        if digest in self._digests:
+            self._keep_losses(lambda run_id, loss: loss.digest != digest)
 
     def observe_list(
-        self, listed: Iterable[Endpoint], read_at: float, now: float
+        self, listed: Iterable[Endpoint], read_at: float, reliable_since: float
     ) -> list[str]:
         """Close the losses that their endpoints outlived, and return the digests.
 
@@ -114,28 +113,47 @@
         ----------
         read_at : float
             Time at which the read of the list began.
+        reliable_since : float
+            Time since which the list could be read and rows have expired as usual.
         """
-        closed = []
-        for endpoint in listed:
-            losses = self._losses.get(_run_id(endpoint))
-            if losses is None:
-                continue
-            outlived = [
-                loss
-                for loss in losses
-                if read_at > loss.at and loss.survived_by(endpoint.row_version)
-            ]
-            for loss in outlived:
-                losses.remove(loss)
-                closed.append(loss.digest)
-            if not losses:
-                del self._losses[_run_id(endpoint)]
+        run_ids = {_run_id(endpoint) for endpoint in listed}
+        ended_before = read_at - self._row_ttl_s
+        if reliable_since > ended_before:
+            return []
+
+        def outlived(run_id: str, loss: _Loss) -> bool:
+            return run_id in run_ids and loss.at <= ended_before
+
+        closed = [
+            loss.digest
+            for run_id, losses in self._losses.items()
+            for loss in losses
+            if outlived(run_id, loss)
+        ]
+        if closed:
+            self._keep_losses(lambda run_id, loss: not outlived(run_id, loss))
+        return closed
+
+    def _drop_old_ends(self, now: float) -> None:
         self._ends = {
             run_id: end
             for run_id, end in self._ends.items()
             if now - end.at < _END_RETENTION_S
         }
-        return closed
+
+    def _keep_losses(self, is_kept: Callable[[str, _Loss], bool]) -> None:
+        for run_id, losses in list(self._losses.items()):
+            kept = [loss for loss in losses if is_kept(run_id, loss)]
+            if kept:
+                self._losses[run_id] = deque(kept, _MAX_OPEN_LOSSES)
+            else:
+                del self._losses[run_id]
+        self._digests = {
+            loss.digest for losses in self._losses.values() for loss in losses
+        }
+
+    def _open_losses(self, run_id: str) -> deque[_Loss]:
+        return self._losses.setdefault(run_id, deque(maxlen=_MAX_OPEN_LOSSES))
 
 
 def _run_id(endpoint: Endpoint) -> str:
--- a/packages/gateway/src/slatehoist/gateway/model.py
+++ b/packages/gateway/src/slatehoist/gateway/model.py
@@ -139,8 +139,6 @@
         Requests that it can run at once.
     started_at_ms : int
         Time of its start, which identifies a restart under the same id; 0 if unknown.
-    row_version : int
-        Version of its row in the list, which each heartbeat raises.
     """
 
     endpoint_id: str
@@ -150,7 +148,6 @@
     concurrency: int
     draining: bool = False
     started_at_ms: int = 0
-    row_version: int = 0
 
 
 class RequestInfo(NamedTuple):
--- a/packages/gateway/src/slatehoist/gateway/process.py
+++ b/packages/gateway/src/slatehoist/gateway/process.py
@@ -109,7 +109,12 @@
         chooser = LoadAwareChooser(self._rng)
         tally = CrashTally()
         crashes = CrashReports(
-            self._table, self._cfg.instance, tally, self._metrics, self._clock
+            self._table,
+            self._cfg.instance,
+            self._cfg.row_ttl_s,
+            tally,
+            self._metrics,
+            self._clock,
         )
         forwarder = Forwarder(
             self._cfg,
--- a/packages/gateway/src/slatehoist/gateway/settings.py
+++ b/packages/gateway/src/slatehoist/gateway/settings.py
@@ -27,6 +27,8 @@
     stall_s : float
         Time for which an endpoint waits for the other ranks of its group before it
         fails.
+    heartbeat_s : float
+        Time between heartbeats of an endpoint to the list.
     """
 
     instance: str
@@ -41,6 +43,12 @@
     retry_allowance: float = 90.0
     retry_window_s: float = 10.0
     stall_s: float = 1.5
+    heartbeat_s: float = 1.2
+
+    @property
+    def row_ttl_s(self) -> float:
+        """Return the longest time for which the list shows an endpoint that ended."""
+        return self.heartbeat_s * ROW_TTL_HEARTBEATS
 
 
 #: Fraction of `revoke_s` for which credentials are trusted after the last read. The
@@ -107,6 +115,9 @@
 #: not coincide; with the whole ratio, the retries of all instances together could
 #: exceed it in some windows.
 RETRY_RATIO_USED = 0.75
+#: Heartbeats after whose absence the row of an endpoint is certainly gone: the platform
+#: removes it after three, and may be late by one.
+ROW_TTL_HEARTBEATS = 4
 #: Seconds without data from an endpoint after which it is probed when a request ends
 #: without an answer: callers leave after two seconds.
 PROBE_SILENCE_S = 1.0
--- a/packages/gateway/src/slatehoist/gateway/sync.py
+++ b/packages/gateway/src/slatehoist/gateway/sync.py
@@ -161,7 +161,7 @@
         for endpoint in changes.restarted:
             self._health.forget(endpoint.endpoint_id)
             self._crashes.record_restart(endpoint, current[endpoint.endpoint_id])
-        self._crashes.observe_list(listed, read_at)
+        self._crashes.observe_list(listed, read_at, self._directory.reliable_since)
         if changes:
             log.info(
                 "endpoints_changed",
--- a/packages/gateway/tests/gateway_fleet.py
+++ b/packages/gateway/tests/gateway_fleet.py
@@ -32,7 +32,7 @@
 from slatehoist.routing import CrashTally, LoadAwareChooser
 from slatehoist.storage import Check, Feed, Row, StoreDownError, Write
 
-#: Seconds between heartbeats, which rewrite a server's row.
+#: Seconds between a server's heartbeats, which keep its row.
 HEARTBEAT_S = 1.2
 #: Seconds without a heartbeat after which a row is removed.
 ROW_TTL_S = 3 * HEARTBEAT_S
@@ -104,7 +104,6 @@
         vars(self).update(faults)
         self._number = number
         self._starts = 0
-        self.row_version = 0
         self.draining = False
         self.arrivals: list[float] = []
         self.crashed_at: list[float] = []
@@ -122,7 +121,6 @@
 
     def _beat(self, now: float) -> None:
         self._beat_at = now
-        self.row_version += 1
         self.row = Endpoint(
             self.name,
             "app",
@@ -131,7 +129,6 @@
             6,
             draining=self.draining,
             started_at_ms=self._born,
-            row_version=self.row_version,
         )
 
     def crash(self, now: float) -> None:
@@ -235,13 +232,13 @@
         metrics = GatewayMetrics()
         self.tally = CrashTally()
         self.upstream = SimulatedUpstream(fleet)
+        cfg = GatewaySettings(f"gateway-{number}", "a", "", "", heartbeat_s=HEARTBEAT_S)
         self.crashes = CrashReports(
-            fleet.table, f"gateway-{number}", self.tally, metrics, clock
+            fleet.table, cfg.instance, cfg.row_ttl_s, self.tally, metrics, clock
         )
         directory = EndpointDirectory(ENDPOINT_RELIST_S)
         health = self.health = EndpointHealth()
         self._sync = EndpointSync(None, directory, health, self.crashes, clock)
-        cfg = GatewaySettings(f"gateway-{number}", "a", "", "")
         self._forwarder = Forwarder(
             cfg,
             SimulatedCodec(),
--- a/packages/gateway/tests/test_gateway_crashes.py
+++ b/packages/gateway/tests/test_gateway_crashes.py
@@ -194,33 +194,39 @@
         for server in fleet.servers[:MAX_CRASHES]:
             gateway.upstream.resets_left = 2
             await gateway.send(b"sound")
-            await fleet.advance(5.0)
+            await fleet.advance(8.0)
             server.crash(fleet.now)
             await fleet.advance(6.0)
         self.assertFalse((await gateway.send(b"sound")).blocked)
 
 
 class LossLedgerTests(unittest.TestCase):
+    ROW_TTL_S = 4.0
+
     def setUp(self):
-        self.ledger = LossLedger()
-        self.endpoint = make_endpoint("e1", started_at_ms=1, row_version=5)
+        self.ledger = LossLedger(self.ROW_TTL_S)
+        self.endpoint = make_endpoint("e1", started_at_ms=1)
         self.ledger.record_loss(self.endpoint, "d", 9.0, 10.0)
 
-    def observe(self, row_version: int, read_at: float) -> list[str]:
-        endpoint = self.endpoint._replace(row_version=row_version)
-        return self.ledger.observe_list([endpoint], read_at, read_at)
+    def observe(self, read_at: float, reliable_since: float = 0.0) -> list[str]:
+        return self.ledger.observe_list([self.endpoint], read_at, reliable_since)
+
+    def test_loss_is_open_while_the_row_of_a_crashed_endpoint_may_be_listed(self):
+        self.assertEqual(self.observe(13.9), [])
+        self.assertIsNotNone(self.ledger.record_end(self.endpoint, 14.0))
+
+    def test_endpoint_that_is_listed_after_that_closes_the_loss(self):
+        self.assertEqual(self.observe(14.1), ["d"])
+        self.assertIsNone(self.ledger.record_end(self.endpoint, 15.0))
 
-    # A heartbeat just before the crash may be read after it.
-    def test_row_that_may_be_older_than_the_loss_does_not_close_it(self):
-        self.assertEqual(self.observe(6, read_at=9.9), [])
-        self.assertEqual(self.observe(7, read_at=10.1), [])
-        self.assertEqual(self.observe(7, read_at=11.0), [])
-        self.assertIsNotNone(self.ledger.record_end(self.endpoint, 12.0))
+    # The row of a crashed endpoint may not expire during an outage of the list.
+    def test_loss_is_open_until_the_list_has_been_reliable_for_that_time(self):
+        self.assertEqual(self.observe(30.0, reliable_since=27.0), [])
+        self.assertEqual(self.observe(31.1, reliable_since=27.0), ["d"])
 
-    def test_row_that_is_rewritten_after_the_loss_closes_it(self):
-        self.observe(6, read_at=10.1)
-        self.assertEqual(self.observe(7, read_at=11.0), ["d"])
-        self.assertIsNone(self.ledger.record_end(self.endpoint, 12.0))
+    def test_success_of_the_request_closes_its_losses(self):
+        self.ledger.record_success("d")
+        self.assertIsNone(self.ledger.record_end(self.endpoint, 11.0))
 
     def test_loss_is_a_crash_if_the_endpoint_has_ended_before(self):
         self.ledger.record_end(self.endpoint, 10.0)
@@ -237,7 +243,7 @@
     def test_loss_after_a_known_end_is_open_after_the_restart_is_listed(self):
         self.ledger.record_end(self.endpoint, 11.0)
         self.ledger.record_loss(self.endpoint, "d", 12.0, 13.0)
-        restarted = self.endpoint._replace(started_at_ms=2, row_version=7)
+        restarted = self.endpoint._replace(started_at_ms=2)
         self.assertIsNone(self.ledger.record_restart(self.endpoint, restarted, 14.0))
         self.assertIsNotNone(self.ledger.record_end(restarted, 15.0))
 
