--- a/packages/gateway/tests/gateway_fleet.py
+++ b/packages/gateway/tests/gateway_fleet.py
@@ -30,7 +30,7 @@
 from slatehoist.gateway.upstream import BrokenReplyError, NotSentError, UpstreamRequest
 from slatehoist.observe import GatewayMetrics
 from slatehoist.routing import CrashTally, LoadAwareChooser
-from slatehoist.storage import Check, Feed, Row, StoreDownError, Write
+from slatehoist.storage import Check, Feed, Row, Write
 
 #: Seconds between a server's heartbeats, which keep its row.
 HEARTBEAT_S = 1.2
@@ -339,13 +339,3 @@
 
     def count_arrivals(self, after: float) -> int:
         return sum(at > after for server in self.servers for at in server.arrivals)
-
-
-class SharedTableDown(SharedTable):
-    """Table that refuses every call."""
-
-    async def scan(self, table: str, prefix: str = "", after: str = "") -> list[Row]:
-        raise StoreDownError("refused")
-
-    async def transact(self, checks: list[Check], writes: list[Write]) -> None:
-        raise StoreDownError("refused")
--- a/packages/gateway/tests/test_gateway_crashes.py
+++ b/packages/gateway/tests/test_gateway_crashes.py
@@ -158,6 +158,14 @@
         await fleet.advance(STEP_S)
         self.assertTrue((await fleet.gateways[0].send()).blocked)
 
+    # Each gateway then counts only its own crashes.
+    async def test_request_is_blocked_while_no_gateway_reaches_the_store(self):
+        fleet = await self.start_fleet()
+        for gateway in fleet.gateways:
+            gateway.cut_off = True
+        await self.resend(fleet)
+        self.assertLessEqual(self.count_late_retries(fleet), MAX_LATE_RETRIES)
+
 
 class SoundRequestTests(CrashTestCase):
     """A request that crashes no server is not blocked."""
