Clarify four places of the crash detection

No behaviour changes: one assignment for each time in the endpoint directory, a plain condition in place of a sum of booleans, and two comments.

--- a/packages/daemon/src/slatehoist/daemon/entry/outcomes.py
+++ b/packages/daemon/src/slatehoist/daemon/entry/outcomes.py
@@ -73,8 +73,8 @@
         self.outcome = outcome
         if not isinstance(outcome, NotRun):
             self.may_have_run = True
-            is_broken = isinstance(outcome, Broken)
-            self.silent += is_broken and outcome.reason == BrokenReason.ENDPOINT_SILENT
+            if getattr(outcome, "reason", "") == BrokenReason.ENDPOINT_SILENT:
+                self.silent += 1
         elif outcome.reason == NotRunReason.BUSY:
             self.busy.add(name)
             peer.observe_load(outcome.load, now)
--- a/packages/daemon/src/slatehoist/daemon/entry/process.py
+++ b/packages/daemon/src/slatehoist/daemon/entry/process.py
@@ -149,6 +149,7 @@
         )
         notification_handlers = {
             "config": self._on_config,
+            # The guard is created below, since it needs the directory.
             "crash": lambda peer, body: self.guard.on_endpoint_crash(peer, body),
         }
         self.directory = Directory(
--- a/packages/gateway/src/slatehoist/gateway/directory.py
+++ b/packages/gateway/src/slatehoist/gateway/directory.py
@@ -38,12 +38,11 @@
 
     def update(self, listed: Iterable[Endpoint], now: float) -> "EndpointChanges":
         """Replace the endpoints by a list that was read, and return the changes."""
-        if self._outage or self.updated_at is None:
+        if self.updated_at is None:
             self.reliable_since = now
         if self._outage:
             self._outage = False
-            self.reliable_since = now + self._relist_s
-            self._keep_until = now + self._relist_s
+            self.reliable_since = self._keep_until = now + self._relist_s
             self._unseen = set(self._endpoints)
         current = {endpoint.endpoint_id: endpoint for endpoint in listed}
         self._unseen -= current.keys()
--- a/packages/gateway/src/slatehoist/gateway/forwarding.py
+++ b/packages/gateway/src/slatehoist/gateway/forwarding.py
@@ -163,8 +163,9 @@
     ) -> None:
         """Record a lost request, and probe the endpoint if it may be down.
 
-        One that was silent for a short time only is not probed: attempts that can be
-        repeated time out early, and callers leave at any time.
+        An endpoint whose connection did not break is probed only if it was silent for
+        long: attempts that can be repeated time out early, and callers leave at any
+        time.
         """
         self._metrics.lost_requests.labels(outcome.value).inc()
         self._crashes.record_loss(endpoint, exchange.digest, sent_at)
