--- a/tests/test_platform_crashes.py
+++ b/tests/test_platform_crashes.py
@@ -11,7 +11,7 @@
 from slatehoist_standins.deployment_server import CRASH_MARKER
 from slatehoist_standins.relay import Relay
 
-#: Seconds after a disturbance within which a gateway must know of crashes, which is the
+#: Seconds after a fault within which a gateway must know of crashes, which is the
 #: shortest time of all deployments.
 NEWS_S = 3.0
 
