Log and count what marks the end of each response

The attempt line now has framing, reply_bytes and partial_event_bytes, and the counter slatehoist_reply_ends has framing and outcome. No decision changes.

--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 PY := .venv/bin/python
-PACKAGES := wire storage config coord routing observe gateway maps experts daemon cli
+PACKAGES := http wire storage config coord routing observe gateway maps experts daemon cli
 
 .PHONY: soak mutations demo test lint format matrix bench-path bench-experts bench-routing bench-control
 
--- a/packages/gateway/src/slatehoist/gateway/exchange.py
+++ b/packages/gateway/src/slatehoist/gateway/exchange.py
@@ -7,6 +7,7 @@
 from aiohttp import web
 
 from slatehoist.gateway.model import Kind, RequestInfo, Route, Service
+from slatehoist.http import Framing
 
 
 class Outcome(StrEnum):
@@ -98,8 +99,12 @@
         self.blocked_for_s = 0.0
         #: Time at which the current attempt was sent or its response last had data.
         self.last_data_at = arrived_at
-        #: False if the last response ended with its connection, which a crash ends too.
-        self.reply_framed = True
+        #: What marks the end of the current attempt's response; None before its head.
+        self.framing: Framing | None = None
+        #: Bytes of the current attempt's body that were received.
+        self.reply_bytes = 0
+        #: Bytes of an event that the current attempt's response has not completed.
+        self.partial_event_bytes = 0
         #: Last server error of an endpoint, returned if no attempt succeeds.
         self.failure_reply: Reply | None = None
         #: Response of which a part may already have been sent to the caller.
--- a/packages/gateway/src/slatehoist/gateway/forwarding.py
+++ b/packages/gateway/src/slatehoist/gateway/forwarding.py
@@ -42,6 +42,7 @@
     Upstream,
     UpstreamRequest,
 )
+from slatehoist.http import response_framing
 from slatehoist.observe import GatewayMetrics, milliseconds
 from slatehoist.routing import (
     AllowanceShare,
@@ -59,8 +60,6 @@
 _SUCCESS_STATUSES = range(200, 300)
 #: Statuses with which an endpoint can state that it did not run the request.
 _NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
-#: Statuses whose responses have no body.
-_BODILESS_STATUSES = frozenset({204, 304})
 #: Number of endpoints tried from which a failed connect is no longer retried. A failed
 #: connect carried no request, so trying another endpoint is safe; more tries would use
 #: up the caller's deadline.
@@ -138,7 +137,7 @@
             try:
                 outcome, resp = await self._attempt(exchange, endpoint)
             finally:
-                self._metrics.attempts.labels(outcome.value).inc()
+                self._record_attempt(exchange, outcome)
                 if outcome.lost:
                     self._record_loss(exchange, endpoint, outcome, now)
                 self._log_attempt(exchange, endpoint, outcome, now, selection)
@@ -151,6 +150,12 @@
             if not self._should_retry(exchange, outcome, budget):
                 return None
 
+    def _record_attempt(self, exchange: Exchange, outcome: Outcome) -> None:
+        self._metrics.attempts.labels(outcome.value).inc()
+        if exchange.framing is not None:
+            labels = exchange.framing.value, outcome.value
+            self._metrics.reply_ends.labels(*labels).inc()
+
     def _is_blocked(self, exchange: Exchange) -> bool:
         now = self._clock()
         exchange.blocked_for_s = self._tally.blocked_for_s(exchange.digest, now)
@@ -185,7 +190,7 @@
 
         Such a body cannot be told from a whole one, so it is passed on.
         """
-        if exchange.reply_framed:
+        if exchange.framing.proves_end:
             self._crashes.record_success(exchange.digest)
         else:
             self._crashes.record_loss(endpoint, exchange.digest, sent_at)
@@ -279,6 +284,8 @@
         """Send the request to one endpoint, and pass on its response if it is valid."""
         exchange.tried.add(endpoint.endpoint_id)
         exchange.last_data_at = self._clock()
+        exchange.framing = None
+        exchange.reply_bytes = exchange.partial_event_bytes = 0
         record = self._health.get_record(endpoint.endpoint_id)
         record.inflight += 1
         reply: aiohttp.ClientResponse | None = None
@@ -341,7 +348,9 @@
     ) -> tuple[Outcome, web.StreamResponse | None]:
         exchange.last_data_at = self._clock()
         info = self._codec.read_reply(reply.status, reply.headers)
-        exchange.reply_framed = _is_framed(reply)
+        exchange.framing = response_framing(
+            exchange.req.method, reply.status, reply.headers
+        )
         if info.request_id and info.request_id != exchange.info.request_id:
             raise BrokenReplyError(
                 f"{endpoint.address}: response belongs to another request"
@@ -362,6 +371,7 @@
             if exchange.is_stream:
                 return await self._relay_stream(exchange, endpoint, reply)
         body = await reply.read()
+        exchange.reply_bytes = len(body)
         if info.not_run and reply.status in _NOT_RUN_STATUSES:
             return Outcome.NOT_RUN, None
         if reply.status >= _MIN_SERVER_ERROR:
@@ -410,11 +420,13 @@
                 while chunk := await reply.content.readany():
                     timeout.reschedule(loop.time() + idle_timeout_s)
                     exchange.last_data_at = self._clock()
+                    exchange.reply_bytes += len(chunk)
                     events = splitter.feed(chunk) if exchange.route.resumable else chunk
                     if events:
                         await self._write_to_caller(exchange, reply, events)
         finally:
             timeouts.discard(timeout)
+            exchange.partial_event_bytes = len(splitter.rest)
             exchange.last_event_id = splitter.last_event_id or exchange.last_event_id
         await self._write_to_caller(exchange, reply, splitter.rest)
         await exchange.stream.write_eof()
@@ -483,18 +495,11 @@
                 "digest": exchange.digest,
                 "outcome": outcome.value,
                 "attempt": len(exchange.tried),
+                "framing": exchange.framing,
+                "reply_bytes": exchange.reply_bytes,
+                "partial_event_bytes": exchange.partial_event_bytes,
                 "took_ms": round((self._clock() - started_at) * 1000),
                 "left_ms": round((exchange.deadline_at - self._clock()) * 1000),
                 **selection,
             },
         )
-
-
-def _is_framed(reply: aiohttp.ClientResponse) -> bool:
-    """Return True if the end of a response does not depend on its connection."""
-    encoding = reply.headers.get("Transfer-Encoding", "").lower()
-    return (
-        reply.status in _BODILESS_STATUSES
-        or "Content-Length" in reply.headers
-        or "chunked" in encoding
-    )
--- a/packages/observe/src/slatehoist/observe/metrics.py
+++ b/packages/observe/src/slatehoist/observe/metrics.py
@@ -58,6 +58,12 @@
             "Streams moved away from an endpoint that delayed its group.",
             **kwargs,
         )
+        self.reply_ends = Counter(
+            "slatehoist_reply_ends",
+            "Responses of endpoints, by what marks their end and by outcome.",
+            ["framing", "outcome"],
+            **kwargs,
+        )
         self.lost_requests = Counter(
             "slatehoist_lost_requests",
             "Attempts that ended without a complete answer, by how they ended.",
