Show that a stream which ends within an event is passed on as complete

Two tests without a network fail, 9 cases: a reply that ends within an event, by its last chunk, its length or its connection, is completed towards the caller, and is not resumed where that is allowed.

--- /dev/null
+++ b/packages/gateway/tests/reply_world.py
@@ -0,0 +1,294 @@
+"""Gateway between scripted replies and a recorded caller, without a network.
+
+The gateway, its attempts and the HTTP server are the production code. Only the replies
+of the endpoints and the transport of the caller's connection are replaced.
+"""
+
+import asyncio
+import random
+import socket
+import struct
+from typing import Any, NamedTuple
+
+from aiohttp import web
+from aiohttp.client_exceptions import ClientPayloadError
+from gateway_builders import make_configuration, make_endpoint, make_route
+from gateway_fleet import SharedTable
+from multidict import CIMultiDict
+
+from slatehoist.gateway import (
+    Catalogue,
+    EndpointDirectory,
+    GatewaySettings,
+    ReplyInfo,
+    RequestInfo,
+)
+from slatehoist.gateway.crash_reports import CrashReports
+from slatehoist.gateway.exchange import request_digest
+from slatehoist.gateway.forwarding import Forwarder
+from slatehoist.gateway.gateway import Gateway
+from slatehoist.gateway.health import EndpointHealth
+from slatehoist.gateway.probes import EndpointProbes
+from slatehoist.gateway.upstream import UpstreamRequest
+from slatehoist.observe import GatewayMetrics
+from slatehoist.routing import CrashTally, LoadAwareChooser
+
+EVENT_STREAM = {"Content-Type": "text/event-stream"}
+#: Headers of a reply by what marks its end; `length` is completed by the reply's size.
+FRAMINGS: dict[str, dict[str, str]] = {
+    "length": {},
+    "chunked": {"Transfer-Encoding": "chunked"},
+    "connection": {},
+}
+#: SO_LINGER with which a close resets the connection.
+_RESET_LINGER = struct.pack("ii", 1, 0)
+_ROUTE_PATH = "/a/x"
+
+
+def make_event(number: int) -> bytes:
+    """Build an event of a stream."""
+    return f"id: {number}\ndata: piece {number}\n\n".encode()
+
+
+def make_events(first: int, last: int) -> bytes:
+    """Build the events of a stream from one number to another."""
+    return b"".join(make_event(number) for number in range(first, last + 1))
+
+
+class ScriptedReply:
+    """Response of an endpoint whose body arrives in one piece.
+
+    Parameters
+    ----------
+    framing : str
+        What marks the end of the body; a key of `FRAMINGS`.
+    breaks : bool
+        True if reading the body fails after the piece, as it does when the connection
+        is reset or closed before the end that the head announces.
+    """
+
+    def __init__(
+        self,
+        body: bytes,
+        framing: str = "connection",
+        breaks: bool = False,
+        status: int = 200,
+        headers: dict[str, str] = EVENT_STREAM,
+    ) -> None:
+        self.status = status
+        self.headers = CIMultiDict({**headers, **FRAMINGS[framing]})
+        if framing == "length":
+            self.headers["Content-Length"] = str(len(body) + breaks)
+        self.content = self
+        self._body = body
+        self._pieces = [body] if body else []
+        self._breaks = breaks
+
+    async def readany(self) -> bytes:
+        if self._pieces:
+            return self._pieces.pop()
+        if self._breaks:
+            raise ClientPayloadError("the body is incomplete")
+        return b""
+
+    async def read(self) -> bytes:
+        if self._breaks:
+            raise ClientPayloadError("the body is incomplete")
+        return self._body
+
+    def close(self) -> None:
+        pass
+
+    def release(self) -> None:
+        pass
+
+
+class ScriptedUpstream:
+    """HTTP client that returns the scripted replies in order."""
+
+    def __init__(self, replies: list[ScriptedReply]) -> None:
+        self._replies = replies
+        self.requests: list[UpstreamRequest] = []
+
+    async def send(self, req: UpstreamRequest) -> ScriptedReply:
+        self.requests.append(req)
+        return self._replies.pop(0)
+
+    async def probe(self, address: str) -> None:
+        pass
+
+
+class ScriptedCodec:
+    """Codec for valid messages without headers of their own."""
+
+    def read_request(self, headers: Any) -> RequestInfo:
+        return RequestInfo("id", None, "key", "")
+
+    def request_headers(self, headers: Any, forwarding: Any) -> CIMultiDict[str]:
+        return CIMultiDict({"Last-Event-Id": forwarding.last_event_id})
+
+    def reply_headers(self, headers: Any) -> CIMultiDict[str]:
+        return CIMultiDict({"Content-Type": headers.get("Content-Type", "")})
+
+    def own_headers(self, request_id: str, retry_after_s: float | None) -> Any:
+        return CIMultiDict()
+
+    def read_reply(self, status: int, headers: Any) -> ReplyInfo:
+        return ReplyInfo("id", not_run=False, wrong_instance=False, authentic=True)
+
+
+class _RecordedSocket:
+    """Socket that records whether its close resets the connection."""
+
+    family = socket.AF_INET
+    type = socket.SOCK_STREAM
+    proto = socket.IPPROTO_TCP
+
+    def __init__(self) -> None:
+        self.resets_on_close = False
+
+    def setsockopt(self, level: int, option: int, value: Any) -> None:
+        if option == socket.SO_LINGER:
+            self.resets_on_close = value == _RESET_LINGER
+
+
+class RecordedTransport(asyncio.Transport):
+    """Transport of a caller's connection that records what is sent and how it ends."""
+
+    def __init__(self, protocol: asyncio.Protocol) -> None:
+        super().__init__()
+        self._protocol = protocol
+        self._socket = _RecordedSocket()
+        self.sent = b""
+        #: Empty while the connection is open, else `close` or `reset`.
+        self.ending = ""
+
+    def get_extra_info(self, name: str, default: Any = None) -> Any:
+        return self._socket if name == "socket" else default
+
+    def write(self, data: bytes) -> None:
+        self.sent += bytes(data)
+
+    def is_closing(self) -> bool:
+        return bool(self.ending)
+
+    def close(self) -> None:
+        if not self.ending:
+            self.ending = "reset" if self._socket.resets_on_close else "close"
+            self._protocol.connection_lost(None)
+
+    abort = close
+
+    def pause_reading(self) -> None:
+        pass
+
+    def resume_reading(self) -> None:
+        pass
+
+
+class Answer(NamedTuple):
+    """Response as the caller received it.
+
+    Attributes
+    ----------
+    ending : str
+        Empty if the connection stayed open, else `close` or `reset`.
+    """
+
+    head: str
+    body: bytes
+    ending: str
+
+    @property
+    def is_chunked(self) -> bool:
+        return "transfer-encoding: chunked" in self.head.lower()
+
+    @property
+    def has_length(self) -> bool:
+        return "content-length:" in self.head.lower()
+
+    @property
+    def content(self) -> bytes:
+        """Return the body without its chunk framing."""
+        if not self.is_chunked:
+            return self.body
+        content, rest = b"", self.body
+        while rest:
+            size, _, rest = rest.partition(b"\r\n")
+            content, rest = content + rest[: int(size, 16)], rest[int(size, 16) + 2 :]
+        return content
+
+    @property
+    def looks_complete(self) -> bool:
+        """Return True if the caller must take the body for a whole one."""
+        if self.is_chunked:
+            return self.body.endswith(b"0\r\n\r\n")
+        if self.has_length:
+            length = self.head.lower().partition("content-length: ")[2].split("\r\n")[0]
+            return len(self.body) == int(length)
+        return self.ending == "close"
+
+
+class ReplyWorld:
+    """One gateway and two endpoints whose replies are scripted."""
+
+    def __init__(self, *replies: ScriptedReply, **route_fields) -> None:
+        self.now = 100.0
+        self.tally = CrashTally()
+        self.upstream = ScriptedUpstream(list(replies))
+        metrics = GatewayMetrics()
+        cfg = GatewaySettings("gateway-0", "a", "", "")
+        self.crashes = CrashReports(
+            SharedTable(), cfg.instance, cfg.row_ttl_s, self.tally, metrics, self.clock
+        )
+        directory = EndpointDirectory(1.0)
+        endpoints = [make_endpoint("e1"), make_endpoint("e2")]
+        directory.update(endpoints, self.now)
+        self.health = EndpointHealth()
+        forwarder = Forwarder(
+            cfg,
+            ScriptedCodec(),
+            directory,
+            self.health,
+            self.upstream,
+            LoadAwareChooser(random.Random(1)),
+            self.tally,
+            self.crashes,
+            EndpointProbes(self.upstream.probe, self.crashes, self.clock),
+            metrics,
+            self.clock,
+        )
+        catalogue = Catalogue(5.0)
+        route = make_route(public=True, **route_fields)
+        catalogue.offer(make_configuration(1, routes=(route,)))
+        self.gateway = Gateway(
+            ScriptedCodec(),
+            catalogue,
+            forwarder,
+            metrics,
+            random.Random(1),
+            self.clock,
+        )
+        #: Digest of the requests that `call` sends.
+        self.digest = request_digest("GET", _ROUTE_PATH, "", b"")
+
+    def clock(self) -> float:
+        return self.now
+
+    async def call(self, version: str = "1.1", method: str = "GET") -> Answer:
+        """Send a request on a connection of its own, and return the answer."""
+        server = web.Server(
+            self.gateway.handle, handler_cancellation=True, access_log=None
+        )
+        protocol = server()
+        transport = RecordedTransport(protocol)
+        protocol.connection_made(transport)
+        request = f"{method} {_ROUTE_PATH} HTTP/{version}\r\nHost: h\r\n\r\n"
+        protocol.data_received(request.encode())
+        # The gateway has no real wait, so a few rounds of the event loop are enough.
+        for _ in range(50):
+            await asyncio.sleep(0)
+        ending = transport.ending
+        transport.close()
+        head, _, body = transport.sent.partition(b"\r\n\r\n")
+        return Answer(head.decode(), body, ending)
--- /dev/null
+++ b/packages/gateway/tests/test_gateway_reply_ends.py
@@ -0,0 +1,71 @@
+"""Tests of how the ends of endpoints' replies reach the callers."""
+
+import logging
+import unittest
+
+from reply_world import (
+    FRAMINGS,
+    ReplyWorld,
+    ScriptedReply,
+    make_event,
+    make_events,
+)
+
+from slatehoist.gateway import Kind
+
+
+def setUpModule():
+    logging.getLogger("slatehoist").setLevel(logging.CRITICAL)
+
+
+def tearDownModule():
+    logging.getLogger("slatehoist").setLevel(logging.NOTSET)
+
+
+class StreamEndTests(unittest.IsolatedAsyncioTestCase):
+    # Guards against a stream whose server crashed within an event, and which ended as
+    # if it were whole: its last part was passed on, and the answer was completed.
+    async def test_stream_that_ends_within_an_event_does_not_look_complete(self):
+        for framing in FRAMINGS:
+            for resumable in (False, True):
+                with self.subTest(framing=framing, resumable=resumable):
+                    reply = ScriptedReply(make_events(1, 2) + b"id: 3\nda", framing)
+                    world = ReplyWorld(
+                        reply, kind=Kind.STREAM, resumable=resumable, max_attempts=1
+                    )
+                    answer = await world.call()
+                    self.assertFalse(answer.looks_complete)
+                    self.assertTrue(answer.content.startswith(make_events(1, 2)))
+
+    # Guards against the same end of a stream that another endpoint could have resumed.
+    async def test_resumable_stream_that_ends_within_an_event_is_resumed(self):
+        for framing in FRAMINGS:
+            with self.subTest(framing=framing):
+                world = ReplyWorld(
+                    ScriptedReply(make_events(1, 2) + make_event(3)[:9], framing),
+                    ScriptedReply(make_events(3, 4), "chunked"),
+                    kind=Kind.STREAM,
+                    resumable=True,
+                )
+                answer = await world.call()
+                self.assertTrue(answer.looks_complete)
+                self.assertEqual(answer.content, make_events(1, 4))
+                last_ids = [r.headers["Last-Event-Id"] for r in world.upstream.requests]
+                self.assertEqual(last_ids, ["", "2"])
+
+    async def test_whole_stream_looks_complete(self):
+        for framing in FRAMINGS:
+            for resumable in (False, True):
+                with self.subTest(framing=framing, resumable=resumable):
+                    world = ReplyWorld(
+                        ScriptedReply(make_events(1, 3), framing),
+                        kind=Kind.STREAM,
+                        resumable=resumable,
+                    )
+                    answer = await world.call()
+                    self.assertTrue(answer.looks_complete)
+                    self.assertEqual(answer.content, make_events(1, 3))
+
+
+if __name__ == "__main__":
+    unittest.main()
