Break off an event stream that ends within an event

Cause: the gateway took the end of a response's body for the end of the stream. A body without length and chunks ends with its connection, and a crash closes that in order. What the splitter held back was then passed on, and the last chunk sent. Streams of routes that are not resumable were not split at all. Now the end of an event stream is judged by its events, whatever marks the end of the body: one that ends within an event is broken off, so it is resumed where the route allows that, else the caller's answer is cut, and the loss counts towards the detection of crashes. The splitter also knows lines that end with CR, and comments.

--- a/packages/gateway/src/slatehoist/gateway/forwarding.py
+++ b/packages/gateway/src/slatehoist/gateway/forwarding.py
@@ -20,7 +20,6 @@
 from slatehoist.gateway.codec import Forwarding, HeaderCodec
 from slatehoist.gateway.crash_reports import CrashReports
 from slatehoist.gateway.directory import EndpointDirectory
-from slatehoist.gateway.events import EventSplitter
 from slatehoist.gateway.exchange import Exchange, Outcome, Reply
 from slatehoist.gateway.health import EndpointHealth, GroupState
 from slatehoist.gateway.model import Endpoint
@@ -42,7 +41,7 @@
     Upstream,
     UpstreamRequest,
 )
-from slatehoist.http import response_framing
+from slatehoist.http import EventSplitter, is_event_stream, response_framing
 from slatehoist.observe import GatewayMetrics, milliseconds
 from slatehoist.routing import (
     AllowanceShare,
@@ -408,6 +407,12 @@
         that another endpoint can continue after the last of them. The rest is passed on
         at the end of the stream. The attempt times out if the endpoint is silent for
         too long, or if `move_streams` ends it.
+
+        Raises
+        ------
+        BrokenReplyError
+            If the stream ends within an event. It was broken off then, whatever marks
+            the end of the response.
         """
         splitter = EventSplitter()
         idle_timeout_s = self._cfg.stall_s + STREAM_IDLE_MARGIN_S
@@ -421,14 +426,21 @@
                     timeout.reschedule(loop.time() + idle_timeout_s)
                     exchange.last_data_at = self._clock()
                     exchange.reply_bytes += len(chunk)
-                    events = splitter.feed(chunk) if exchange.route.resumable else chunk
-                    if events:
-                        await self._write_to_caller(exchange, reply, events)
+                    events = splitter.feed(chunk)
+                    data = events if exchange.route.resumable else chunk
+                    if data:
+                        await self._write_to_caller(exchange, reply, data)
         finally:
             timeouts.discard(timeout)
             exchange.partial_event_bytes = len(splitter.rest)
             exchange.last_event_id = splitter.last_event_id or exchange.last_event_id
-        await self._write_to_caller(exchange, reply, splitter.rest)
+        if splitter.within_event and is_event_stream(reply.headers):
+            raise BrokenReplyError(
+                f"{endpoint.address}: stream ended within an event, after "
+                f"{exchange.reply_bytes} bytes"
+            )
+        rest = splitter.rest if exchange.route.resumable else b""
+        await self._write_to_caller(exchange, reply, rest)
         await exchange.stream.write_eof()
         self._health.record_success(endpoint.endpoint_id)
         return Outcome.DELIVERED, exchange.stream
--- a/packages/gateway/tests/test_gateway_decisions.py
+++ b/packages/gateway/tests/test_gateway_decisions.py
@@ -9,9 +9,9 @@
 
 from slatehoist.gateway import Catalogue, EndpointDirectory, RouteTable, Target
 from slatehoist.gateway.catalogue import pick_service
-from slatehoist.gateway.events import EventSplitter
 from slatehoist.gateway.health import EJECT_FAILURES, EndpointHealth, GroupState
 from slatehoist.gateway.settings import RETRY_RATIO_USED
+from slatehoist.http import EventSplitter
 from slatehoist.routing import SharedRetryBudget, retry_delay_s
 
 
--- /dev/null
+++ b/packages/http/src/slatehoist/http/events.py
@@ -0,0 +1,67 @@
+"""Splitting of an event stream (``text/event-stream``) into whole events."""
+
+from collections.abc import Mapping
+
+#: Byte sequences with which a blank line ends an event. A line ends with LF, CR LF or
+#: CR, also in one stream.
+_BLANK_LINES = (b"\n\n", b"\n\r\n", b"\n\r", b"\r\r\n", b"\r\r")
+_ID_FIELD = b"id:"
+_COMMENT = b":"
+_MEDIA_TYPE = "text/event-stream"
+
+
+def is_event_stream(headers: Mapping[str, str]) -> bool:
+    """Return True if a response's body is an event stream, or has no stated type."""
+    content_type = headers.get("Content-Type", _MEDIA_TYPE)
+    return content_type.partition(";")[0].strip().lower() == _MEDIA_TYPE
+
+
+class EventSplitter:
+    """Split a byte stream into whole events, and buffer an incomplete one.
+
+    Until the stream ends, only whole events are returned, so that another endpoint can
+    continue a stream that is cut off within an event.
+    """
+
+    def __init__(self) -> None:
+        self._rest = b""
+        self.last_event_id = ""
+
+    def feed(self, data: bytes) -> bytes:
+        """Append bytes, and return the events that are whole and not yet returned."""
+        self._rest += data
+        end = max(
+            (
+                at + len(blank_line)
+                for blank_line in _BLANK_LINES
+                if (at := self._rest.rfind(blank_line)) >= 0
+            ),
+            default=0,
+        )
+        whole, self._rest = self._rest[:end], self._rest[end:]
+        if whole:
+            self.last_event_id = _last_id(whole) or self.last_event_id
+        return whole
+
+    @property
+    def rest(self) -> bytes:
+        """Return the bytes after the last whole event."""
+        return self._rest
+
+    @property
+    def within_event(self) -> bool:
+        """Return True if the bytes after the last whole event are part of another.
+
+        Whole lines that are blank or comments are not.
+        """
+        *lines, unfinished = self._rest.replace(b"\r", b"\n").split(b"\n")
+        return bool(unfinished) or any(
+            line and not line.startswith(_COMMENT) for line in lines
+        )
+
+
+def _last_id(events: bytes) -> str:
+    for line in reversed(events.splitlines()):
+        if line.startswith(_ID_FIELD):
+            return line[len(_ID_FIELD) :].strip().decode("latin-1")
+    return ""
