Reset the connection of an HTTP/1.0 caller whose answer breaks off

What callers saw: a caller that does not know chunks got an orderly close at the end of a stream that was broken off, which is how a whole one ends for it too. Cause: the gateway closed the connection in every case, and relied on the missing last chunk. Class: the end of an answer is marked in a way that a failure marks too. Now RelayedResponse sets the connection to be reset by any close before the end of the body, also that of a process which ends, and takes that back once the body is sent; write_eof after a break does nothing, whatever the transport's state. Also: stream_broken_off raised OverflowError if the age of the configuration was unknown, found by the same test; the age is None then.

--- a/packages/gateway/src/slatehoist/gateway/exchange.py
+++ b/packages/gateway/src/slatehoist/gateway/exchange.py
@@ -7,7 +7,7 @@
 from aiohttp import web
 
 from slatehoist.gateway.model import Kind, RequestInfo, Route, Service
-from slatehoist.http import Framing
+from slatehoist.http import Framing, RelayedResponse
 
 
 class Outcome(StrEnum):
@@ -108,7 +108,7 @@
         #: Last server error of an endpoint, returned if no attempt succeeds.
         self.failure_reply: Reply | None = None
         #: Response of which a part may already have been sent to the caller.
-        self.stream: web.StreamResponse | None = None
+        self.stream: RelayedResponse | None = None
         self.last_event_id = info.last_event_id
 
     @property
--- a/packages/gateway/src/slatehoist/gateway/forwarding.py
+++ b/packages/gateway/src/slatehoist/gateway/forwarding.py
@@ -41,7 +41,12 @@
     Upstream,
     UpstreamRequest,
 )
-from slatehoist.http import EventSplitter, is_event_stream, response_framing
+from slatehoist.http import (
+    EventSplitter,
+    RelayedResponse,
+    is_event_stream,
+    response_framing,
+)
 from slatehoist.observe import GatewayMetrics, milliseconds
 from slatehoist.routing import (
     AllowanceShare,
@@ -450,7 +455,7 @@
     ) -> None:
         if exchange.stream is None:
             headers = self._codec.reply_headers(reply.headers)
-            exchange.stream = web.StreamResponse(status=reply.status, headers=headers)
+            exchange.stream = RelayedResponse(reply.status, headers)
             if self.draining:
                 exchange.stream.force_close()
             await exchange.stream.prepare(exchange.req)
--- a/packages/gateway/src/slatehoist/gateway/gateway.py
+++ b/packages/gateway/src/slatehoist/gateway/gateway.py
@@ -196,9 +196,7 @@
         now = self._clock()
         if exchange.stream is not None:
             self._log_failed_request(exchange, "stream_broken_off", now)
-            transport = exchange.req.transport
-            if transport is not None:
-                transport.close()
+            exchange.stream.break_off()
             return exchange.stream
         if exchange.failure_reply is not None:
             self._log_failed_request(exchange, "failure_passed_on", now)
@@ -231,7 +229,7 @@
                 "blocked": exchange.blocked,
                 "tried": sorted(exchange.tried),
                 "config": self._catalogue.version,
-                "config_age_ms": round(self._catalogue.age_s(now) * 1000),
+                "config_age_ms": milliseconds(self._catalogue.age_s(now)),
                 "took_ms": round((now - exchange.arrived_at) * 1000),
             },
         )
--- a/packages/gateway/tests/reply_world.py
+++ b/packages/gateway/tests/reply_world.py
@@ -179,6 +179,9 @@
 
     abort = close
 
+    def set_write_buffer_limits(self, high: Any = None, low: Any = None) -> None:
+        pass
+
     def pause_reading(self) -> None:
         pass
 
@@ -269,17 +272,24 @@
             random.Random(1),
             self.clock,
         )
+        #: Exceptions that the gateway's handler raised.
+        self._errors: list[Exception] = []
         #: Digest of the requests that `call` sends.
         self.digest = request_digest("GET", _ROUTE_PATH, "", b"")
 
     def clock(self) -> float:
         return self.now
 
+    async def _handle(self, req: web.BaseRequest) -> web.StreamResponse:
+        try:
+            return await self.gateway.handle(req)
+        except Exception as exc:
+            self._errors.append(exc)
+            raise
+
     async def call(self, version: str = "1.1", method: str = "GET") -> Answer:
         """Send a request on a connection of its own, and return the answer."""
-        server = web.Server(
-            self.gateway.handle, handler_cancellation=True, access_log=None
-        )
+        server = web.Server(self._handle, handler_cancellation=True, access_log=None)
         protocol = server()
         transport = RecordedTransport(protocol)
         protocol.connection_made(transport)
@@ -290,5 +300,7 @@
             await asyncio.sleep(0)
         ending = transport.ending
         transport.close()
+        if self._errors:
+            raise self._errors[0]
         head, _, body = transport.sent.partition(b"\r\n\r\n")
         return Answer(head.decode(), body, ending)
--- a/packages/gateway/tests/test_gateway_reply_ends.py
+++ b/packages/gateway/tests/test_gateway_reply_ends.py
@@ -66,6 +66,31 @@
                     self.assertTrue(answer.looks_complete)
                     self.assertEqual(answer.content, make_events(1, 3))
 
+    # Guards against a caller without chunks (HTTP/1.0) that takes an orderly close of
+    # its connection for the end of an answer which was broken off.
+    async def test_connection_of_an_http_1_0_caller_is_reset_if_its_stream_breaks(self):
+        for framing in FRAMINGS:
+            for tail, breaks in ((b"", True), (b"id: 3\nda", False)):
+                with self.subTest(framing=framing, breaks=breaks):
+                    reply = ScriptedReply(make_events(1, 2) + tail, framing, breaks)
+                    world = ReplyWorld(reply, kind=Kind.STREAM)
+                    answer = await world.call(version="1.0")
+                    self.assertEqual(answer.ending, "reset")
+                    self.assertFalse(answer.looks_complete)
+
+    async def test_connection_of_an_http_1_0_caller_is_closed_after_a_whole_stream(
+        self,
+    ):
+        for framing in FRAMINGS:
+            with self.subTest(framing=framing):
+                world = ReplyWorld(
+                    ScriptedReply(make_events(1, 3), framing), kind=Kind.STREAM
+                )
+                answer = await world.call(version="1.0")
+                self.assertEqual(answer.ending, "close")
+                self.assertFalse(answer.is_chunked)
+                self.assertEqual(answer.content, make_events(1, 3))
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/packages/http/src/slatehoist/http/__init__.py
+++ b/packages/http/src/slatehoist/http/__init__.py
@@ -2,5 +2,13 @@
 
 from slatehoist.http.events import EventSplitter, is_event_stream
 from slatehoist.http.framing import Framing, response_framing
+from slatehoist.http.responses import RelayedResponse, reset_on_close
 
-__all__ = ["EventSplitter", "Framing", "is_event_stream", "response_framing"]
+__all__ = [
+    "EventSplitter",
+    "Framing",
+    "RelayedResponse",
+    "is_event_stream",
+    "reset_on_close",
+    "response_framing",
+]
--- /dev/null
+++ b/packages/http/src/slatehoist/http/responses.py
@@ -0,0 +1,72 @@
+"""Responses to callers that never look whole before they are."""
+
+import asyncio
+import socket
+import struct
+from collections.abc import Mapping
+
+from aiohttp import HttpVersion11, web
+from aiohttp.abc import AbstractStreamWriter
+
+#: Values of SO_LINGER: with the first, a close resets the connection.
+_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+_ORDERLY_CLOSE = struct.pack("ii", 0, 0)
+
+
+def reset_on_close(transport: asyncio.BaseTransport, enabled: bool = True) -> None:
+    """Let a close of the connection reset it, also if the process ends; or undo that.
+
+    Bytes that were not delivered by then are discarded.
+    """
+    sock = transport.get_extra_info("socket")
+    if sock is not None and not transport.is_closing():
+        value = _RESET_ON_CLOSE if enabled else _ORDERLY_CLOSE
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, value)
+
+
+class RelayedResponse(web.StreamResponse):
+    """Response whose body is passed on, and is marked as ended only once it is whole.
+
+    The end is marked by the last chunk. Where the caller does not know chunks
+    (HTTP/1.0), the close of the connection marks it. The connection is then reset if
+    anything else closes it before the end.
+    """
+
+    def __init__(self, status: int, headers: Mapping[str, str]) -> None:
+        super().__init__(status=status, headers=headers)
+        self._transport: asyncio.Transport | None = None
+        self._ends_with_connection = False
+        self._broken_off = False
+
+    async def prepare(self, request: web.BaseRequest) -> AbstractStreamWriter | None:
+        """Send the head; from now on only `write_eof` ends the body in order."""
+        if not self.prepared:
+            self._transport = request.transport
+            self._ends_with_connection = request.version < HttpVersion11
+            if self._ends_with_connection and self._transport is not None:
+                # Bytes in the transport's buffer would be lost if the process ended
+                # after `write_eof`, so that waits until the buffer is empty.
+                self._transport.set_write_buffer_limits(0)
+                reset_on_close(self._transport)
+        return await super().prepare(request)
+
+    async def write_eof(self, data: bytes = b"") -> None:
+        """Mark the body as whole, unless it was broken off."""
+        if self._broken_off:
+            return
+        writer = self._payload_writer
+        await super().write_eof(data)
+        if self._ends_with_connection and self._transport is not None:
+            await writer.drain()
+            reset_on_close(self._transport, enabled=False)
+
+    def break_off(self) -> None:
+        """Close the connection in a way that shows that the body is not whole."""
+        self._broken_off = True
+        if self._transport is None:
+            return
+        if self._ends_with_connection:
+            self._transport.abort()
+        else:
+            # What was written is still sent; the missing last chunk shows the cut.
+            self._transport.close()
