Pass on an end that is not proved without a length or a last chunk

What callers saw: a body that ended with the endpoint's connection, perhaps because the endpoint crashed, came with a length or a last chunk, so as whole for certain. Cause: the gateway framed each answer anew, whatever had marked the end before. Now an answer whose end is not proved ends with its connection for the caller too, which a caller can tell from a proved one; the connection is reset if it breaks off. Bodies of errors and of requests that are not streams are covered as well.

--- a/packages/gateway/src/slatehoist/gateway/exchange.py
+++ b/packages/gateway/src/slatehoist/gateway/exchange.py
@@ -57,11 +57,12 @@
 
 
 class Reply(NamedTuple):
-    """Complete response of an endpoint."""
+    """Response of an endpoint whose end was received."""
 
     status: int
     headers: object
     body: bytes
+    framing: Framing
 
 
 class Exchange:
--- a/packages/gateway/src/slatehoist/gateway/forwarding.py
+++ b/packages/gateway/src/slatehoist/gateway/forwarding.py
@@ -376,18 +376,17 @@
                 return await self._relay_stream(exchange, endpoint, reply)
         body = await reply.read()
         exchange.reply_bytes = len(body)
+        whole_reply = Reply(reply.status, reply.headers, body, exchange.framing)
         if info.not_run and reply.status in _NOT_RUN_STATUSES:
             return Outcome.NOT_RUN, None
         if reply.status >= _MIN_SERVER_ERROR:
             self._record_failure(endpoint)
-            exchange.failure_reply = Reply(reply.status, reply.headers, body)
+            exchange.failure_reply = whole_reply
             return Outcome.FAILED, None
         self._health.record_success(endpoint.endpoint_id)
         self._record_first_byte(exchange)
         reply.release()
-        return await self._deliver_reply(
-            exchange, Reply(reply.status, reply.headers, body)
-        )
+        return await self._deliver_reply(exchange, whole_reply)
 
     async def _deliver_reply(
         self, exchange: Exchange, reply: Reply
@@ -398,9 +397,14 @@
             return Outcome.FAILED, None
         return Outcome.DELIVERED, self.make_response(reply)
 
-    def make_response(self, reply: Reply) -> web.Response:
-        """Return the response to the caller that passes on an endpoint's reply."""
+    def make_response(self, reply: Reply) -> web.StreamResponse:
+        """Return the response to the caller that passes on an endpoint's reply.
+
+        A length is stated only if the endpoint's reply is known to be whole.
+        """
         headers = self._codec.reply_headers(reply.headers)
+        if not reply.framing.proves_end:
+            return RelayedResponse(reply.status, headers, reply.framing, reply.body)
         return web.Response(status=reply.status, headers=headers, body=reply.body)
 
     async def _relay_stream(
@@ -455,7 +459,7 @@
     ) -> None:
         if exchange.stream is None:
             headers = self._codec.reply_headers(reply.headers)
-            exchange.stream = RelayedResponse(reply.status, headers)
+            exchange.stream = RelayedResponse(reply.status, headers, exchange.framing)
             if self.draining:
                 exchange.stream.force_close()
             await exchange.stream.prepare(exchange.req)
--- a/packages/gateway/tests/reply_world.py
+++ b/packages/gateway/tests/reply_world.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import logging
 import random
 import socket
 import struct
@@ -232,6 +233,17 @@
         return self.ending == "close"
 
 
+class _RecordedErrors(logging.Handler):
+    """Records of the HTTP server's unhandled exceptions."""
+
+    def __init__(self) -> None:
+        super().__init__(logging.ERROR)
+        self.records: list[logging.LogRecord] = []
+
+    def emit(self, record: logging.LogRecord) -> None:
+        self.records.append(record)
+
+
 class ReplyWorld:
     """One gateway and two endpoints whose replies are scripted."""
 
@@ -272,24 +284,23 @@
             random.Random(1),
             self.clock,
         )
-        #: Exceptions that the gateway's handler raised.
-        self._errors: list[Exception] = []
+        self._server_errors = _RecordedErrors()
+        self._server_log = logging.Logger("server")
+        self._server_log.addHandler(self._server_errors)
         #: Digest of the requests that `call` sends.
         self.digest = request_digest("GET", _ROUTE_PATH, "", b"")
 
     def clock(self) -> float:
         return self.now
 
-    async def _handle(self, req: web.BaseRequest) -> web.StreamResponse:
-        try:
-            return await self.gateway.handle(req)
-        except Exception as exc:
-            self._errors.append(exc)
-            raise
-
     async def call(self, version: str = "1.1", method: str = "GET") -> Answer:
         """Send a request on a connection of its own, and return the answer."""
-        server = web.Server(self._handle, handler_cancellation=True, access_log=None)
+        server = web.Server(
+            self.gateway.handle,
+            handler_cancellation=True,
+            access_log=None,
+            logger=self._server_log,
+        )
         protocol = server()
         transport = RecordedTransport(protocol)
         protocol.connection_made(transport)
@@ -300,7 +311,7 @@
             await asyncio.sleep(0)
         ending = transport.ending
         transport.close()
-        if self._errors:
-            raise self._errors[0]
+        if self._server_errors.records:
+            raise AssertionError(self._server_errors.records[0].getMessage())
         head, _, body = transport.sent.partition(b"\r\n\r\n")
         return Answer(head.decode(), body, ending)
--- a/packages/gateway/tests/test_gateway_reply_ends.py
+++ b/packages/gateway/tests/test_gateway_reply_ends.py
@@ -91,6 +91,38 @@
                 self.assertFalse(answer.is_chunked)
                 self.assertEqual(answer.content, make_events(1, 3))
 
+    # Guards against a body that ends with the endpoint's connection, perhaps by its
+    # crash, and that the caller gets with a length or a last chunk as if it were whole.
+    async def test_end_that_is_not_proved_is_passed_on_as_such(self):
+        for kind in Kind:
+            for status in (200, 404, 500):
+                for version in ("1.0", "1.1"):
+                    with self.subTest(kind=kind, status=status, version=version):
+                        reply = ScriptedReply(make_events(1, 2), status=status)
+                        world = ReplyWorld(reply, kind=kind, max_attempts=1)
+                        answer = await world.call(version)
+                        self.assertFalse(answer.is_chunked or answer.has_length)
+                        self.assertEqual(answer.ending, "close")
+                        self.assertEqual(answer.body, make_events(1, 2))
+
+    async def test_proved_end_is_passed_on_with_a_length_or_a_last_chunk(self):
+        for framing in ("length", "chunked"):
+            for kind in Kind:
+                for status in (200, 404, 500):
+                    with self.subTest(framing=framing, kind=kind, status=status):
+                        reply = ScriptedReply(make_events(1, 2), framing, status=status)
+                        world = ReplyWorld(reply, kind=kind, max_attempts=1)
+                        answer = await world.call()
+                        self.assertTrue(answer.is_chunked or answer.has_length)
+                        self.assertTrue(answer.looks_complete)
+                        self.assertEqual(answer.ending, "")
+
+    async def test_response_to_a_head_request_has_no_body(self):
+        world = ReplyWorld(ScriptedReply(b""), kind=Kind.SAFE)
+        answer = await world.call(method="HEAD")
+        self.assertTrue(answer.head.startswith("HTTP/1.1 200"))
+        self.assertEqual((answer.body, answer.ending), (b"", ""))
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/packages/http/src/slatehoist/http/responses.py
+++ b/packages/http/src/slatehoist/http/responses.py
@@ -8,6 +8,8 @@
 from aiohttp import HttpVersion11, web
 from aiohttp.abc import AbstractStreamWriter
 
+from slatehoist.http.framing import Framing
+
 #: Values of SO_LINGER: with the first, a close resets the connection.
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 _ORDERLY_CLOSE = struct.pack("ii", 0, 0)
@@ -28,21 +30,40 @@
     """Response whose body is passed on, and is marked as ended only once it is whole.
 
     The end is marked by the last chunk. Where the caller does not know chunks
-    (HTTP/1.0), the close of the connection marks it. The connection is then reset if
-    anything else closes it before the end.
+    (HTTP/1.0), or where the sender's own end is not proved, the close of the connection
+    marks it. The connection is then reset if anything else closes it before the end.
+
+    Parameters
+    ----------
+    framing : Framing
+        What marks the end of the body that is passed on.
+    body : bytes
+        Last part of the body, sent with its end.
     """
 
-    def __init__(self, status: int, headers: Mapping[str, str]) -> None:
+    def __init__(
+        self,
+        status: int,
+        headers: Mapping[str, str],
+        framing: Framing,
+        body: bytes = b"",
+    ) -> None:
         super().__init__(status=status, headers=headers)
+        self._last_part = body
         self._transport: asyncio.Transport | None = None
-        self._ends_with_connection = False
+        self._ends_with_connection = not framing.proves_end
         self._broken_off = False
+        self._ended = False
+        if self._ends_with_connection:
+            self.force_close()
+            # aiohttp adds neither a length nor chunks then.
+            self._length_check = False
 
     async def prepare(self, request: web.BaseRequest) -> AbstractStreamWriter | None:
         """Send the head; from now on only `write_eof` ends the body in order."""
         if not self.prepared:
             self._transport = request.transport
-            self._ends_with_connection = request.version < HttpVersion11
+            self._ends_with_connection |= request.version < HttpVersion11
             if self._ends_with_connection and self._transport is not None:
                 # Bytes in the transport's buffer would be lost if the process ended
                 # after `write_eof`, so that waits until the buffer is empty.
@@ -51,11 +72,12 @@
         return await super().prepare(request)
 
     async def write_eof(self, data: bytes = b"") -> None:
-        """Mark the body as whole, unless it was broken off."""
-        if self._broken_off:
+        """Mark the body as whole, once, unless it was broken off."""
+        if self._broken_off or self._ended:
             return
+        self._ended = True
         writer = self._payload_writer
-        await super().write_eof(data)
+        await super().write_eof(data or self._last_part)
         if self._ends_with_connection and self._transport is not None:
             await writer.drain()
             reset_on_close(self._transport, enabled=False)
