Do not blame the endpoint for a caller's lost connection

What callers saw: none directly. An endpoint whose callers left counted as failing, and a resumable stream was sent to another endpoint for a caller that had gone. Cause: aiohttp raises the same family of errors for a write to a caller as for a read from an endpoint. Writes now raise CallerLeftError, and the attempt is abandoned. Before: the new test failed (a second request was sent); after: passed.

--- a/packages/gateway/src/slatehoist/gateway/exchange.py
+++ b/packages/gateway/src/slatehoist/gateway/exchange.py
@@ -10,6 +10,10 @@
 from slatehoist.http import Framing, RelayedResponse
 
 
+class CallerLeftError(Exception):
+    """Raised if the caller's connection closed while its answer was being sent."""
+
+
 class Outcome(StrEnum):
     """How an attempt ended.
 
--- a/packages/gateway/src/slatehoist/gateway/forwarding.py
+++ b/packages/gateway/src/slatehoist/gateway/forwarding.py
@@ -20,7 +20,7 @@
 from slatehoist.gateway.codec import Forwarding, HeaderCodec
 from slatehoist.gateway.crash_reports import CrashReports
 from slatehoist.gateway.directory import EndpointDirectory
-from slatehoist.gateway.exchange import Exchange, Outcome, Reply
+from slatehoist.gateway.exchange import CallerLeftError, Exchange, Outcome, Reply
 from slatehoist.gateway.health import EndpointHealth, GroupState
 from slatehoist.gateway.model import Endpoint
 from slatehoist.gateway.probes import EndpointProbes
@@ -117,6 +117,11 @@
         StreamResponse or None
             The response, or None if there is none. The reason then follows from the
             deadline, `may_have_run` and the other fields of `exchange`.
+
+        Raises
+        ------
+        CallerLeftError
+            If the caller left before its answer was sent.
         """
         budget = self._retry_budget(exchange.service.name)
         budget.record_first_attempt(self._clock())
@@ -449,23 +454,44 @@
                 f"{exchange.reply_bytes} bytes"
             )
         rest = splitter.rest if exchange.route.resumable else b""
-        await self._write_to_caller(exchange, reply, rest)
-        await exchange.stream.write_eof()
+        await self._write_to_caller(exchange, reply, rest, last=True)
         self._health.record_success(endpoint.endpoint_id)
         return Outcome.DELIVERED, exchange.stream
 
     async def _write_to_caller(
-        self, exchange: Exchange, reply: aiohttp.ClientResponse, data: bytes
+        self,
+        exchange: Exchange,
+        reply: aiohttp.ClientResponse,
+        data: bytes,
+        last: bool = False,
     ) -> None:
-        if exchange.stream is None:
-            headers = self._codec.reply_headers(reply.headers)
-            exchange.stream = RelayedResponse(reply.status, headers, exchange.framing)
-            if self.draining:
-                exchange.stream.force_close()
-            await exchange.stream.prepare(exchange.req)
-            self._record_first_byte(exchange)
-        if data:
-            await exchange.stream.write(data)
+        """Send a part of a stream; mark the stream as whole after the last part.
+
+        Raises
+        ------
+        CallerLeftError
+            If the caller's connection is closed. aiohttp raises an error for that which
+            it also raises for connections to endpoints.
+        """
+        try:
+            if exchange.stream is None:
+                await self._open_stream(exchange, reply)
+            if data:
+                await exchange.stream.write(data)
+            if last:
+                await exchange.stream.write_eof()
+        except ConnectionError as exc:
+            raise CallerLeftError(exchange.info.request_id) from exc
+
+    async def _open_stream(
+        self, exchange: Exchange, reply: aiohttp.ClientResponse
+    ) -> None:
+        headers = self._codec.reply_headers(reply.headers)
+        exchange.stream = RelayedResponse(reply.status, headers, exchange.framing)
+        if self.draining:
+            exchange.stream.force_close()
+        await exchange.stream.prepare(exchange.req)
+        self._record_first_byte(exchange)
 
     def _is_movable(self, exchange: Exchange) -> bool:
         """Return True if the stream may be moved to another endpoint while it runs."""
--- a/packages/gateway/src/slatehoist/gateway/gateway.py
+++ b/packages/gateway/src/slatehoist/gateway/gateway.py
@@ -8,7 +8,7 @@
 
 from slatehoist.gateway.catalogue import Catalogue, RouteTable, pick_service
 from slatehoist.gateway.codec import HeaderCodec
-from slatehoist.gateway.exchange import Exchange
+from slatehoist.gateway.exchange import CallerLeftError, Exchange
 from slatehoist.gateway.forwarding import Forwarder
 from slatehoist.gateway.model import Kind, RequestInfo, Route
 from slatehoist.gateway.settings import STALE_LOOKUP_S
@@ -134,7 +134,11 @@
         exchange = Exchange(
             req, body, info, route, service, team, arrived_at, arrived_at + limit_s
         )
-        resp = await self._forwarder.forward(exchange)
+        try:
+            resp = await self._forwarder.forward(exchange)
+        except CallerLeftError:
+            exchange.stream.break_off()
+            return exchange.stream
         if resp is None:
             return self._answer_failure(exchange)
         took_s = self._clock() - arrived_at
--- a/packages/gateway/tests/reply_world.py
+++ b/packages/gateway/tests/reply_world.py
@@ -84,8 +84,11 @@
         self._body = body
         self._pieces = [body] if body else []
         self._breaks = breaks
+        #: Called before each read of the body.
+        self.on_read = lambda: None
 
     async def readany(self) -> bytes:
+        self.on_read()
         if self._pieces:
             return self._pieces.pop()
         if self._breaks:
@@ -161,7 +164,7 @@
         self._protocol = protocol
         self._socket = _RecordedSocket()
         self.sent = b""
-        #: Empty while the connection is open, else `close` or `reset`.
+        #: Empty while the connection is open, else `close`, `reset` or `lost`.
         self.ending = ""
 
     def get_extra_info(self, name: str, default: Any = None) -> Any:
@@ -173,6 +176,10 @@
     def is_closing(self) -> bool:
         return bool(self.ending)
 
+    def lose(self) -> None:
+        """Lose the connection; as in asyncio, the protocol is told later."""
+        self.ending = "lost"
+
     def close(self) -> None:
         if not self.ending:
             self.ending = "reset" if self._socket.resets_on_close else "close"
@@ -287,6 +294,8 @@
         self._server_errors = _RecordedErrors()
         self._server_log = logging.Logger("server")
         self._server_log.addHandler(self._server_errors)
+        #: Connection of the last call.
+        self.transport: RecordedTransport | None = None
         #: Digest of the requests that `call` sends.
         self.digest = request_digest("GET", _ROUTE_PATH, "", b"")
 
@@ -302,7 +311,7 @@
             logger=self._server_log,
         )
         protocol = server()
-        transport = RecordedTransport(protocol)
+        transport = self.transport = RecordedTransport(protocol)
         protocol.connection_made(transport)
         request = f"{method} {_ROUTE_PATH} HTTP/{version}\r\nHost: h\r\n\r\n"
         protocol.data_received(request.encode())
--- a/packages/gateway/tests/test_gateway_reply_ends.py
+++ b/packages/gateway/tests/test_gateway_reply_ends.py
@@ -124,5 +124,18 @@
         self.assertEqual((answer.body, answer.ending), (b"", ""))
 
 
+class LearningTests(unittest.IsolatedAsyncioTestCase):
+    # Guards against an endpoint that is ejected, and a stream that is sent again,
+    # because its caller's connection was lost.
+    async def test_lost_connection_of_a_caller_is_no_failure_of_the_endpoint(self):
+        reply = ScriptedReply(make_events(1, 2), "chunked")
+        world = ReplyWorld(reply, kind=Kind.STREAM, resumable=True)
+        reply.on_read = lambda: world.transport.lose()
+        await world.call()
+        self.assertEqual(len(world.upstream.requests), 1)
+        failures = [world.health.get_record(name).failures for name in ("e1", "e2")]
+        self.assertEqual(failures, [0, 0])
+
+
 if __name__ == "__main__":
     unittest.main()
