Cut a stream that ends with its connection before any event

What callers saw: a stream whose server crashed between the head and the first event came as an empty one, framed as complete. Cause: an end without proof counted as an end also where nothing had come before it. Such a stream is broken off now, unless it resumes another, which may have had all its events; with a proved end an empty stream stays whole. Before: the test failed (status 200); after: passed.

--- a/packages/gateway/src/slatehoist/gateway/forwarding.py
+++ b/packages/gateway/src/slatehoist/gateway/forwarding.py
@@ -425,8 +425,8 @@
         Raises
         ------
         BrokenReplyError
-            If the stream ends within an event. It was broken off then, whatever marks
-            the end of the response.
+            If the stream ends within an event or, without a proved end, before any. It
+            was broken off then.
         """
         splitter = EventSplitter()
         idle_timeout_s = self._cfg.stall_s + STREAM_IDLE_MARGIN_S
@@ -448,16 +448,33 @@
             timeouts.discard(timeout)
             exchange.partial_event_bytes = len(splitter.rest)
             exchange.last_event_id = splitter.last_event_id or exchange.last_event_id
-        if splitter.within_event and is_event_stream(reply.headers):
-            raise BrokenReplyError(
-                f"{endpoint.address}: stream ended within an event, after "
-                f"{exchange.reply_bytes} bytes"
-            )
+        if is_event_stream(reply.headers):
+            self._check_stream_end(exchange, endpoint, splitter)
         rest = splitter.rest if exchange.route.resumable else b""
         await self._write_to_caller(exchange, reply, rest, last=True)
         self._health.record_success(endpoint.endpoint_id)
         return Outcome.DELIVERED, exchange.stream
 
+    def _check_stream_end(
+        self, exchange: Exchange, endpoint: Endpoint, splitter: EventSplitter
+    ) -> None:
+        """Raise BrokenReplyError if the end of an event stream shows that it is cut.
+
+        A stream without events is whole if its end is proved, or if it resumes another
+        that may have had all its events. Otherwise the endpoint may have ended before
+        the first one.
+        """
+        if splitter.within_event:
+            raise BrokenReplyError(
+                f"{endpoint.address}: stream ended within an event, after "
+                f"{exchange.reply_bytes} bytes"
+            )
+        is_empty = exchange.reply_bytes == 0 and not exchange.last_event_id
+        if is_empty and not exchange.framing.proves_end:
+            raise BrokenReplyError(
+                f"{endpoint.address}: stream ended with its connection before any event"
+            )
+
     async def _write_to_caller(
         self,
         exchange: Exchange,
--- a/packages/gateway/tests/test_gateway_reply_ends.py
+++ b/packages/gateway/tests/test_gateway_reply_ends.py
@@ -123,6 +123,32 @@
         self.assertTrue(answer.head.startswith("HTTP/1.1 200"))
         self.assertEqual((answer.body, answer.ending), (b"", ""))
 
+    # Guards against a server that crashes between the head and the first event of a
+    # stream, which then ends without any event, as if it were whole.
+    async def test_stream_that_ends_with_its_connection_before_any_event_is_cut(self):
+        world = ReplyWorld(ScriptedReply(b""), kind=Kind.STREAM, max_attempts=1)
+        answer = await world.call()
+        self.assertTrue(answer.head.startswith("HTTP/1.1 502"))
+        world = ReplyWorld(
+            ScriptedReply(b""),
+            ScriptedReply(make_events(1, 2), "chunked"),
+            kind=Kind.STREAM,
+            resumable=True,
+        )
+        answer = await world.call()
+        self.assertEqual(answer.content, make_events(1, 2))
+
+    async def test_resumed_stream_without_further_events_is_whole(self):
+        world = ReplyWorld(
+            ScriptedReply(make_events(1, 2), "chunked", breaks=True),
+            ScriptedReply(b""),
+            kind=Kind.STREAM,
+            resumable=True,
+        )
+        answer = await world.call()
+        self.assertTrue(answer.looks_complete)
+        self.assertEqual(answer.content, make_events(1, 2))
+
 
 class LearningTests(unittest.IsolatedAsyncioTestCase):
     # Guards against an endpoint that is ejected, and a stream that is sent again,
@@ -136,6 +162,21 @@
         failures = [world.health.get_record(name).failures for name in ("e1", "e2")]
         self.assertEqual(failures, [0, 0])
 
+    # Guards against a request that is taken for harmless because the reply that ended
+    # with its server's connection counted as a success.
+    async def test_end_that_is_not_proved_keeps_the_request_suspected(self):
+        for framing in FRAMINGS:
+            for body in (make_events(1, 2), make_events(1, 2) + b"id: 3"):
+                with self.subTest(framing=framing, body=body):
+                    reply = ScriptedReply(body, framing)
+                    world = ReplyWorld(reply, kind=Kind.STREAM, max_attempts=1)
+                    for crash_id in ("e3@0", "e4@0"):
+                        world.tally.record_crash(world.digest, crash_id, world.now)
+                    await world.call()
+                    is_proved = framing != "connection" and body.endswith(b"\n\n")
+                    suspected = world.tally.is_suspected(world.digest, world.now)
+                    self.assertEqual(suspected, not is_proved)
+
 
 if __name__ == "__main__":
     unittest.main()
