Treat a cut answer of the store as no answer

An object must have a proved end now. - A cut JSON answer raised a decoding error, which ended the task that read or wrote. A read counts as not answered, and a conflict names all checked rows.

--- a/packages/storage/src/slatehoist/storage/http.py
+++ b/packages/storage/src/slatehoist/storage/http.py
@@ -1,10 +1,11 @@
 """HTTP clients of the platform's services."""
 
-from typing import Any
+from typing import Any, TypeVar
 
 import aiohttp
 import msgspec
 
+from slatehoist.http import response_framing
 from slatehoist.storage.base import Check, Instance, Row, Write
 from slatehoist.storage.exceptions import (
     ConflictError,
@@ -15,6 +16,8 @@
 #: Timeout of one call in seconds.
 CALL_TIMEOUT_S = 2.0
 
+Doc = TypeVar("Doc")
+
 _HTTP_OK = 200
 _HTTP_NOT_FOUND = 404
 _HTTP_CONFLICT = 409
@@ -36,10 +39,21 @@
         self._timeout = aiohttp.ClientTimeout(total=timeout_s)
 
     async def _call(
-        self, method: str, path: str, data: bytes | None = None, **params: str
+        self,
+        method: str,
+        path: str,
+        data: bytes | None = None,
+        whole: bool = False,
+        **params: str,
     ) -> tuple[int, bytes]:
         """Make one call and return the status and body.
 
+        Parameters
+        ----------
+        whole : bool
+            True if the body must be known to be whole: a body that is neither JSON nor
+            has a length or chunks may have been cut off.
+
         Raises
         ------
         StoreDownError
@@ -62,15 +76,20 @@
             raise StoreDownError(f"{url}: status {resp.status}")
         if resp.status not in (_HTTP_OK, _HTTP_NOT_FOUND, _HTTP_CONFLICT):
             raise OutcomeUnknownError(f"{url}: status {resp.status}")
+        framing = response_framing(method, resp.status, resp.headers)
+        if whole and not framing.proves_end:
+            raise OutcomeUnknownError(f"{url}: the end of the body is not proved")
         return resp.status, body
 
-    async def _read(self, path: str, **params: str) -> bytes | None:
+    async def _read(
+        self, path: str, whole: bool = False, **params: str
+    ) -> bytes | None:
         """Return the body of a read, or None if the service has no such item.
 
         A read has no effect, so a lost answer is reported as StoreDownError too.
         """
         try:
-            status, body = await self._call("GET", path, **params)
+            status, body = await self._call("GET", path, whole=whole, **params)
         except OutcomeUnknownError as exc:
             raise StoreDownError(str(exc)) from exc
         return None if status == _HTTP_NOT_FOUND else body
@@ -82,20 +101,19 @@
     async def get(self, table: str, key: str) -> Row | None:
         """Return a row, or None if it does not exist."""
         body = await self._read("/v1/row", table=table, key=key)
-        return None if body is None else msgspec.json.decode(body, type=Row)
+        return None if body is None else _decode(body, Row)
 
     async def scan(self, table: str, prefix: str = "", after: str = "") -> list[Row]:
         """Return the rows with a key prefix that follow the key ``after``, by key."""
         body = await self._read("/v1/rows", table=table, prefix=prefix, after=after)
-        return msgspec.json.decode(body or b"[]", type=list[Row])
+        return _decode(body or b"[]", list[Row])
 
     async def transact(self, checks: list[Check], writes: list[Write]) -> None:
         """Write all rows if all checks hold, else none; see `Table.transact`."""
         data = msgspec.json.encode({"checks": checks, "writes": writes})
         status, body = await self._call("POST", "/v1/transact", data)
         if status == _HTTP_CONFLICT:
-            keys = msgspec.json.decode(body, type=list[tuple[str, str]])
-            raise ConflictError(keys)
+            raise ConflictError(_failed_checks(checks, body))
 
 
 class HttpObjectStore(_HttpClient):
@@ -103,7 +121,7 @@
 
     async def get(self, name: str) -> bytes | None:
         """Return an object, or None if it does not exist."""
-        return await self._read(f"/v1/objects/{name}")
+        return await self._read(f"/v1/objects/{name}", whole=True)
 
     async def put(self, name: str, data: bytes) -> None:
         """Write an object."""
@@ -116,7 +134,7 @@
     async def list(self) -> list[Instance]:
         """Return the instances."""
         body = await self._read("/v1/instances")
-        return msgspec.json.decode(body or b"[]", type=list[Instance])
+        return _decode(body or b"[]", list[Instance])
 
 
 class HttpWeightStore(_HttpClient):
@@ -125,5 +143,21 @@
     async def fetch(self, name: str) -> int:
         """Fetch the weights of an expert; return their size in bytes."""
         body = await self._read(f"/v1/weights/{name}")
-        doc: dict[str, Any] = msgspec.json.decode(body or b"{}")
+        doc = _decode(body or b"{}", dict[str, Any])
         return doc.get("bytes", 0)
+
+
+def _decode(body: bytes, doc_type: type[Doc]) -> Doc:
+    """Decode the answer to a read; raise StoreDownError if it is malformed."""
+    try:
+        return msgspec.json.decode(body, type=doc_type)
+    except msgspec.DecodeError as exc:
+        raise StoreDownError(f"the answer cannot be decoded: {exc}") from exc
+
+
+def _failed_checks(checks: list[Check], body: bytes) -> list[tuple[str, str]]:
+    """Return the rows whose checks failed, or all if the answer does not tell."""
+    try:
+        return msgspec.json.decode(body, type=list[tuple[str, str]])
+    except msgspec.DecodeError:
+        return [(check.table, check.key) for check in checks]
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -22,6 +22,7 @@
 from adapter.store import PlatformTable
 
 from gateway_world import make_configuration, make_route
+from scripted_session import ScriptedSession
 from slatehoist.gateway import Forwarding
 from slatehoist.storage import (
     Check,
@@ -178,6 +179,17 @@
         self.assertEqual(info.prompt_tokens, 0)
 
 
+class CutAnswerTests(unittest.IsolatedAsyncioTestCase):
+    # Guards against a decoding error that ends the task which wrote to the store.
+    async def test_conflict_whose_answer_is_cut_names_all_checked_rows(self):
+        for body in (b'{"rows": [{"table": "own", "ke', b"[]", b'{"rows": 3}'):
+            with self.subTest(body=body):
+                table = PlatformTable("10.0.0.1:80", ScriptedSession(412, body))
+                with self.assertRaises(ConflictError) as caught:
+                    await table.transact([Check("own", "a", 1)], [])
+                self.assertEqual(caught.exception.keys, [("own", "a")])
+
+
 class StoreTests(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
         self.store = DeploymentStore()
