--- a/packages/gateway/tests/reply_world.py
+++ b/packages/gateway/tests/reply_world.py
@@ -1,22 +1,18 @@
 """Gateway between scripted replies and a recorded caller, without a network.
 
-The gateway, its attempts and the HTTP server are the production code. Only the replies
-of the endpoints and the transport of the caller's connection are replaced.
+The gateway and its attempts are the production code. Only the replies of the endpoints
+and the transport of the caller's connection are replaced.
 """
 
-import asyncio
-import logging
 import random
-import socket
-import struct
-from typing import Any, NamedTuple
+from typing import Any
 
-from aiohttp import web
 from aiohttp.client_exceptions import ClientPayloadError
 from gateway_builders import make_configuration, make_endpoint, make_route
 from gateway_fleet import SharedTable
 from multidict import CIMultiDict
 
+from recorded_caller import Answer, RecordedCaller
 from slatehoist.gateway import (
     Catalogue,
     EndpointDirectory,
@@ -41,8 +37,6 @@
     "chunked": {"Transfer-Encoding": "chunked"},
     "connection": {},
 }
-#: SO_LINGER with which a close resets the connection.
-_RESET_LINGER = struct.pack("ii", 1, 0)
 _ROUTE_PATH = "/a/x"
 
 
@@ -141,116 +135,6 @@
         return ReplyInfo("id", not_run=False, wrong_instance=False, authentic=True)
 
 
-class _RecordedSocket:
-    """Socket that records whether its close resets the connection."""
-
-    family = socket.AF_INET
-    type = socket.SOCK_STREAM
-    proto = socket.IPPROTO_TCP
-
-    def __init__(self) -> None:
-        self.resets_on_close = False
-
-    def setsockopt(self, level: int, option: int, value: Any) -> None:
-        if option == socket.SO_LINGER:
-            self.resets_on_close = value == _RESET_LINGER
-
-
-class RecordedTransport(asyncio.Transport):
-    """Transport of a caller's connection that records what is sent and how it ends."""
-
-    def __init__(self, protocol: asyncio.Protocol) -> None:
-        super().__init__()
-        self._protocol = protocol
-        self._socket = _RecordedSocket()
-        self.sent = b""
-        #: Empty while the connection is open, else `close`, `reset` or `lost`.
-        self.ending = ""
-
-    def get_extra_info(self, name: str, default: Any = None) -> Any:
-        return self._socket if name == "socket" else default
-
-    def write(self, data: bytes) -> None:
-        self.sent += bytes(data)
-
-    def is_closing(self) -> bool:
-        return bool(self.ending)
-
-    def lose(self) -> None:
-        """Lose the connection; as in asyncio, the protocol is told later."""
-        self.ending = "lost"
-
-    def close(self) -> None:
-        if not self.ending:
-            self.ending = "reset" if self._socket.resets_on_close else "close"
-            self._protocol.connection_lost(None)
-
-    abort = close
-
-    def set_write_buffer_limits(self, high: Any = None, low: Any = None) -> None:
-        pass
-
-    def pause_reading(self) -> None:
-        pass
-
-    def resume_reading(self) -> None:
-        pass
-
-
-class Answer(NamedTuple):
-    """Response as the caller received it.
-
-    Attributes
-    ----------
-    ending : str
-        Empty if the connection stayed open, else `close` or `reset`.
-    """
-
-    head: str
-    body: bytes
-    ending: str
-
-    @property
-    def is_chunked(self) -> bool:
-        return "transfer-encoding: chunked" in self.head.lower()
-
-    @property
-    def has_length(self) -> bool:
-        return "content-length:" in self.head.lower()
-
-    @property
-    def content(self) -> bytes:
-        """Return the body without its chunk framing."""
-        if not self.is_chunked:
-            return self.body
-        content, rest = b"", self.body
-        while rest:
-            size, _, rest = rest.partition(b"\r\n")
-            content, rest = content + rest[: int(size, 16)], rest[int(size, 16) + 2 :]
-        return content
-
-    @property
-    def looks_complete(self) -> bool:
-        """Return True if the caller must take the body for a whole one."""
-        if self.is_chunked:
-            return self.body.endswith(b"0\r\n\r\n")
-        if self.has_length:
-            length = self.head.lower().partition("content-length: ")[2].split("\r\n")[0]
-            return len(self.body) == int(length)
-        return self.ending == "close"
-
-
-class _RecordedErrors(logging.Handler):
-    """Records of the HTTP server's unhandled exceptions."""
-
-    def __init__(self) -> None:
-        super().__init__(logging.ERROR)
-        self.records: list[logging.LogRecord] = []
-
-    def emit(self, record: logging.LogRecord) -> None:
-        self.records.append(record)
-
-
 class ReplyWorld:
     """One gateway and two endpoints whose replies are scripted."""
 
@@ -291,11 +175,8 @@
             random.Random(1),
             self.clock,
         )
-        self._server_errors = _RecordedErrors()
-        self._server_log = logging.Logger("server")
-        self._server_log.addHandler(self._server_errors)
-        #: Connection of the last call.
-        self.transport: RecordedTransport | None = None
+        #: Caller of the last call.
+        self.caller: RecordedCaller | None = None
         #: Digest of the requests that `call` sends.
         self.digest = request_digest("GET", _ROUTE_PATH, "", b"")
 
@@ -304,23 +185,6 @@
 
     async def call(self, version: str = "1.1", method: str = "GET") -> Answer:
         """Send a request on a connection of its own, and return the answer."""
-        server = web.Server(
-            self.gateway.handle,
-            handler_cancellation=True,
-            access_log=None,
-            logger=self._server_log,
-        )
-        protocol = server()
-        transport = self.transport = RecordedTransport(protocol)
-        protocol.connection_made(transport)
+        self.caller = RecordedCaller(self.gateway.handle)
         request = f"{method} {_ROUTE_PATH} HTTP/{version}\r\nHost: h\r\n\r\n"
-        protocol.data_received(request.encode())
-        # The gateway has no real wait, so a few rounds of the event loop are enough.
-        for _ in range(50):
-            await asyncio.sleep(0)
-        ending = transport.ending
-        transport.close()
-        if self._server_errors.records:
-            raise AssertionError(self._server_errors.records[0].getMessage())
-        head, _, body = transport.sent.partition(b"\r\n\r\n")
-        return Answer(head.decode(), body, ending)
+        return await self.caller.send(request.encode())
--- a/packages/gateway/tests/test_gateway_reply_ends.py
+++ b/packages/gateway/tests/test_gateway_reply_ends.py
@@ -156,7 +156,7 @@
     async def test_lost_connection_of_a_caller_is_no_failure_of_the_endpoint(self):
         reply = ScriptedReply(make_events(1, 2), "chunked")
         world = ReplyWorld(reply, kind=Kind.STREAM, resumable=True)
-        reply.on_read = lambda: world.transport.lose()
+        reply.on_read = lambda: world.caller.transport.lose()
         await world.call()
         self.assertEqual(len(world.upstream.requests), 1)
         failures = [world.health.get_record(name).failures for name in ("e1", "e2")]
