Sidecar: take a response for whole only if its end shows that

What callers saw: a plain service's answer without a length that was reset, its stream that ended within an event, and an engine's completion that was cut came as whole answers with a length or a last chunk. Cause, the same as at the gateway: any end of the connection was the end of the answer. aiohttp takes even a reset for it; the gateway's connection class that corrects this moves to the package http, and the sidecar uses it too. Now a head says if the end of its body is not proved, in a header so that other versions can decode the frame; a stream is judged by its events, a completion by its JSON, and read again from the engine if that is cut.

--- a/packages/daemon/src/slatehoist/daemon/sidecar/endpoints.py
+++ b/packages/daemon/src/slatehoist/daemon/sidecar/endpoints.py
@@ -11,13 +11,26 @@
 import aiohttp
 import msgspec
 
-from slatehoist.wire.messages import AttemptRequest, BrokenReason, Head
+from slatehoist.http import (
+    EventSplitter,
+    Framing,
+    is_event_stream,
+    response_framing,
+    strict_connector,
+)
+from slatehoist.wire.messages import (
+    UNPROVED_END,
+    UNPROVED_END_HEADER,
+    AttemptRequest,
+    BrokenReason,
+    Head,
+)
 
 #: Timeout for opening a connection to the endpoint, in seconds.
 CONNECT_TIMEOUT_S = 1.0
 #: Timeout for reading the endpoint's load or cancelling an attempt, in seconds.
 LOAD_TIMEOUT_S = 1.0
-#: Delay before a stream is resumed again at an endpoint that is up, in seconds.
+#: Delay before a response is read again at an endpoint that is up, in seconds.
 RESUME_DELAY_S = 0.1
 #: Number of requests to cancel an attempt that are sent to an unresponsive endpoint.
 CANCEL_TRIES = 10
@@ -84,7 +97,7 @@
         self._url = url.rstrip("/")
         self._silence_s = silence_s
         self._session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(force_close=True, limit=0),
+            connector=strict_connector(force_close=True, limit=0),
             read_bufsize=READ_BYTES,
             auto_decompress=False,
         )
@@ -124,11 +137,17 @@
         )
 
 
-def _make_head(resp: aiohttp.ClientResponse) -> Head:
+def _make_head(resp: aiohttp.ClientResponse, proves_end: bool) -> Head:
     headers = {k: resp.headers[k] for k in FORWARDED_HEADERS if k in resp.headers}
+    if not proves_end:
+        headers[UNPROVED_END_HEADER] = UNPROVED_END
     return Head(resp.status, headers)
 
 
+def _framing(resp: aiohttp.ClientResponse) -> Framing:
+    return response_framing(resp.method, resp.status, resp.headers)
+
+
 class PlainEndpoint(_HttpEndpoint):
     """Plain HTTP service. Its calls cannot be resumed or cancelled."""
 
@@ -136,9 +155,17 @@
         """Run an attempt; see `Endpoint.run`."""
         try:
             async with self._send_request(req, read_timeout_s=None) as resp:
-                yield _make_head(resp)
+                proves_end = _framing(resp).proves_end
+                yield _make_head(resp, proves_end)
+                events = EventSplitter()
+                received = 0
                 async for chunk in resp.content.iter_any():
+                    events.feed(chunk)
+                    received += len(chunk)
                     yield chunk
+                cut = events.within_event or not (received or proves_end)
+                if is_event_stream(resp.headers) and cut:
+                    raise BrokenResponseError(BrokenReason.ENDPOINT_CRASHED)
         except aiohttp.ClientConnectorError as exc:
             raise EndpointDownError(str(exc)) from exc
         except (TimeoutError, aiohttp.ClientError) as exc:
@@ -167,8 +194,11 @@
         except (TimeoutError, aiohttp.ClientError):
             pass
         while not reader.complete:
+            events = reader.events
             async for chunk in self._resume(req.attempt_id, reader):
                 yield chunk
+            if not reader.complete and reader.events == events:
+                await asyncio.sleep(RESUME_DELAY_S)
 
     async def cancel(self, attempt_id: str) -> None:
         """Cancel an attempt and free its slot at the engine."""
@@ -215,7 +245,6 @@
         except aiohttp.ClientError as exc:
             if await self.load() is None:
                 raise BrokenResponseError(BrokenReason.ENDPOINT_CRASHED) from exc
-            await asyncio.sleep(RESUME_DELAY_S)
 
 
 class _LoadReport(TypedDict):
@@ -253,16 +282,25 @@
         self._head_sent = False
 
     async def read(self, resp: aiohttp.ClientResponse) -> AsyncIterator[Head | bytes]:
-        """Yield the head, once per response, then complete events or the whole body."""
-        if not self._head_sent:
-            self._head_sent = True
-            yield _make_head(resp)
-        is_stream = resp.content_type == "text/event-stream"
-        if not is_stream:
+        """Yield the head, once per response, then complete events or the whole body.
+
+        Yield nothing if the response is a JSON document that was cut off.
+        """
+        if not is_event_stream(resp.headers):
             body = await resp.read()
+            proves_end = _framing(resp).proves_end or _is_json(body)
+            if not proves_end and resp.content_type == "application/json":
+                return
+            if not self._head_sent:
+                self._head_sent = True
+                yield _make_head(resp, proves_end)
             self.complete = True
             yield body
             return
+        if not self._head_sent:
+            self._head_sent = True
+            # The last event proves the end.
+            yield _make_head(resp, proves_end=True)
         remainder = b""
         async for data in resp.content.iter_any():
             events, separator, remainder = (remainder + data).rpartition(b"\n\n")
@@ -276,6 +314,14 @@
         return events
 
 
+def _is_json(body: bytes) -> bool:
+    """Return True if a body is a whole JSON object or array."""
+    try:
+        return isinstance(msgspec.json.decode(body), dict | list)
+    except msgspec.DecodeError:
+        return False
+
+
 def _wants_stream(body: bytes) -> bool:
     try:
         return msgspec.json.decode(body, type=_ModelRequest).get("stream", False)
--- a/packages/gateway/src/slatehoist/gateway/forwarding.py
+++ b/packages/gateway/src/slatehoist/gateway/forwarding.py
@@ -448,7 +448,7 @@
             timeouts.discard(timeout)
             exchange.partial_event_bytes = len(splitter.rest)
             exchange.last_event_id = splitter.last_event_id or exchange.last_event_id
-        if is_event_stream(reply.headers):
+        if is_event_stream(reply.headers, default=True):
             self._check_stream_end(exchange, endpoint, splitter)
         rest = splitter.rest if exchange.route.resumable else b""
         await self._write_to_caller(exchange, reply, rest, last=True)
--- a/packages/gateway/src/slatehoist/gateway/upstream.py
+++ b/packages/gateway/src/slatehoist/gateway/upstream.py
@@ -1,23 +1,17 @@
 """HTTP client for requests to endpoints, over pooled connections."""
 
 import asyncio
-import functools
-import socket
-import struct
 from typing import NamedTuple
 
 import aiohttp
-from aiohttp.client_exceptions import ClientPayloadError
-from aiohttp.client_proto import ResponseHandler
 from multidict import CIMultiDict
 from yarl import URL
 
 from slatehoist.gateway.settings import CONNECT_TIMEOUT_S, POOL_IDLE_S
+from slatehoist.http import ResettingResponseHandler, strict_connector
 
 #: Headers that aiohttp must not add to a forwarded request.
 _NO_AUTO_HEADERS = ("Accept", "Accept-Encoding", "User-Agent", "Content-Type")
-#: Value of SO_LINGER with which a close resets the connection.
-_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 #: Longest response header line that is accepted, in bytes.
 _MAX_HEADER_BYTES = 16384
 
@@ -50,37 +44,16 @@
     body: bytes
 
 
-class _StrictResponseHandler(ResponseHandler):
-    """Connection to an endpoint that is stricter than aiohttp's in two ways.
-
-    A response without a length is complete only if the connection was closed in order,
-    not if it failed. And an abandoned connection is reset: after an ordinary close the
-    request would stay in the send buffer and be delivered when a failed link or
-    instance recovers, long after its caller has left.
-    """
-
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        super().connection_made(transport)
-        sock = transport.get_extra_info("socket")
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
-
-    def connection_lost(self, exc: BaseException | None) -> None:
-        payload = self._payload
-        if exc is not None and payload is not None and not payload.is_eof():
-            payload.set_exception(ClientPayloadError(f"connection lost: {exc!r}"))
-        super().connection_lost(exc)
-
-
 class Upstream:
     """Client session for all endpoints; it never retries a request by itself."""
 
     def __init__(self) -> None:
-        loop = asyncio.get_running_loop()
-        connector = aiohttp.TCPConnector(
-            limit=0, keepalive_timeout=POOL_IDLE_S, use_dns_cache=False
+        connector = strict_connector(
+            ResettingResponseHandler,
+            limit=0,
+            keepalive_timeout=POOL_IDLE_S,
+            use_dns_cache=False,
         )
-        # aiohttp has no public way to replace the protocol of a connection.
-        connector._factory = functools.partial(_StrictResponseHandler, loop=loop)
         self._session = aiohttp.ClientSession(
             connector=connector,
             auto_decompress=False,
--- a/packages/http/src/slatehoist/http/events.py
+++ b/packages/http/src/slatehoist/http/events.py
@@ -10,9 +10,17 @@
 _MEDIA_TYPE = "text/event-stream"
 
 
-def is_event_stream(headers: Mapping[str, str]) -> bool:
-    """Return True if a response's body is an event stream, or has no stated type."""
-    content_type = headers.get("Content-Type", _MEDIA_TYPE)
+def is_event_stream(headers: Mapping[str, str], default: bool = False) -> bool:
+    """Return True if a response's body is an event stream.
+
+    Parameters
+    ----------
+    default : bool
+        Result if the headers do not state a type.
+    """
+    content_type = headers.get("Content-Type")
+    if content_type is None:
+        return default
     return content_type.partition(";")[0].strip().lower() == _MEDIA_TYPE
 
 
--- a/packages/wire/src/slatehoist/wire/messages.py
+++ b/packages/wire/src/slatehoist/wire/messages.py
@@ -115,12 +115,23 @@
     load: float = 0.0
 
 
+#: Header of a `Head` whose body ends with the endpoint's connection, so that nothing
+#: proves its end. It is a header so that older versions can decode the frame.
+UNPROVED_END_HEADER = "Slatehoist-End"
+UNPROVED_END = "connection"
+
+
 class Head(NamedTuple):
     """HTTP status and headers of the endpoint's response."""
 
     status: int
     headers: dict[str, str]
 
+    @property
+    def proves_end(self) -> bool:
+        """Return True if a body that ended is known to be whole."""
+        return self.headers.get(UNPROVED_END_HEADER) != UNPROVED_END
+
 
 class Data(NamedTuple):
     """Chunk of the response's body with its sequence number, which starts at 0."""
