Entry: never let a failed answer look whole to its caller

What callers saw: an HTTP/1.0 caller got an orderly close at the end of a failed stream; an error event was appended to part of another event, so that both were garbled; a body without a proved end came with a length or a last chunk. Cause: each answer was framed anew and closed in one way. Answers are relayed by RelayedResponse now, as at the gateway, and a stream that fails within an event is broken off without an error event.

--- a/packages/daemon/src/slatehoist/daemon/entry/answers.py
+++ b/packages/daemon/src/slatehoist/daemon/entry/answers.py
@@ -6,7 +6,8 @@
 import msgspec
 from aiohttp import web
 
-from slatehoist.wire.messages import Head
+from slatehoist.http import EventSplitter, Framing, RelayedResponse, is_event_stream
+from slatehoist.wire.messages import UNPROVED_END_HEADER, Head
 
 #: Response header that states whether a failed request ran.
 RAN_HEADER = "Slatehoist-Ran"
@@ -83,7 +84,8 @@
         self._trace = trace
         self._head: Head | None = None
         self._chunks: list[bytes] = []
-        self._stream: web.StreamResponse | None = None
+        self._stream: RelayedResponse | None = None
+        self._events = EventSplitter()
 
     @property
     def started(self) -> bool:
@@ -123,6 +125,7 @@
             return
         if self._stream is None:
             await self._open_stream()
+        self._events.feed(data)
         await self._stream.write(data)
 
     async def finish(self) -> web.StreamResponse:
@@ -132,6 +135,10 @@
         if self._stream is not None:
             await self._stream.write_eof()
             return self._stream
+        if not self._head.proves_end:
+            return RelayedResponse(
+                self._head.status, self._headers(), Framing.CONNECTION, self.body
+            )
         return web.Response(
             status=self._head.status, body=self.body, headers=self._headers()
         )
@@ -139,25 +146,28 @@
     async def fail(self, error: CallerError) -> web.StreamResponse:
         """End the answer with an error and return its response.
 
-        A stream that was already opened gets an error event, and its connection is
-        closed.
+        A stream that was already opened gets an error event, unless it ends within
+        another event, and is broken off.
         """
         if self._stream is None:
             return error_response(error, self._trace)
-        event = b"event: error\ndata: " + error_body(error, self._trace) + b"\n\n"
-        await self._stream.write(event)
-        if self._req.transport is not None:
-            self._req.transport.close()
+        if not self._events.within_event:
+            event = b"event: error\ndata: " + error_body(error, self._trace) + b"\n\n"
+            await self._stream.write(event)
+        self._stream.break_off()
         return self._stream
 
     def _is_event_stream(self) -> bool:
-        content_type = self._head.headers.get("Content-Type", "") if self._head else ""
-        return content_type.startswith("text/event-stream")
+        return self._head is not None and is_event_stream(self._head.headers)
 
     async def _open_stream(self) -> None:
-        stream = web.StreamResponse(status=self._head.status, headers=self._headers())
+        proved = self._head.proves_end
+        framing = Framing.CHUNKED if proved else Framing.CONNECTION
+        stream = RelayedResponse(self._head.status, self._headers(), framing)
         await stream.prepare(self._req)
         self._stream = stream
 
     def _headers(self) -> dict[str, str]:
-        return {**self._head.headers, TRACE_HEADER: self._trace}
+        headers = {**self._head.headers, TRACE_HEADER: self._trace}
+        headers.pop(UNPROVED_END_HEADER, None)
+        return headers
--- a/packages/daemon/tests/test_daemon_reply_ends.py
+++ b/packages/daemon/tests/test_daemon_reply_ends.py
@@ -6,7 +6,8 @@
 from raw_server import RawServer, make_reply
 
 from builders import make_attempt
-from slatehoist.daemon.entry.answers import CallerError
+from recorded_caller import Answer, RecordedCaller
+from slatehoist.daemon.entry.answers import CallerAnswer, CallerError
 from slatehoist.daemon.sidecar.endpoints import BrokenResponseError, make_endpoint
 from slatehoist.wire.messages import (
     UNPROVED_END,
@@ -99,5 +100,56 @@
         self.assertEqual(len(self.server.requests), 2)
 
 
+class CallerAnswerTests(unittest.IsolatedAsyncioTestCase):
+    async def answer(self, headers, data, error=None, version="1.1") -> Answer:
+        async def handle(req):
+            answer = CallerAnswer(req, "trace")
+            answer.set_head(Head(200, headers))
+            await answer.write(data)
+            if error is not None:
+                return await answer.fail(error)
+            return await answer.finish()
+
+        request = f"GET / HTTP/{version}\r\nHost: h\r\n\r\n"
+        return await RecordedCaller(handle).send(request.encode())
+
+    # Guards against a caller without chunks that takes the close of its connection for
+    # the end of an answer which failed.
+    async def test_connection_is_reset_if_it_alone_marks_the_end_of_a_failed_stream(
+        self,
+    ):
+        stream = {"Content-Type": EVENT_STREAM}
+        for headers, version in ((stream, "1.0"), ({**stream, **UNPROVED}, "1.1")):
+            with self.subTest(version=version):
+                answer = await self.answer(headers, EVENTS, DEADLINE_ERROR, version)
+                self.assertEqual(answer.ending, "reset")
+
+    # Guards against an error event that is appended to part of another event.
+    async def test_stream_that_fails_within_an_event_gets_no_error_event(self):
+        stream = {"Content-Type": EVENT_STREAM}
+        answer = await self.answer(stream, EVENTS[:-3], DEADLINE_ERROR)
+        self.assertEqual(answer.content, EVENTS[:-3])
+        self.assertFalse(answer.looks_complete)
+        answer = await self.answer(stream, EVENTS, DEADLINE_ERROR)
+        self.assertIn(b"event: error", answer.content)
+        self.assertFalse(answer.looks_complete)
+
+    async def test_end_that_is_not_proved_is_passed_on_as_such(self):
+        for content_type in (EVENT_STREAM, "text/plain"):
+            with self.subTest(content_type=content_type):
+                headers = {"Content-Type": content_type, **UNPROVED}
+                answer = await self.answer(headers, EVENTS)
+                self.assertFalse(answer.is_chunked or answer.has_length)
+                self.assertEqual((answer.body, answer.ending), (EVENTS, "close"))
+                self.assertNotIn(UNPROVED_END_HEADER, answer.head)
+
+    async def test_proved_end_is_passed_on_with_a_length_or_a_last_chunk(self):
+        for content_type in (EVENT_STREAM, "text/plain"):
+            with self.subTest(content_type=content_type):
+                answer = await self.answer({"Content-Type": content_type}, EVENTS)
+                self.assertTrue(answer.looks_complete)
+                self.assertEqual((answer.content, answer.ending), (EVENTS, ""))
+
+
 if __name__ == "__main__":
     unittest.main()
