Do not learn that a request is harmless from an end that is not proved

An answer that ends with its endpoint's connection may have ended by a crash. The sidecar did not count the request as part of that crash, and the entry cleared it of suspicion. Such an answer is still delivered, but counts as a loss at the sidecar until the endpoint is seen alive, and clears nothing.

--- a/packages/daemon/src/slatehoist/daemon/sidecar/runner.py
+++ b/packages/daemon/src/slatehoist/daemon/sidecar/runner.py
@@ -144,6 +144,11 @@
                 attempt.tokens += self._endpoint.count_tokens(attempt.req, chunk)
                 if not attempt.append_data(chunk):
                     raise BrokenResponseError(BrokenReason.BUFFER_LIMIT)
+        if attempt.head is not None and not attempt.head.proves_end:
+            # The response may have ended because the endpoint crashed.
+            self._crashes.record_loss(
+                attempt.endpoint_incarnation, attempt.req.digest, self._clock()
+            )
         attempt.finish(self._admission.load, self._clock())
 
     def _refuse(
--- a/packages/daemon/tests/test_daemon_reply_ends.py
+++ b/packages/daemon/tests/test_daemon_reply_ends.py
@@ -2,16 +2,24 @@
 
 import logging
 import unittest
+from types import SimpleNamespace
+from unittest import mock
 
 from raw_server import RawServer, make_reply
 
 from builders import make_attempt
 from recorded_caller import Answer, RecordedCaller
 from slatehoist.daemon.entry.answers import CallerAnswer, CallerError
+from slatehoist.daemon.entry.dispatch import Dispatcher
+from slatehoist.daemon.sidecar.admission import Admission
+from slatehoist.daemon.sidecar.attempts import AttemptTable, CrashLog
 from slatehoist.daemon.sidecar.endpoints import BrokenResponseError, make_endpoint
+from slatehoist.daemon.sidecar.runner import AttemptRunner
+from slatehoist.routing import AdaptiveLimit, FairQueue
 from slatehoist.wire.messages import (
     UNPROVED_END,
     UNPROVED_END_HEADER,
+    Final,
     Head,
 )
 
@@ -100,6 +108,56 @@
         self.assertEqual(len(self.server.requests), 2)
 
 
+class LearningTests(unittest.IsolatedAsyncioTestCase):
+    # Guards against a request that crashes endpoints and is taken for harmless, because
+    # its response ended in order with the endpoint's connection.
+    async def test_request_whose_end_is_not_proved_is_part_of_a_crash(self):
+        for headers, expected in ((UNPROVED, ["d"]), ({}, [])):
+            with self.subTest(headers=headers):
+                crash = await self.run_attempt(headers)
+                self.assertEqual(crash.digests if crash else [], expected)
+
+    async def run_attempt(self, headers):
+        async def run(req):
+            yield Head(200, headers)
+            yield b"body"
+
+        table = AttemptTable(10.0)
+        limit = AdaptiveLimit(2, 2, target_step_s=1.0)
+        admission = Admission(FairQueue(100), limit, 3.0, lambda: 0.0)
+        endpoint = SimpleNamespace(run=run, count_tokens=lambda req, chunk: 0)
+        crashes = CrashLog("e", table.running_digests)
+        runner = AttemptRunner(
+            table,
+            admission,
+            endpoint,
+            crashes,
+            lambda: "first",
+            mock.Mock(),
+            mock.Mock(),
+            lambda: 0.0,
+        )
+        crashes.observe_incarnation("first", 0.0)
+        attempt = runner.start(make_attempt())
+        await attempt.task
+        self.assertIsInstance(attempt.outcome, Final)
+        return crashes.observe_incarnation("second", 1.0)
+
+    async def test_end_that_is_not_proved_does_not_clear_a_suspect(self):
+        for headers, cleared in ((UNPROVED, False), ({}, True)):
+            with self.subTest(headers=headers):
+                guard = mock.Mock()
+                dispatcher = Dispatcher(
+                    None, None, None, guard, None, None, lambda: 0.0, None
+                )
+                answer = CallerAnswer(mock.Mock(), "trace")
+                answer.set_head(Head(200, headers))
+                req = SimpleNamespace(digest="d", prefixes=[])
+                final = Final("a1", 0, "")
+                await dispatcher._finish(req, mock.Mock(), answer, None, final)
+                self.assertEqual(guard.report_completed.called, cleared)
+
+
 class CallerAnswerTests(unittest.IsolatedAsyncioTestCase):
     async def answer(self, headers, data, error=None, version="1.1") -> Answer:
         async def handle(req):
