Stand-ins: end replies in every way, and pass resets through the relay

Servers can send a stream without a length and chunks, whole, cut within an event or reset, and one that ends within an event by its last chunk. The relay turned a reset into an orderly close, in which a body without a length looks whole; it passes it on now, and its mode 'cut' resets, as it said.

--- a/standins/src/slatehoist_standins/deployment_server.py
+++ b/standins/src/slatehoist_standins/deployment_server.py
@@ -9,14 +9,19 @@
 """
 
 import asyncio
-import socket
-import struct
 from typing import NamedTuple
 
+from slatehoist_standins.sockets import reset_connection
+
 #: Body of a response that is not a stream.
 PLAIN_BODY = b"the whole body of the server"
 #: Number of events in a stream.
 STREAM_EVENTS = 6
+#: Behaviours that end a stream early.
+CUT_BEHAVIOURS = frozenset(
+    {"cut", "unframed_cut", "unframed_reset", "ends_within_event"}
+)
+LAST_CHUNK = b"0\r\n\r\n"
 #: Seconds from an early response until the server reads the request's body.
 EARLY_READ_DELAY_S = 0.2
 #: Request body, or part of one, that crashes every server which begins to run it.
@@ -54,15 +59,19 @@
     ``truncate``
         Close the connection within the body.
     ``unframed``, ``unframed_reset``
-        Send a body without a length, which ends with a close or a reset.
+        Send a body without a length, which ends with a close or, for a stream after
+        half of its events, with a reset.
     ``extra``
         Send a second response that no request asked for.
     ``other_id``
         Send the id of another request.
     ``no_proof``
         Leave out the header ``Server-Stamp``, which proves that a server responded.
-    ``cut``
-        Close the connection within an event; for streams only.
+    ``cut``, ``unframed_cut``
+        Close the connection within an event of a stream, which has chunks or neither
+        chunks nor a length; for streams only.
+    ``ends_within_event``
+        End a stream within an event by its last chunk; for streams only.
 
     Attributes
     ----------
@@ -207,10 +216,7 @@
     def _close(self, writer: asyncio.StreamWriter, reset: bool) -> bool:
         """Close or reset the connection; return False, as `_respond` does."""
         if reset:
-            # A linger time of 0 makes close() send RST instead of FIN.
-            sock = writer.get_extra_info("socket")
-            linger = struct.pack("ii", 1, 0)
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+            reset_connection(writer)
         writer.close()
         return False
 
@@ -257,27 +263,45 @@
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
     ) -> bool:
-        head = self._make_head(arrival, behaviour)
-        writer.write(
-            head + b"Content-Type: text/event-stream\r\n"
-            b"Transfer-Encoding: chunked\r\n\r\n"
-        )
+        unframed = behaviour.startswith("unframed")
+        encode = bytes if unframed else encode_chunk
+        writer.write(self._make_stream_head(arrival, behaviour))
         start = int(arrival.headers.get("Last-Event-Id") or 0) + 1
         for number in range(start, STREAM_EVENTS + 1):
             event = f"id: {number}\ndata: piece {number}\n\n".encode()
-            if behaviour == "cut" and number == 4:
-                writer.write(encode_chunk(event[:9]))
-                await writer.drain()
-                return False
-            writer.write(encode_chunk(event))
+            if number == 4 and behaviour in CUT_BEHAVIOURS:
+                return await self._cut_stream(behaviour, encode(event[:9]), writer)
+            writer.write(encode(event))
             await writer.drain()
             if self.event_pause_s:
                 await asyncio.sleep(self.event_pause_s)
                 if reader.at_eof():
                     self.cancelled += 1
                     return False
-        writer.write(b"0\r\n\r\n")
-        return True
+        if not unframed:
+            writer.write(LAST_CHUNK)
+        return not unframed
+
+    def _make_stream_head(self, arrival: Arrival, behaviour: str) -> bytes:
+        head = self._make_head(arrival, behaviour)
+        head += b"Content-Type: text/event-stream\r\n"
+        if behaviour.startswith("unframed"):
+            return head + b"Connection: close\r\n\r\n"
+        return head + b"Transfer-Encoding: chunked\r\n\r\n"
+
+    async def _cut_stream(
+        self, behaviour: str, part: bytes, writer: asyncio.StreamWriter
+    ) -> bool:
+        """End a stream early, within an event or by a reset between two of them."""
+        if behaviour == "unframed_reset":
+            await writer.drain()
+            await asyncio.sleep(0.02)
+            return self._close(writer, True)
+        writer.write(part)
+        if behaviour == "ends_within_event":
+            writer.write(LAST_CHUNK)
+        await writer.drain()
+        return behaviour == "ends_within_event"
 
 
 def encode_chunk(data: bytes) -> bytes:
--- a/standins/src/slatehoist_standins/relay.py
+++ b/standins/src/slatehoist_standins/relay.py
@@ -24,6 +24,8 @@
 
 from aiohttp import web
 
+from slatehoist_standins.sockets import reset_connection
+
 RELAYS = web.AppKey("relays", dict)
 
 
@@ -90,15 +92,16 @@
     def close(self) -> None:
         """Reset the connections on both sides."""
         for writer in self.writers:
-            writer.transport.abort()
+            reset_connection(writer)
 
     async def copy(self, reader, writer) -> None:
         """Forward one direction; a silent pipe reads data and discards it.
 
-        A silent or late pipe does not forward the end of the connection either.
+        A reset of one side resets the other. A silent or late pipe does not forward the
+        end of the connection either.
         """
         with contextlib.suppress(OSError, RuntimeError):
-            while data := await reader.read(65536):
+            while data := await self._read(reader):
                 wait_s = self.late_s or self.relay.delay_s
                 if wait_s:
                     await asyncio.sleep(wait_s)
@@ -110,6 +113,14 @@
             with contextlib.suppress(OSError, RuntimeError):
                 writer.close()
 
+    async def _read(self, reader: asyncio.StreamReader) -> bytes:
+        try:
+            return await reader.read(65536)
+        except ConnectionResetError:
+            if not self.silent and not self.late_s:
+                self.close()
+            raise
+
 
 async def add_relay(req: web.Request) -> web.Response:
     """Open a relay and return its port."""
--- a/tests/test_platform_gateway.py
+++ b/tests/test_platform_gateway.py
@@ -7,7 +7,15 @@
 import aiohttp
 
 from gateway_world import GatewayTestCase, make_configuration, make_route
-from slatehoist_standins.deployment_server import PLAIN_BODY, STREAM_EVENTS, stream_body
+from slatehoist.http import strict_connector
+from slatehoist_standins.deployment_server import (
+    CUT_BEHAVIOURS,
+    PLAIN_BODY,
+    STREAM_EVENTS,
+    stream_body,
+)
+
+HTTP_VERSIONS = (aiohttp.HttpVersion10, aiohttp.HttpVersion11)
 
 
 def setUpModule():
@@ -184,12 +192,55 @@
         self.assertEqual(ids, ["", "3"])
         self.assertEqual(arrival.body, b"x")
 
+    async def test_stream_that_ends_early_in_any_way_is_resumed(self):
+        for behaviour in sorted(CUT_BEHAVIOURS):
+            script = [behaviour, "ok"] * len(HTTP_VERSIONS)
+            world = await self.start_world(script, copies=2)
+            for count, version in enumerate(HTTP_VERSIONS, 1):
+                with self.subTest(behaviour=behaviour, version=version):
+                    await self.use_version(world, version)
+                    async with world.call("/stream/", "POST", data=b"x") as resp:
+                        self.assertEqual(await resp.read(), stream_body())
+                    self.assertEqual(world.count_arrivals(), 2 * count)
+
     async def test_cut_stream_that_is_not_resumable_fails_without_a_retry(self):
-        world = await self.start_world(["cut", "ok"], copies=2)
+        for behaviour in sorted(CUT_BEHAVIOURS):
+            world = await self.start_world([behaviour], copies=2)
+            for count, version in enumerate(HTTP_VERSIONS, 1):
+                with self.subTest(behaviour=behaviour, version=version):
+                    await self.use_version(world, version)
+                    with self.assertRaises(aiohttp.ClientPayloadError):
+                        async with world.call("/once/", "POST", data=b"x") as resp:
+                            await resp.read()
+                    self.assertEqual(world.count_arrivals(), count)
+
+    async def test_stream_without_a_length_is_forwarded_completely(self):
+        world = await self.start_world(["unframed"])
+        for path in ("/stream/", "/once/"):
+            for version in HTTP_VERSIONS:
+                with self.subTest(path=path, version=version):
+                    await self.use_version(world, version)
+                    async with world.call(path, "POST", data=b"x") as resp:
+                        self.assertEqual(await resp.read(), stream_body())
+
+    # Guards against a caller that takes the close of its connection for the end of its
+    # answer when the gateway stops.
+    async def test_answer_without_chunks_is_reset_when_the_gateway_stops(self):
+        world = await self.start_world()
+        world.servers[0].event_pause_s = 0.3
+        await self.use_version(world, aiohttp.HttpVersion10)
         with self.assertRaises(aiohttp.ClientPayloadError):
             async with world.call("/once/", "POST", data=b"x") as resp:
+                await resp.content.readany()
+                await world.gateway.stop()
                 await resp.read()
-        self.assertEqual(world.count_arrivals(), 1)
+
+    async def use_version(self, world, version: aiohttp.HttpVersion) -> None:
+        """Let the caller send requests of a version, and notice resets."""
+        await world.caller_session.close()
+        world.caller_session = aiohttp.ClientSession(
+            version=version, connector=strict_connector()
+        )
 
     async def test_server_stops_a_stream_when_the_caller_disconnects(self):
         world = await self.start_world()
