Close the connection that alone marks the end of an answer

What callers saw: an HTTP/1.0 caller that asked to keep its connection open got the events of a stream in time, but its end only when the connection was closed as idle, 15 s later. Cause: aiohttp leaves out 'Connection: keep-alive' but keeps the connection open.

--- a/packages/gateway/tests/reply_world.py
+++ b/packages/gateway/tests/reply_world.py
@@ -183,8 +183,13 @@
     def clock(self) -> float:
         return self.now
 
-    async def call(self, version: str = "1.1", method: str = "GET") -> Answer:
+    async def call(
+        self, version: str = "1.1", method: str = "GET", keep_alive: bool = False
+    ) -> Answer:
         """Send a request on a connection of its own, and return the answer."""
         self.caller = RecordedCaller(self.gateway.handle)
-        request = f"{method} {_ROUTE_PATH} HTTP/{version}\r\nHost: h\r\n\r\n"
+        request = f"{method} {_ROUTE_PATH} HTTP/{version}\r\nHost: h\r\n"
+        if keep_alive:
+            request += "Connection: keep-alive\r\n"
+        request += "\r\n"
         return await self.caller.send(request.encode())
--- a/packages/gateway/tests/test_gateway_reply_ends.py
+++ b/packages/gateway/tests/test_gateway_reply_ends.py
@@ -91,6 +91,20 @@
                 self.assertFalse(answer.is_chunked)
                 self.assertEqual(answer.content, make_events(1, 3))
 
+    # Guards against a stream whose end its caller never sees, since the connection that
+    # alone marks it is kept open as the caller asked.
+    async def test_connection_that_marks_the_end_is_not_kept_open(self):
+        for framing in FRAMINGS:
+            for version in ("1.0", "1.1"):
+                with self.subTest(framing=framing, version=version):
+                    world = ReplyWorld(
+                        ScriptedReply(make_events(1, 3), framing), kind=Kind.STREAM
+                    )
+                    answer = await world.call(version, keep_alive=True)
+                    is_kept = version == "1.1" and framing != "connection"
+                    self.assertEqual(answer.ending, "" if is_kept else "close")
+                    self.assertTrue(answer.looks_complete)
+
     # Guards against a body that ends with the endpoint's connection, perhaps by its
     # crash, and that the caller gets with a length or a last chunk as if it were whole.
     async def test_end_that_is_not_proved_is_passed_on_as_such(self):
--- a/packages/http/src/slatehoist/http/responses.py
+++ b/packages/http/src/slatehoist/http/responses.py
@@ -54,16 +54,17 @@
         self._ends_with_connection = not framing.proves_end
         self._broken_off = False
         self._ended = False
-        if self._ends_with_connection:
-            self.force_close()
-            # aiohttp adds neither a length nor chunks then.
-            self._length_check = False
+        # Without this check, aiohttp adds neither a length nor chunks.
+        self._length_check = framing.proves_end
 
     async def prepare(self, request: web.BaseRequest) -> AbstractStreamWriter | None:
         """Send the head; from now on only `write_eof` ends the body in order."""
         if not self.prepared:
             self._transport = request.transport
             self._ends_with_connection |= request.version < HttpVersion11
+            if self._ends_with_connection:
+                # An HTTP/1.0 caller may have asked to keep its connection open.
+                self.force_close()
             if self._ends_with_connection and self._transport is not None:
                 # Bytes in the transport's buffer would be lost if the process ended
                 # after `write_eof`, so that waits until the buffer is empty.
