Soak: streams that end in every way, and callers with HTTP/1.0

Servers now also send streams without a length and chunks, whole, cut within an event or reset, and streams that end within an event by their last chunk. One caller in six uses HTTP/1.0, and all notice resets. A server whose port was taken while it was down is replaced; before, the error ended its restart without a trace in the report.

--- a/tools/soak/callers.py
+++ b/tools/soak/callers.py
@@ -7,6 +7,7 @@
 
 import aiohttp
 
+from slatehoist.http import strict_connector
 from soak.world import HOST, Gateway, World
 
 #: Deadline of each request, in seconds, which the caller sends as a header.
@@ -48,9 +49,20 @@
 
 
 class Caller:
-    """Caller of one gateway that keeps a single connection."""
+    """Caller of one gateway that keeps a single connection while it may.
 
-    def __init__(self, world: World, gateway: Gateway, rng: random.Random) -> None:
+    A caller with HTTP/1.0 knows no chunks, so the end of its connection can be the end
+    of an answer.
+    """
+
+    def __init__(
+        self,
+        world: World,
+        gateway: Gateway,
+        rng: random.Random,
+        version: aiohttp.HttpVersion = aiohttp.HttpVersion11,
+    ) -> None:
+        self._version = version
         self._world = world
         self._gateway = gateway
         self._rng = rng
@@ -58,8 +70,10 @@
 
     async def run(self) -> None:
         """Send requests until cancelled."""
-        connector = aiohttp.TCPConnector(limit=1)
-        async with aiohttp.ClientSession(connector=connector) as session:
+        connector = strict_connector(limit=1)
+        async with aiohttp.ClientSession(
+            connector=connector, version=self._version
+        ) as session:
             # aiohttp would otherwise resend a request on a new connection, and the
             # gateway would be reported for a second run that the caller caused.
             session._retry_connection = False
--- a/tools/soak/runner.py
+++ b/tools/soak/runner.py
@@ -14,8 +14,8 @@
 from soak.poisons import PoisonCaller
 from soak.world import GATEWAYS, World
 
-#: Number of callers of each gateway.
-CALLERS = 6
+#: HTTP versions of the callers of each gateway.
+CALLER_VERSIONS = (aiohttp.HttpVersion11,) * 5 + (aiohttp.HttpVersion10,)
 #: Seconds after the last fault within which each gateway must serve again.
 RECOVERY_TIMEOUT_S = 5.0
 
@@ -54,9 +54,9 @@
 
 async def _run_seed(world: World, rng: random.Random, seconds: float) -> Report:
     callers = [
-        Caller(world, gateway, random.Random(rng.getrandbits(32)))
+        Caller(world, gateway, random.Random(rng.getrandbits(32)), version)
         for gateway in world.gateways
-        for _ in range(CALLERS)
+        for version in CALLER_VERSIONS
     ]
     tasks = [asyncio.create_task(caller.run()) for caller in callers]
     poison_caller = PoisonCaller(world, random.Random(rng.getrandbits(32)))
--- a/tools/soak/servers.py
+++ b/tools/soak/servers.py
@@ -6,10 +6,13 @@
 
 from slatehoist_standins.deployment_server import (
     CRASH_MARKER,
+    CUT_BEHAVIOURS,
+    LAST_CHUNK,
     Arrival,
     DeploymentServer,
     encode_chunk,
 )
+from slatehoist_standins.sockets import reset_connection
 
 #: Seconds for which a server that hangs keeps its connections open.
 HANG_S = 10.0
@@ -89,13 +92,22 @@
         #: Time at which the store accepted the state ``draining``; None before that.
         self.draining_since: float | None = None
         self._writers: set[asyncio.StreamWriter] = set()
+        #: Connections whose stream has neither a length nor chunks, until it is whole.
+        self._unframed_writers: set[asyncio.StreamWriter] = set()
 
     def crash(self) -> None:
-        """Stop listening and abort all connections."""
+        """Stop listening and end all connections.
+
+        Those of streams without a length and chunks are reset: after an orderly close
+        between two events nobody could tell that the stream is not whole.
+        """
         self.is_up = False
         self._server.close()
         for writer in list(self._writers):
-            writer.transport.abort()
+            if writer in self._unframed_writers:
+                reset_connection(writer)
+            else:
+                writer.transport.abort()
 
     async def restart(self) -> None:
         """Start again at the same address, under the same id."""
@@ -135,6 +147,7 @@
             await super()._serve(reader, writer)
         finally:
             self._writers.discard(writer)
+            self._unframed_writers.discard(writer)
 
     async def _send_plain(
         self, arrival: Arrival, behaviour: str, writer: asyncio.StreamWriter
@@ -152,20 +165,22 @@
     ) -> bool:
         request_id = arrival.headers["Request-Id"]
         start = self._record_run(arrival)
-        writer.write(
-            self._make_head(arrival, behaviour)
-            + b"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
-        )
+        unframed = behaviour.startswith("unframed")
+        encode = bytes if unframed else encode_chunk
+        if unframed:
+            self._unframed_writers.add(writer)
+        writer.write(self._make_stream_head(arrival, behaviour))
         for number in range(start + 1, STREAM_EVENTS + 1):
-            if behaviour in ("cut", "truncate") and number == STREAM_EVENTS // 2:
-                writer.write(encode_chunk(encode_event(request_id, number)[:9]))
-                await writer.drain()
-                return False
-            writer.write(encode_chunk(encode_event(request_id, number)))
+            event = encode_event(request_id, number)
+            if number == STREAM_EVENTS // 2 and behaviour in CUT_BEHAVIOURS:
+                return await self._cut_stream(behaviour, encode(event[:9]), writer)
+            writer.write(encode(event))
             await writer.drain()
             await asyncio.sleep(self.pause_s)
-        writer.write(b"0\r\n\r\n")
-        return True
+        self._unframed_writers.discard(writer)
+        if not unframed:
+            writer.write(LAST_CHUNK)
+        return not unframed
 
     def _record_run(self, arrival: Arrival) -> int:
         start = int(arrival.headers.get("Last-Event-Id") or 0)
--- a/tools/soak/world.py
+++ b/tools/soak/world.py
@@ -35,7 +35,8 @@
 DOWN_S = (0.5, 6.0)
 #: How such a server ends, drawn with equal probability; see `SoakServer.draw_ending`.
 ENDINGS = ("reset", "hang", "unframed")
-#: Faulty behaviours of servers, drawn with equal probability.
+#: Faulty behaviours of servers, drawn with equal probability. Some apply to streams
+#: only; other responses are whole then.
 BAD_BEHAVIOURS = (
     "error",
     "close",
@@ -46,6 +47,8 @@
     "shed",
     "unframed",
     "unframed_reset",
+    "unframed_cut",
+    "ends_within_event",
 )
 
 
@@ -207,9 +210,18 @@
 
     async def _restart_server(self, server: SoakServer) -> None:
         await asyncio.sleep(self.rng.uniform(*DOWN_S))
-        if server in self.servers:
+        if server not in self.servers:
+            return
+        try:
             await server.restart()
-            self.store.put("servers", server.server_id, server.row("app"))
+        except OSError:
+            # Another connection has taken the port meanwhile.
+            self.servers.remove(server)
+            self.retired.append(server)
+            self.store.remove("servers", server.server_id)
+            await self.add_server()
+            return
+        self.store.put("servers", server.server_id, server.row("app"))
 
     async def add_server(self) -> SoakServer:
         """Start a server and add it to the store."""
