Send no requests to servers that leave or turn requests away

A server that says in an answer that it leaves, with any status and also in the head of a stream, is no candidate at this gateway any more, neither for new requests nor for retries, until its id or start time changes; what the list says meanwhile, and whether the store is there, does not matter. A 503 with Retry-After holds the server for that time; it is no failure and ejects nobody. Where all endpoints of a service are held, the request is refused at once, with the time until the first of them takes requests again, spread by the usual jitter. Choices: holds are not shared, since each server tells each gateway for itself; a shorter time does not end a longer one; values that are no number, negative or above one hour are ignored and logged.

--- a/packages/gateway/src/slatehoist/gateway/exchange.py
+++ b/packages/gateway/src/slatehoist/gateway/exchange.py
@@ -100,6 +100,8 @@
         self.may_have_run = False
         #: True if the request was refused because no group of its service is open.
         self.group_closed = False
+        #: Seconds until an endpoint takes requests again, if all asked for none.
+        self.held_for_s = 0.0
         #: Seconds for which the request is refused because it crashed endpoints.
         self.blocked_for_s = 0.0
         #: Time at which the current attempt was sent or its response last had data.
--- a/packages/gateway/src/slatehoist/gateway/forwarding.py
+++ b/packages/gateway/src/slatehoist/gateway/forwarding.py
@@ -22,6 +22,7 @@
 from slatehoist.gateway.directory import EndpointDirectory
 from slatehoist.gateway.exchange import CallerLeftError, Exchange, Outcome, Reply
 from slatehoist.gateway.health import EndpointHealth, GroupState
+from slatehoist.gateway.holds import EndpointHolds
 from slatehoist.gateway.model import Endpoint
 from slatehoist.gateway.probes import EndpointProbes
 from slatehoist.gateway.settings import (
@@ -98,6 +99,7 @@
         self._probes = probes
         self._metrics = metrics
         self._clock = clock
+        self._holds = EndpointHolds(metrics)
         self._budgets: dict[str, SharedRetryBudget] = {}
         self._stream_timeouts: dict[str, set[asyncio.Timeout]] = {}
         self._allowance_share = AllowanceShare(
@@ -254,7 +256,11 @@
     def _choose_endpoint(self, exchange: Exchange, now: float) -> Endpoint | None:
         listed = self._directory.of_service(exchange.service.name)
         untried = [e for e in listed if e.endpoint_id not in exchange.tried]
-        endpoints = self._health.available(untried, now)
+        open_endpoints = self._holds.available(untried, now)
+        if not open_endpoints:
+            exchange.held_for_s = self._holds.held_for_s(listed, now)
+            return None
+        endpoints = self._health.available(open_endpoints, now)
         candidates = [self._candidate(endpoint, now) for endpoint in endpoints]
         chosen = self._chooser.choose(candidates, self._cfg.zone)
         if chosen is None:
@@ -372,6 +378,7 @@
             self._crashes.record_end(endpoint)
             self._directory.remove(endpoint.endpoint_id)
             return Outcome.WRONG_INSTANCE, None
+        self._holds.record_reply(endpoint, info, self._clock())
         if reply.status in _SUCCESS_STATUSES:
             if not (info.authentic and info.request_id):
                 raise BrokenReplyError(
@@ -385,7 +392,9 @@
         if info.not_run and reply.status in _NOT_RUN_STATUSES:
             return Outcome.NOT_RUN, None
         if reply.status >= _MIN_SERVER_ERROR:
-            self._record_failure(endpoint)
+            # An endpoint that states when it takes requests again is not failing.
+            if info.retry_after_s is None:
+                self._record_failure(endpoint)
             exchange.failure_reply = whole_reply
             return Outcome.FAILED, None
         self._health.record_success(endpoint.endpoint_id)
--- a/packages/gateway/src/slatehoist/gateway/gateway.py
+++ b/packages/gateway/src/slatehoist/gateway/gateway.py
@@ -13,7 +13,7 @@
 from slatehoist.gateway.model import Kind, RequestInfo, Route
 from slatehoist.gateway.settings import STALE_LOOKUP_S
 from slatehoist.observe import GatewayMetrics, milliseconds
-from slatehoist.routing import retry_delay_s
+from slatehoist.routing import retry_after_s, retry_delay_s
 
 log = logging.getLogger(__name__)
 
@@ -220,6 +220,11 @@
             raise RefusalError(503, reason, exchange.blocked_for_s, hopeless=True)
         if exchange.group_closed:
             raise RefusalError(503, "the group of endpoints is forming", _GROUP_WAIT_S)
+        if exchange.held_for_s:
+            # Callers must not all return at the moment at which the hold ends.
+            wait_s = retry_after_s(exchange.held_for_s, self._rng)
+            reason = "all endpoints asked for no requests"
+            raise RefusalError(503, reason, wait_s, hopeless=True)
         raise RefusalError(503, "no endpoint took the request", _ENDPOINT_WAIT_S)
 
     def _log_failed_request(self, exchange: Exchange, event: str, now: float) -> None:
--- a/packages/gateway/src/slatehoist/gateway/losses.py
+++ b/packages/gateway/src/slatehoist/gateway/losses.py
@@ -56,7 +56,7 @@
 
     def __init__(self, row_ttl_s: float) -> None:
         self._row_ttl_s = row_ttl_s
-        #: Open losses by run; see `_run_id`.
+        #: Open losses by run; see `Endpoint.run_id`.
         self._losses: dict[str, deque[_Loss]] = {}
         #: Digests of the open losses, and of some that were closed.
         self._digests: set[str] = set()
@@ -66,7 +66,7 @@
         self, endpoint: Endpoint, digest: str, sent_at: float, now: float
     ) -> Crash | None:
         """Record a lost request; return a crash if its endpoint has ended since."""
-        run_id = _run_id(endpoint)
+        run_id = endpoint.run_id
         end = self._ends.get(run_id)
         if end is not None and sent_at <= end.at:
             return Crash(_crash_id(run_id, end), [digest])
@@ -76,7 +76,7 @@
 
     def record_end(self, endpoint: Endpoint, now: float) -> Crash | None:
         """Record that an endpoint ended; return a crash if that explains losses."""
-        run_id = _run_id(endpoint)
+        run_id = endpoint.run_id
         losses = self._losses.pop(run_id, None)
         known = self._ends.get(run_id)
         count = 1 if known is None else known.count + bool(losses)
@@ -93,10 +93,10 @@
 
         Losses after its known end are those of the current run, which has not ended.
         """
-        if _run_id(old) not in self._ends:
+        if old.run_id not in self._ends:
             return self.record_end(old, now)
-        for loss in self._losses.pop(_run_id(old), ()):
-            self._open_losses(_run_id(current)).append(loss)
+        for loss in self._losses.pop(old.run_id, ()):
+            self._open_losses(current.run_id).append(loss)
         return None
 
     def record_success(self, digest: str) -> None:
@@ -116,7 +116,7 @@
         reliable_since : float
             Time since which the list could be read and rows have expired as usual.
         """
-        run_ids = {_run_id(endpoint) for endpoint in listed}
+        run_ids = {endpoint.run_id for endpoint in listed}
         ended_before = read_at - self._row_ttl_s
         if reliable_since > ended_before:
             return []
@@ -156,11 +156,6 @@
         return self._losses.setdefault(run_id, deque(maxlen=_MAX_OPEN_LOSSES))
 
 
-def _run_id(endpoint: Endpoint) -> str:
-    """Return the id of an endpoint since its listed start time."""
-    return f"{endpoint.endpoint_id}@{endpoint.started_at_ms}"
-
-
 def _crash_id(run_id: str, end: _End) -> str:
     """Return the id of an end, which is the same at all gateways for the first end."""
     return run_id if end.count == 1 else f"{run_id}+{end.count - 1}"
--- a/packages/gateway/src/slatehoist/gateway/model.py
+++ b/packages/gateway/src/slatehoist/gateway/model.py
@@ -149,6 +149,11 @@
     draining: bool = False
     started_at_ms: int = 0
 
+    @property
+    def run_id(self) -> str:
+        """Return the id of the endpoint since its listed start time."""
+        return f"{self.endpoint_id}@{self.started_at_ms}"
+
 
 class RequestInfo(NamedTuple):
     """Fields of a caller's request that the gateway uses.
@@ -188,6 +193,11 @@
         True if the response carries proof that an endpoint made it.
     running, waiting : int or None
         Requests in progress and queued at the endpoint; None if not stated.
+    leaving : bool
+        True if the endpoint is leaving and wants no further requests.
+    retry_after_s : float or None
+        Seconds for which an endpoint that turned the request away wants no requests
+        from this instance; None if not stated.
     """
 
     request_id: str
@@ -196,3 +206,5 @@
     authentic: bool
     running: int | None = None
     waiting: int | None = None
+    leaving: bool = False
+    retry_after_s: float | None = None
--- a/packages/observe/src/slatehoist/observe/metrics.py
+++ b/packages/observe/src/slatehoist/observe/metrics.py
@@ -64,6 +64,12 @@
             ["framing", "outcome"],
             **kwargs,
         )
+        self.endpoint_holds = Counter(
+            "slatehoist_endpoint_holds",
+            "Times that an endpoint asked for no requests, by reason.",
+            ["reason"],
+            **kwargs,
+        )
         self.lost_requests = Counter(
             "slatehoist_lost_requests",
             "Attempts that ended without a complete answer, by how they ended.",
