--- a/standins/src/slatehoist_standins/deployment_server.py
+++ b/standins/src/slatehoist_standins/deployment_server.py
@@ -85,6 +85,11 @@
         Seconds between the events of a stream.
     delay_s : float
         Seconds from a request until its response.
+    leaving : bool
+        True if each response says that the server is leaving.
+    turns_away_for_s : float
+        Seconds for which each response asks for no requests, with status 503; 0 if the
+        server takes requests.
     """
 
     def __init__(self, server_id: str, behaviours: list[str] | None = None) -> None:
@@ -97,6 +102,8 @@
         self.resets = 0
         self.event_pause_s = 0.0
         self.delay_s = 0.0
+        self.leaving = False
+        self.turns_away_for_s = 0.0
         #: Start time in milliseconds, which the server registers.
         self.born = 1_700_000_000_000
 
@@ -203,11 +210,8 @@
         if behaviour == "garbage":
             writer.write(b"this is no answer\r\n\r\n")
             return False
-        if behaviour == "shed":
-            writer.write(
-                b"HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\n"
-                b"Content-Length: 0\r\n\r\n"
-            )
+        if behaviour == "shed" or self.turns_away_for_s:
+            writer.write(self._make_refusal())
             return True
         if "text/event-stream" in arrival.headers.get("Accept", ""):
             return await self._send_stream(arrival, behaviour, reader, writer)
@@ -220,6 +224,15 @@
         writer.close()
         return False
 
+    def _make_refusal(self) -> bytes:
+        lines = ["HTTP/1.1 503 Service Unavailable", "Not-Run: 1", "Content-Length: 0"]
+        if self.turns_away_for_s:
+            lines.append(f"Retry-After: {self.turns_away_for_s:g}")
+        return "\r\n".join([*lines, *self._notices(), "", ""]).encode()
+
+    def _notices(self) -> list[str]:
+        return ["Server-Leaving: 1"] if self.leaving else []
+
     def _make_head(self, arrival: Arrival, behaviour: str, status: int = 200) -> bytes:
         request_id = arrival.headers["Request-Id"]
         if behaviour == "other_id":
@@ -228,6 +241,7 @@
             f"HTTP/1.1 {status} X",
             f"Request-Id: {request_id}",
             "Server-Load: 1,0,6",
+            *self._notices(),
         ]
         if behaviour != "no_proof":
             lines.append(f"Server-Stamp: proof-of-{self.server_id}")
--- a/tests/test_platform_gateway.py
+++ b/tests/test_platform_gateway.py
@@ -352,6 +352,44 @@
         self.assertEqual(len(first.arrivals) + len(second.arrivals), 0)
 
 
+class HoldTests(GatewayTestCase):
+    async def test_server_that_leaves_gets_no_requests_although_it_is_listed(self):
+        world = await self.start_world(["ok"], ["ok"])
+        left, other = world.servers
+        left.leaving = True
+        await self.wait_until_arrived(world, left)
+        count = len(left.arrivals)
+        for _ in range(8):
+            async with world.call("/safe/") as resp:
+                self.assertEqual(resp.status, 200)
+        self.assertEqual(len(left.arrivals), count)
+        self.assertGreaterEqual(len(other.arrivals), 8)
+
+    async def test_servers_that_turn_requests_away_get_none_until_their_time(self):
+        world = await self.start_world(["ok"], ["ok"])
+        for server in world.servers:
+            server.turns_away_for_s = 0.4
+        async with world.call("/unsafe/", "POST", data=b"x") as resp:
+            self.assertEqual(resp.status, 503)
+        async with world.call("/safe/") as resp:
+            self.assertEqual(resp.status, 503)
+        async with world.call("/safe/") as resp:
+            self.assertEqual(resp.status, 503)
+            self.assertGreater(float(resp.headers["Retry-After"]), 0.1)
+        self.assertEqual(world.count_arrivals(), 2)
+        for server in world.servers:
+            server.turns_away_for_s = 0.0
+        await asyncio.sleep(0.5)
+        async with world.call("/safe/") as resp:
+            self.assertEqual(resp.status, 200)
+
+    async def wait_until_arrived(self, world, server) -> None:
+        """Send requests until one has reached a server."""
+        while not server.arrivals:
+            async with world.call("/safe/") as resp:
+                self.assertEqual(resp.status, 200)
+
+
 class DrainTests(GatewayTestCase):
     async def test_drain_completes_a_request_and_closes_its_connection(self):
         world = await self.start_world()
