Soak: servers that leave or turn requests away, by their answers

Two new faults overlap with the others, and two checks follow the users' rules: no request that a caller sent later than the drain time after a gateway learned that a server leaves reaches that server from this gateway, and at most two reach one that turned it away between half a second later and the end of the stated time.

--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -226,6 +226,30 @@
     server.crash()
 
 
+async def leave_server(injector: FaultInjector, gateway: Gateway) -> None:
+    """Let a server say in its answers that it leaves, while it is listed as ready."""
+    world = injector.world
+    await world.add_server()
+    server = world.servers.pop(0)
+    world.retired.append(server)
+    server.leaving = True
+    await asyncio.sleep(4.0)
+    world.store.remove("servers", server.server_id)
+    server.crash()
+
+
+async def turn_away(injector: FaultInjector, gateway: Gateway) -> None:
+    """Let some servers turn all requests away for a stated time."""
+    world = injector.world
+    count = injector.rng.randint(1, len(world.servers))
+    servers = injector.rng.sample(world.servers, count)
+    for server in servers:
+        server.turns_away_for_s = 0.5 + 1.5 * injector.rng.random()
+    await asyncio.sleep(injector.draw_duration_s() / 2)
+    for server in servers:
+        server.turns_away_for_s = 0.0
+
+
 async def misbehave(injector: FaultInjector, gateway: Gateway) -> None:
     """Make a fraction of the servers' responses faulty for a while."""
     injector.world.bad_ratio = 0.02 + 0.2 * injector.rng.random()
@@ -253,6 +277,8 @@
         revoke,
         crash_server,
         drain_server,
+        leave_server,
+        turn_away,
         misbehave,
     )
 }
--- a/tools/soak/guarantees.py
+++ b/tools/soak/guarantees.py
@@ -3,13 +3,17 @@
 from collections.abc import Iterator
 
 from soak.callers import DEADLINE_S, Result
-from soak.servers import plain_body, stream_body
+from soak.servers import Notice, SoakServer, plain_body, stream_body
 from soak.world import DRAIN_S, REVOKE_S, World
 
 #: Statuses which guarantee that the request has not run and will not run.
 NOT_RUN = frozenset({408, 421, 429, 503})
 #: Seconds after its deadline within which a request must have its final answer.
 ANSWER_SLACK_S = 0.5
+#: Seconds after a server turned a request away from which arrivals are counted, and the
+#: number of them that is allowed until the end of the stated time.
+TURN_AWAY_SLACK_S = 0.5
+MAX_LATE_ARRIVALS = 2
 #: Kinds of requests that may run at most once.
 AT_MOST_ONCE = frozenset({"unsafe", "once"})
 
@@ -26,6 +30,8 @@
         yield from _check_ending(world, result)
         yield from _check_runs(world, result)
         yield from _check_drains(world, result, draining_since)
+    for server in [*world.servers, *world.retired]:
+        yield from _check_notices(world, server, results)
 
 
 def _check_answer(result: Result) -> Iterator[str]:
@@ -88,3 +94,40 @@
                 f"{result.kind} {result.request_id} at {result.gateway}: "
                 f"ran at {run.server}, {run.at - since:.1f} s after its drain began"
             )
+
+
+def _check_notices(
+    world: World, server: SoakServer, results: list[Result]
+) -> Iterator[str]:
+    """Check that a server that asked a gateway for no requests gets none from it."""
+    by_id = {result.request_id: result for result in results}
+    arrived: dict[str, list[tuple[Result, float]]] = {}
+    for request_id, at in server.arrived:
+        if request_id in by_id:
+            result = by_id[request_id]
+            arrived.setdefault(result.gateway, []).append((result, at))
+    for notice in server.notices:
+        if notice.request_id not in by_id:
+            continue
+        gateway = by_id[notice.request_id].gateway
+        late = [
+            at
+            for result, at in arrived[gateway]
+            if _is_late(notice, result, at)
+            and world.was_undisturbed(gateway, notice.at, at)
+        ]
+        allowed = 0 if notice.for_s == float("inf") else MAX_LATE_ARRIVALS
+        if len(late) > allowed:
+            yield (
+                f"{gateway}: {len(late)} requests reached {server.server_id}, the "
+                f"last {late[-1] - notice.at:.1f} s after it asked for none for "
+                f"{notice.for_s:.1f} s"
+            )
+
+
+def _is_late(notice: Notice, result: Result, arrived_at: float) -> bool:
+    """Return True if a request arrived although the gateway knew the notice."""
+    if notice.for_s == float("inf"):
+        return result.began > notice.at + DRAIN_S
+    age_s = arrived_at - notice.at
+    return TURN_AWAY_SLACK_S < age_s < notice.for_s
--- a/tools/soak/servers.py
+++ b/tools/soak/servers.py
@@ -61,6 +61,20 @@
     request_id: str
 
 
+class Notice(NamedTuple):
+    """Answer in which a server asked for no requests.
+
+    Attributes
+    ----------
+    for_s : float
+        Seconds for which the server turns requests away; infinite if it leaves.
+    """
+
+    request_id: str
+    at: float
+    for_s: float
+
+
 class SoakServer(DeploymentServer):
     """Server that can crash and drain, draws its behaviour, and records its runs.
 
@@ -87,6 +101,10 @@
         self.draw_ending = lambda: "reset"
         self.on_poison = lambda server, request_id: None
         self.is_up = True
+        #: Answers that asked for no requests, and the arrivals of all requests (request
+        #: id and time), in order.
+        self.notices: list[Notice] = []
+        self.arrived: list[tuple[str, float]] = []
         #: Seconds before a plain response and after each event of a stream.
         self.pause_s = 0.02
         #: Time at which the store accepted the state ``draining``; None before that.
@@ -121,6 +139,12 @@
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
     ) -> bool:
+        request_id, now = arrival.headers["Request-Id"], time.monotonic()
+        self.arrived.append((request_id, now))
+        if self.turns_away_for_s:
+            self.notices.append(Notice(request_id, now, self.turns_away_for_s))
+        if self.leaving:
+            self.notices.append(Notice(request_id, now, float("inf")))
         expected = arrival.headers.get("Expect-Instance")
         if CRASH_MARKER not in arrival.body or expected != self.server_id:
             return await super()._respond(arrival, reader, writer)
