Let versions of the store belong to its era

One of the users' new rules: the store may come back from a copy, with a higher era, and gives versions out again. A feed that went on from an older version missed the changes in between, and a check could hold for another row of the same version. An era that is missing, malformed or falls counts as a change.

--- a/standins/src/slatehoist_standins/deployment_store.py
+++ b/standins/src/slatehoist_standins/deployment_store.py
@@ -36,12 +36,15 @@
         Seconds from a call until it is carried out.
     calls : list of str
         Names of the calls received, in order.
+    era : int
+        Number that all responses state; it rises each time that a copy is restored.
     """
 
     def __init__(self) -> None:
         self.fault = ""
         self.delay_s = 0.0
         self.calls: list[str] = []
+        self.era = 1
         self._rows: dict[tuple[str, str], StoreRow] = {}
         self._version = 0
         self._oldest_feed_version = 0
@@ -50,6 +53,7 @@
     async def start(self) -> str:
         """Listen on loopback and return the address."""
         app = web.Application()
+        app.on_response_prepare.append(self._state_era)
         app.router.add_get("/api/rows-get", self._get_rows)
         app.router.add_get("/api/rows-feed", self._serve_feed)
         app.router.add_post("/api/rows-tx", self._transact)
@@ -90,6 +94,21 @@
         self._oldest_feed_version = self._version
         self._notify_feeds()
 
+    def copy(self) -> tuple[dict[tuple[str, str], StoreRow], int]:
+        """Return a copy of all rows and the version, for `restore`."""
+        return dict(self._rows), self._version
+
+    def restore(self, copy: tuple[dict[tuple[str, str], StoreRow], int]) -> None:
+        """Go back to a copy, in a new era; later versions are given out again."""
+        rows, self._version = copy
+        self._rows = dict(rows)
+        self._oldest_feed_version = min(self._oldest_feed_version, self._version)
+        self.era += 1
+        self._notify_feeds()
+
+    async def _state_era(self, req: web.Request, resp: web.StreamResponse) -> None:
+        resp.headers["Store-Era"] = str(self.era)
+
     def _notify_feeds(self) -> None:
         self._changed.set()
         self._changed = asyncio.Event()
@@ -131,7 +150,7 @@
         table, since = req.query["table"], int(req.query["sinceRev"])
         deadline = asyncio.get_running_loop().time() + int(req.query["waitMs"]) / 1000
         while True:
-            if since < self._oldest_feed_version:
+            if not self._oldest_feed_version <= since <= self._version:
                 return web.Response(status=410)
             found = [
                 (key, row)
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -1,5 +1,6 @@
 """Tests of the adapter: settings, documents, reports, headers and the store client."""
 
+import asyncio
 import os
 import pathlib
 import tempfile
@@ -265,6 +266,64 @@
         with self.assertRaises(HistoryLostError):
             await self.table.changes("own", feed.version, 0.01)
 
+    # Guards against changes that are missed, since the store that came back from a copy
+    # gives out again the versions up to which a feed was read.
+    async def test_feed_from_an_older_era_reports_lost_history(self):
+        copy = self.store.copy()
+        self.store.put("own", "a", {})
+        self.store.put("own", "b", {})
+        _, version = await self.table.snapshot("own")
+        self.store.restore(copy)
+        for key in ("c", "d", "e"):
+            self.store.put("own", key, {})
+        with self.assertRaises(HistoryLostError):
+            await self.table.changes("own", version, 0.01)
+        rows, version = await self.table.snapshot("own")
+        self.assertEqual([row.key for row in rows], ["c", "d", "e"])
+        self.store.put("own", "f", {})
+        feed = await self.table.changes("own", version, 0.01)
+        self.assertEqual([row.key for row in feed.rows], ["f"])
+
+    async def test_feed_that_waits_while_the_era_changes_reports_lost_history(self):
+        copy = self.store.copy()
+        self.store.put("own", "a", {})
+        _, version = await self.table.snapshot("own")
+        task = asyncio.create_task(self.table.changes("own", version, 2.0))
+        await asyncio.sleep(0.05)
+        self.store.restore(copy)
+        with self.assertRaises(HistoryLostError):
+            await task
+
+    # Guards against a write whose check holds although the row is another one: in a new
+    # era, versions are given out again.
+    async def test_check_with_a_version_of_an_older_era_fails(self):
+        copy = self.store.copy()
+        self.store.put("own", "k", {"n": 1})
+        row = await self.table.get("own", "k")
+        self.store.restore(copy)
+        self.store.put("own", "k", {"n": 2})
+        # Another call shows the new era before the write, or the write itself does.
+        write = [Write("own", "k", {"n": 3})]
+        await self.table.get("own", "other")
+        with self.assertRaises(ConflictError):
+            await self.table.transact([Check("own", "k", row.version)], write)
+        self.assertEqual((await self.table.get("own", "k")).value, {"n": 2})
+
+    async def test_write_in_which_the_era_changes_has_an_unknown_outcome(self):
+        self.store.put("own", "k", {"n": 1})
+        row = await self.table.get("own", "k")
+        self.store.restore(self.store.copy())
+        with self.assertRaises(OutcomeUnknownError):
+            await self.table.transact([Check("own", "k", row.version)], [])
+
+    async def test_era_that_is_missing_or_falls_counts_as_changed(self):
+        self.store.put("own", "k", {})
+        for era in (5, 4, "", "x"):
+            _, version = await self.table.snapshot("own")
+            self.store.era = era
+            with self.subTest(era=era), self.assertRaises(HistoryLostError):
+                await self.table.changes("own", version, 0.01)
+
     async def test_unreadable_rows_are_skipped_and_logged_once(self):
         self.store.put("own", "good", {})
         self.store.put_bytes("own", "bad", b"\xff\xfe")
