Keep what an older copy of the endpoint list undoes

Where the store comes back from a copy, its list may call a draining endpoint ready, and contain endpoints that have left. Requests went to both. A drain that was seen in an earlier era holds until the endpoint starts again; an endpoint that had left before the era began is ignored for the time in which the copy's row of an ended endpoint expires (4.8 s), after which heartbeats have kept it.

--- a/packages/gateway/src/slatehoist/gateway/codec.py
+++ b/packages/gateway/src/slatehoist/gateway/codec.py
@@ -66,3 +66,7 @@
 
     async def endpoints(self) -> list[Endpoint]:
         """Return the listed endpoints."""
+
+    @property
+    def era(self) -> int:
+        """Return a number that rises each time that the store goes back to a copy."""
--- a/packages/gateway/src/slatehoist/gateway/directory.py
+++ b/packages/gateway/src/slatehoist/gateway/directory.py
@@ -1,9 +1,13 @@
 """Directory of endpoints, which tolerates outages of the platform's list."""
 
+from collections import OrderedDict
 from collections.abc import Iterable
 
 from slatehoist.gateway.model import Endpoint
 
+#: Endpoints that are remembered as having left.
+_MAX_LEFT = 4096
+
 
 class EndpointDirectory:
     """Index the listed endpoints by service and address.
@@ -13,14 +17,27 @@
     afterwards. An endpoint that was listed after the outage and is then missing has
     left.
 
+    The list may come back from an older copy. An endpoint that was draining before
+    stays so until it starts again, and one that has left is ignored until the rows of
+    endpoints that have ended are gone from the copy.
+
     Parameters
     ----------
     relist_s : float
         Seconds after an outage of the list for which missing endpoints are kept.
+    row_ttl_s : float
+        Longest time in seconds for which the list shows an endpoint that has ended.
     """
 
-    def __init__(self, relist_s: float) -> None:
+    def __init__(self, relist_s: float, row_ttl_s: float = 0.0) -> None:
         self._relist_s = relist_s
+        self._row_ttl_s = row_ttl_s
+        #: Runs of endpoints that have left, with the time at which that was seen.
+        self._left: OrderedDict[str, float] = OrderedDict()
+        #: For each run of an endpoint, the era in which it was last listed as draining.
+        self._draining_eras: dict[str, int] = {}
+        self._era = 0
+        self._era_began_at = float("-inf")
         self._endpoints: dict[str, Endpoint] = {}
         self._by_service: dict[str, list[Endpoint]] = {}
         self._by_address: dict[str, Endpoint] = {}
@@ -36,10 +53,21 @@
         """Record that the list could not be read."""
         self._outage = True
 
-    def update(self, listed: Iterable[Endpoint], now: float) -> "EndpointChanges":
-        """Replace the endpoints by a list that was read, and return the changes."""
+    def update(
+        self, listed: Iterable[Endpoint], now: float, era: int = 0
+    ) -> "EndpointChanges":
+        """Replace the endpoints by a list that was read, and return the changes.
+
+        Parameters
+        ----------
+        era : int
+            Number that rises each time that the list comes back from an older copy.
+        """
         if self.updated_at is None:
             self.reliable_since = now
+        if era != self._era:
+            self._era, self._era_began_at = era, now
+        listed = self._without_undone_changes(listed, now)
         if self._outage:
             self._outage = False
             self.reliable_since = self._keep_until = now + self._relist_s
@@ -73,11 +101,34 @@
                 and e.started_at_ms != self._endpoints[name].started_at_ms
             ],
         )
+        for endpoint in changes.removed:
+            self._left[endpoint.run_id] = now
+            self._draining_eras.pop(endpoint.run_id, None)
+            if len(self._left) > _MAX_LEFT:
+                self._left.popitem(last=False)
         self._endpoints = current
         self._index()
         self.updated_at = now
         return changes
 
+    def _without_undone_changes(
+        self, listed: Iterable[Endpoint], now: float
+    ) -> list[Endpoint]:
+        """Return the listed endpoints without the changes that an older copy undid."""
+        is_copy = now - self._era_began_at < self._row_ttl_s
+        endpoints = []
+        for endpoint in listed:
+            run_id = endpoint.run_id
+            left_at = self._left.get(run_id, float("inf"))
+            if is_copy and left_at <= self._era_began_at:
+                continue
+            if endpoint.draining:
+                self._draining_eras[run_id] = self._era
+            elif self._draining_eras.get(run_id, self._era) != self._era:
+                endpoint = endpoint._replace(draining=True)
+            endpoints.append(endpoint)
+        return endpoints
+
     def remove(self, endpoint_id: str) -> None:
         """Remove an endpoint that is known to have left."""
         if self._endpoints.pop(endpoint_id, None) is not None:
--- a/packages/gateway/src/slatehoist/gateway/process.py
+++ b/packages/gateway/src/slatehoist/gateway/process.py
@@ -97,7 +97,7 @@
         self._rng = rng
         self._lifecycle = GatewayLifecycle()
         self.catalogue = Catalogue(cfg.revoke_s * TRUST_RATIO)
-        self.directory = EndpointDirectory(ENDPOINT_RELIST_S)
+        self.directory = EndpointDirectory(ENDPOINT_RELIST_S, cfg.row_ttl_s)
         self._health = EndpointHealth()
         self._metrics = GatewayMetrics()
         self._tasks: list[asyncio.Task] = []
--- a/packages/gateway/src/slatehoist/gateway/sync.py
+++ b/packages/gateway/src/slatehoist/gateway/sync.py
@@ -134,7 +134,7 @@
             started_at = self._clock()
             try:
                 listed = await self._source.endpoints()
-                self.apply(listed, started_at)
+                self.apply(listed, started_at, self._source.era)
                 self._dependency.record_success()
             except PlatformError as exc:
                 self._directory.record_outage()
@@ -145,15 +145,17 @@
                 max(0.0, ENDPOINT_POLL_S - (self._clock() - started_at))
             )
 
-    def apply(self, listed: list[Endpoint], read_at: float) -> None:
+    def apply(self, listed: list[Endpoint], read_at: float, era: int = 0) -> None:
         """Replace the endpoints by a list that was read, and act on the changes.
 
         Parameters
         ----------
         read_at : float
             Time at which the read began.
+        era : int
+            Era of the list; see `EndpointDirectory.update`.
         """
-        changes = self._directory.update(listed, self._clock())
+        changes = self._directory.update(listed, self._clock(), era)
         current = {endpoint.endpoint_id: endpoint for endpoint in listed}
         for endpoint in changes.removed:
             self._health.forget(endpoint.endpoint_id)
--- a/packages/gateway/tests/test_gateway_decisions.py
+++ b/packages/gateway/tests/test_gateway_decisions.py
@@ -86,6 +86,41 @@
         directory.update([], 2.0)
         self.assertEqual(directory.of_service("app"), [])
 
+    # Guards against requests to a draining endpoint that an older copy of the list
+    # calls ready.
+    def test_draining_endpoint_stays_so_until_it_starts_again(self):
+        directory = EndpointDirectory(2.5, row_ttl_s=4.8)
+        directory.update([make_endpoint("e1", draining=True)], 0.0)
+        directory.update([make_endpoint("e1")], 1.0, era=1)
+        self.assertEqual(directory.of_service("app"), [])
+        directory.update([make_endpoint("e1")], 60.0, era=1)
+        self.assertEqual(directory.of_service("app"), [])
+        directory.update([make_endpoint("e1", started_at_ms=7)], 61.0, era=1)
+        self.assertEqual(len(directory.of_service("app")), 1)
+
+    # Guards against requests to an endpoint that has left, and that an older copy of
+    # the list contains again.
+    def test_endpoint_that_left_is_ignored_while_a_copy_may_contain_it(self):
+        directory = EndpointDirectory(2.5, row_ttl_s=4.8)
+        both = [make_endpoint("e1"), make_endpoint("e2")]
+        directory.update(both, 0.0)
+        directory.update(both[:1], 1.0)
+        directory.record_outage()
+        for at in (2.0, 6.0):
+            directory.update(both, at, era=1)
+            names = [e.endpoint_id for e in directory.of_service("app")]
+            self.assertEqual(names, ["e1"])
+        # Its heartbeats keep its row, so it is alive.
+        directory.update(both, 6.9, era=1)
+        self.assertEqual(len(directory.of_service("app")), 2)
+
+    def test_endpoint_that_comes_back_in_the_same_era_is_accepted(self):
+        directory = EndpointDirectory(2.5, row_ttl_s=4.8)
+        directory.update([make_endpoint("e1")], 0.0)
+        directory.update([], 1.0)
+        directory.update([make_endpoint("e1")], 2.0)
+        self.assertEqual(len(directory.of_service("app")), 1)
+
     def test_restart_under_the_same_id_is_reported(self):
         directory = EndpointDirectory(2.5)
         directory.update([make_endpoint("e1", started_at_ms=1)], 0.0)
