Write crash reports again that the store has lost

After the store came back from a copy, an instance that started later did not know of a request that crashes servers, and reports that had expired were counted anew. Own reports are written again when they are missing from a full list, except crashes before a success of the request; expired ones that come back are ignored.

--- a/packages/gateway/src/slatehoist/gateway/crash_reports.py
+++ b/packages/gateway/src/slatehoist/gateway/crash_reports.py
@@ -59,6 +59,12 @@
         self._unsent: dict[str, Write] = {}
         #: For each row, the time at which this gateway wrote or first read it.
         self._seen_at: dict[str, float] = {}
+        #: Own reports that were stored, to be written again if the store loses them: no
+        #: crashes before a success of the request, and no success before a crash.
+        self._stored: dict[str, Write] = {}
+        #: Expired reports that were removed, with the time of that. An older copy of
+        #: the store may contain them again.
+        self._removed_at: dict[str, float] = {}
         self._write_needed = asyncio.Event()
         self._version: int | None = None
 
@@ -96,7 +102,9 @@
         self._ledger.record_success(digest)
         if not self._tally.record_success(digest, self._clock()):
             return
-        key = f"{digest}/success/{self._instance}"
+        for stored in [key for key in self._stored if key.startswith(f"{digest}/")]:
+            del self._stored[stored]
+        key = self._success_key(digest)
         # Older instances need a crash id in each row.
         value = {"digest": digest, "crash": "", "success": True}
         self._unsent[key] = Write(CRASHES, key, value)
@@ -107,6 +115,7 @@
         crash_id = crash.crash_id
         for digest in crash.digests:
             crashes = self._tally.record_crash(digest, crash_id, now)
+            self._stored.pop(self._success_key(digest), None)
             self._metrics.crash_reports.labels("own").inc()
             key = f"{digest}/{crash_id}/{self._instance}"
             value = {"digest": digest, "crash": crash_id}
@@ -148,8 +157,16 @@
                 self._unsent.pop(write.key, None)
                 if write.value is None:
                     del self._seen_at[write.key]
+                    self._stored.pop(write.key, None)
+                    self._removed_at[write.key] = now
                 else:
                     self._seen_at[write.key] = now
+                    self._stored[write.key] = write
+        self._removed_at = {
+            key: at
+            for key, at in self._removed_at.items()
+            if now - at <= CRASH_RETENTION_S
+        }
 
     def _is_expired(self, key: str, age_s: float) -> bool:
         """Return True if a report is to be removed.
@@ -164,26 +181,46 @@
         """Count the crashes that all gateways report, until cancelled."""
         while True:
             try:
-                await self.read_reports()
-            except HistoryLostError:
-                self._version = None
+                await self.follow_once()
             except PlatformError as exc:
                 log.debug("crash_reports_unread", extra={"why": str(exc)})
                 await asyncio.sleep(STORE_RETRY_S)
 
+    async def follow_once(self) -> None:
+        """Count new reports; list all again with the next call if that is needed."""
+        try:
+            await self.read_reports()
+        except HistoryLostError:
+            self._version = None
+
     async def read_reports(self) -> None:
         """Count the reports that are new in the store, or wait for one."""
         if self._version is None:
             rows, self._version = await self._table.snapshot(CRASHES)
+            self._write_lost_reports(rows)
         else:
             feed = await self._table.changes(CRASHES, self._version, CRASH_LONG_POLL_S)
             rows, self._version = feed.rows, feed.version
         now = self._clock()
         # In the order of their writes: a success clears earlier crashes only.
         for row in sorted(rows, key=lambda row: row.version):
+            if row.key in self._removed_at:
+                continue
             self._seen_at.setdefault(row.key, now)
             self._count_report(row, now)
 
+    def _success_key(self, digest: str) -> str:
+        return f"{digest}/success/{self._instance}"
+
+    def _write_lost_reports(self, rows: list[Row]) -> None:
+        """Write the own reports again that are missing from a list of all rows."""
+        stored = {row.key for row in rows}
+        lost = [write for key, write in self._stored.items() if key not in stored]
+        if lost:
+            log.info("crash_reports_lost", extra={"reports": len(lost)})
+            self._unsent.update((write.key, write) for write in lost)
+            self._write_needed.set()
+
     def _count_report(self, row: Row, now: float) -> None:
         digest, crash_id = row.value.get("digest"), row.value.get("crash")
         if not isinstance(digest, str) or not isinstance(crash_id, str):
@@ -196,6 +233,7 @@
             self._tally.record_success(digest, now)
             return
         crashes = self._tally.record_crash(digest, crash_id, now)
+        self._stored.pop(self._success_key(digest), None)
         if row.key.endswith(f"/{self._instance}"):
             return
         self._metrics.crash_reports.labels("other").inc()
--- a/packages/gateway/tests/gateway_fleet.py
+++ b/packages/gateway/tests/gateway_fleet.py
@@ -30,7 +30,7 @@
 from slatehoist.gateway.upstream import BrokenReplyError, NotSentError, UpstreamRequest
 from slatehoist.observe import GatewayMetrics
 from slatehoist.routing import CrashTally, LoadAwareChooser
-from slatehoist.storage import Check, Feed, Row, Write
+from slatehoist.storage import Check, Feed, HistoryLostError, Row, Write
 
 #: Seconds between a server's heartbeats, which keep its row.
 HEARTBEAT_S = 1.2
@@ -52,6 +52,17 @@
     def __init__(self) -> None:
         self._rows: dict[tuple[str, str], Row] = {}
         self._version = 0
+        #: Version since which all changes are kept.
+        self._oldest = 0
+
+    def copy(self) -> dict[tuple[str, str], Row]:
+        return dict(self._rows)
+
+    def restore(self, rows: dict[tuple[str, str], Row]) -> None:
+        """Go back to a copy in a new era, so that no older version is valid."""
+        self._rows = dict(rows)
+        self._version += 1000
+        self._oldest = self._version
 
     async def get(self, table: str, key: str) -> Row | None:
         return self._rows.get((table, key))
@@ -69,6 +80,8 @@
         return await self.scan(table), self._version
 
     async def changes(self, table: str, since: int, wait_s: float) -> Feed:
+        if since < self._oldest:
+            raise HistoryLostError(f"version {since} is of an older era")
         rows = [row for row in await self.scan(table) if row.version > since]
         return Feed(sorted(rows, key=lambda row: row.version), self._version)
 
@@ -266,7 +279,7 @@
             self._next_read_at += ENDPOINT_POLL_S
             self._sync.apply(self._fleet.listed(), self._fleet.now)
         await self.crashes.write_pending()
-        await self.crashes.read_reports()
+        await self.crashes.follow_once()
 
     def observe_groups(self, is_open: bool) -> None:
         """Record a status of each server, as the agents send them."""
--- a/packages/gateway/tests/test_gateway_crashes.py
+++ b/packages/gateway/tests/test_gateway_crashes.py
@@ -7,11 +7,19 @@
 import unittest
 
 from gateway_builders import make_endpoint, make_engine
-from gateway_fleet import POISON, SILENCE_S, STEP_S, Fleet, Server
+from gateway_fleet import (
+    POISON,
+    SILENCE_S,
+    STEP_S,
+    Fleet,
+    Server,
+    SimulatedGateway,
+)
 
 from slatehoist.gateway.crash_reports import CRASHES
 from slatehoist.gateway.exchange import request_digest
-from slatehoist.gateway.losses import LossLedger
+from slatehoist.gateway.losses import Crash, LossLedger
+from slatehoist.routing import CRASH_RETENTION_S
 from slatehoist.routing.crashes import MAX_CRASHES
 from slatehoist.storage import Write
 
@@ -158,6 +166,41 @@
         await fleet.advance(STEP_S)
         self.assertTrue((await fleet.gateways[0].send()).blocked)
 
+    # Guards against a request that is sent on, since the store came back from a copy
+    # without the reports of its crashes.
+    async def test_reports_that_the_store_lost_are_written_again(self):
+        fleet = await self.start_fleet(gateways=2)
+        writer, _ = fleet.gateways
+        copy = fleet.table.copy()
+        digest = request_digest("POST", "/a/x", "t", POISON)
+        for number in range(MAX_CRASHES):
+            crash = Crash(f"e{number}@1", [digest])
+            writer.crashes._report_crash(crash, fleet.now)
+        await fleet.advance(STEP_S)
+        fleet.table.restore(copy)
+        await fleet.advance(3 * STEP_S)
+        late = SimulatedGateway(fleet, 9)
+        await late.start()
+        await late.tick()
+        self.assertTrue((await late.send()).blocked)
+
+    # Guards against a sound request that is blocked by reports of long ago, which an
+    # older copy of the store contains again.
+    async def test_expired_reports_that_come_back_are_not_counted(self):
+        fleet = await self.start_fleet(gateways=1)
+        gateway = fleet.gateways[0]
+        digest = request_digest("POST", "/a/x", "t", POISON)
+        for number in range(MAX_CRASHES - 1):
+            gateway.crashes._report_crash(Crash(f"e{number}@1", [digest]), fleet.now)
+        await fleet.advance(STEP_S)
+        copy = fleet.table.copy()
+        await fleet.advance(CRASH_RETENTION_S + 2 * STEP_S)
+        self.assertEqual(await fleet.table.scan(CRASHES), [])
+        self.assertFalse(gateway.tally.is_suspected(digest, fleet.now))
+        fleet.table.restore(copy)
+        await fleet.advance(3 * STEP_S)
+        self.assertFalse(gateway.tally.is_suspected(digest, fleet.now))
+
     # Each gateway then counts only its own crashes.
     async def test_request_is_blocked_while_no_gateway_reaches_the_store(self):
         fleet = await self.start_fleet()
