Soak: let the store come back from a copy, in a new era

The fault overlaps with the others; the operator and the servers write again within a second, and rows of servers that ended meanwhile expire as usual.

--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -185,6 +185,20 @@
         store.fault = ""
 
 
+async def restore_store(injector: FaultInjector, gateway: Gateway) -> None:
+    """Let the store come back from a copy that is some seconds old, in a new era."""
+    world = injector.world
+    copy = world.store.copy()
+    await asyncio.sleep(injector.draw_duration_s() / 2)
+    with world.store_fault_spans.record():
+        world.store.fault = "down"
+        await asyncio.sleep(injector.rng.random())
+        world.store.restore(copy)
+        world.store.fault = ""
+        await asyncio.sleep(injector.rng.random())
+        await world.write_again()
+
+
 async def forget_history(injector: FaultInjector, gateway: Gateway) -> None:
     """Compact the store, so that it drops its history of changes."""
     injector.world.store.compact()
@@ -272,6 +286,7 @@
         revoke_behind_cut,
         delay_store,
         fail_store,
+        restore_store,
         forget_history,
         change_configuration,
         revoke,
--- a/tools/soak/world.py
+++ b/tools/soak/world.py
@@ -179,6 +179,25 @@
         self.store.put("op", "config", doc)
         return time.monotonic()
 
+    async def write_again(self) -> None:
+        """Write what the operator and the servers wrote before the store went back.
+
+        The rows of servers that have ended are removed when three heartbeats are
+        missing, as usual.
+        """
+        self.publish()
+        for server in self.servers:
+            if server.is_up:
+                self.store.put("servers", server.server_id, server.row("app"))
+        for server in self.retired:
+            if server.is_up and server.draining_since is not None:
+                row = server.row("app", state="draining")
+                self.store.put("servers", server.server_id, row)
+        await asyncio.sleep(HEARTBEAT_S * MAX_MISSED_HEARTBEATS)
+        for server in self.retired:
+            if not server.is_up and server.server_id in self.store.rows("servers"):
+                self.store.remove("servers", server.server_id)
+
     def rotate_credential(self) -> None:
         """Revoke a credential and create a new one for its team."""
         old = self.rng.choice(sorted(self.credentials))
