Keep to this instance's share of a rate that an endpoint states

Shares are dealt by rendezvous hashing over the registered instances: the requests that the rate allows in 4 s are divided, the rest goes to the highest ranked, so that shares add up to the rate also if it is lower than one request per instance; at most 0.3 of a share is used within a second, since the rate may fall just after a burst. Work beyond the share goes to other endpoints, or is refused at once with the time at which a request is allowed again. Tests: 5 of the shares, 3 of the gateway, 1 of the header; all new code.

--- a/packages/gateway/src/slatehoist/gateway/forwarding.py
+++ b/packages/gateway/src/slatehoist/gateway/forwarding.py
@@ -55,6 +55,7 @@
     Chooser,
     CrashTally,
     Membership,
+    RateShares,
     SharedRetryBudget,
 )
 
@@ -99,7 +100,8 @@
         self._probes = probes
         self._metrics = metrics
         self._clock = clock
-        self._holds = EndpointHolds(metrics)
+        self._rates = RateShares(cfg.instance, REGISTRY_PROPAGATION_S)
+        self._holds = EndpointHolds(metrics, self._rates)
         self._budgets: dict[str, SharedRetryBudget] = {}
         self._stream_timeouts: dict[str, set[asyncio.Timeout]] = {}
         self._allowance_share = AllowanceShare(
@@ -108,8 +110,9 @@
         self.draining = False
 
     def record_membership(self, membership: Membership) -> None:
-        """Record the instances that share the retry allowance."""
+        """Record the instances that share the retry allowance and endpoints' rates."""
         self._allowance_share.record_membership(membership, self._clock())
+        self._rates.set_members(membership.names, membership.joined_at)
 
     async def forward(self, exchange: Exchange) -> web.StreamResponse | None:
         """Send the request until an endpoint answers it or no attempt is allowed.
@@ -265,7 +268,9 @@
         chosen = self._chooser.choose(candidates, self._cfg.zone)
         if chosen is None:
             return None
-        return next(e for e in endpoints if e.endpoint_id == chosen.name)
+        endpoint = next(e for e in endpoints if e.endpoint_id == chosen.name)
+        self._holds.record_sent(endpoint, now)
+        return endpoint
 
     def _selection_log_fields(
         self, endpoint: Endpoint, now: float
--- a/packages/gateway/src/slatehoist/gateway/holds.py
+++ b/packages/gateway/src/slatehoist/gateway/holds.py
@@ -1,4 +1,4 @@
-"""Endpoints that asked not to be sent requests: they leave, or turn requests away.
+"""Endpoints that asked for no requests or fewer: they leave, turn away, limit the rate.
 
 An endpoint tells each gateway for itself, so holds are not shared. Unlike an ejection,
 a hold is no failure, and it holds for every endpoint of a service at once.
@@ -10,6 +10,7 @@
 
 from slatehoist.gateway.model import Endpoint, ReplyInfo
 from slatehoist.observe import GatewayMetrics
+from slatehoist.routing import RateShares
 
 log = logging.getLogger(__name__)
 
@@ -22,8 +23,9 @@
 class EndpointHolds:
     """Track which endpoints get no requests from this instance, and until when."""
 
-    def __init__(self, metrics: GatewayMetrics) -> None:
+    def __init__(self, metrics: GatewayMetrics, rates: RateShares) -> None:
         self._metrics = metrics
+        self._rates = rates
         #: Endpoints that are leaving, in the order in which they said so first.
         self._leaving: OrderedDict[str, None] = OrderedDict()
         #: Times until which other endpoints are held.
@@ -37,6 +39,7 @@
             if len(self._leaving) > _MAX_LEAVING:
                 self._leaving.popitem(last=False)
             self._log_start(endpoint, "leaving", None)
+        self._record_rate(endpoint, info)
         if info.retry_after_s is None:
             return
         until = now + info.retry_after_s
@@ -46,30 +49,45 @@
             if current <= now:
                 self._log_start(endpoint, "retry_after", info.retry_after_s)
 
+    def _record_rate(self, endpoint: Endpoint, info: ReplyInfo) -> None:
+        rate = info.rate_limit
+        if rate is None and info.states_rate_limit:
+            # The value is unusable, so the last one stays.
+            return
+        if not self._rates.observe(endpoint.run_id, rate):
+            return
+        if rate is not None:
+            self._log_start(endpoint, "rate_limit", None)
+        else:
+            log.info("endpoint_hold_ended", extra={"endpoint": endpoint.run_id})
+
+    def record_sent(self, endpoint: Endpoint, now: float) -> None:
+        """Record that a request is sent to an endpoint."""
+        self._rates.record_sent(endpoint.run_id, now)
+
     def available(self, endpoints: Sequence[Endpoint], now: float) -> list[Endpoint]:
         """Return the endpoints that are not held."""
         self._drop_ended(now)
-        return [e for e in endpoints if self._end(e) is None]
+        return [e for e in endpoints if self._end(e, now) <= now]
 
     def held_for_s(self, endpoints: Sequence[Endpoint], now: float) -> float:
         """Return the seconds until the first hold ends; 0 if not all are held.
 
-        Endpoints that are leaving do not count, as they never take requests again. If
-        all endpoints are leaving, the result is 0.
+        The result is also 0 if no hold has a known end: endpoints that are leaving
+        never take requests again, and a low rate may leave no share for this instance.
         """
         self._drop_ended(now)
-        ends = [self._end(endpoint) for endpoint in endpoints]
-        if not ends or None in ends:
-            return 0.0
-        first = min(ends)
-        return 0.0 if first == _UNKNOWN_END else first - now
-
-    def _end(self, endpoint: Endpoint) -> float | None:
-        """Return the time at which the hold of an endpoint ends, or None."""
+        ends = [self._end(endpoint, now) for endpoint in endpoints]
+        first = min(ends, default=now)
+        return 0.0 if first == _UNKNOWN_END else max(0.0, first - now)
+
+    def _end(self, endpoint: Endpoint, now: float) -> float:
+        """Return the time from which an endpoint takes requests; `now` if it does."""
         run_id = endpoint.run_id
         if run_id in self._leaving:
             return _UNKNOWN_END
-        return self._held_until.get(run_id)
+        free_at = self._rates.free_at(run_id, now)
+        return max(self._held_until.get(run_id, now), free_at)
 
     def _drop_ended(self, now: float) -> None:
         ended = [run_id for run_id, until in self._held_until.items() if until <= now]
--- a/packages/gateway/src/slatehoist/gateway/model.py
+++ b/packages/gateway/src/slatehoist/gateway/model.py
@@ -198,6 +198,11 @@
     retry_after_s : float or None
         Seconds for which an endpoint that turned the request away wants no requests
         from this instance; None if not stated.
+    rate_limit : float or None
+        Requests per second that the endpoint takes from all instances together; None if
+        not stated, or if the stated value cannot be used.
+    states_rate_limit : bool
+        True if the response states a rate, usable or not.
     """
 
     request_id: str
@@ -208,3 +213,5 @@
     waiting: int | None = None
     leaving: bool = False
     retry_after_s: float | None = None
+    rate_limit: float | None = None
+    states_rate_limit: bool = False
--- a/packages/gateway/src/slatehoist/gateway/registry.py
+++ b/packages/gateway/src/slatehoist/gateway/registry.py
@@ -122,8 +122,9 @@
                 [], [Write(GATEWAYS, key, None) for key in stale]
             )
             log.info("stale_gateways_removed", extra={"instances": stale})
-        count = max(1, len(self._last_changes) - len(stale))
-        self._on_count(Membership(count, self._joined_at, self._previous_start))
+        names = tuple(sorted(self._last_changes.keys() - set(stale)))
+        count = max(1, len(names))
+        self._on_count(Membership(count, self._joined_at, self._previous_start, names))
 
     def _is_stored(self, rows: list[Row]) -> bool:
         """Return True if the newest state of this instance's own row was read."""
--- a/packages/gateway/tests/reply_world.py
+++ b/packages/gateway/tests/reply_world.py
@@ -139,6 +139,8 @@
             authentic=True,
             leaving="Leaving" in headers,
             retry_after_s=float(headers["Wait"]) if "Wait" in headers else None,
+            rate_limit=float(headers["Rate"]) if "Rate" in headers else None,
+            states_rate_limit="Rate" in headers,
         )
 
 
@@ -160,7 +162,7 @@
         endpoints = [make_endpoint("e1"), make_endpoint("e2")]
         directory.update(endpoints, self.now)
         self.health = EndpointHealth()
-        forwarder = Forwarder(
+        forwarder = self.forwarder = Forwarder(
             cfg,
             self.codec,
             directory,
--- a/packages/gateway/tests/test_gateway_holds.py
+++ b/packages/gateway/tests/test_gateway_holds.py
@@ -7,6 +7,7 @@
 from reply_world import EVENT_STREAM, ReplyWorld, ScriptedReply, make_events
 
 from slatehoist.gateway import Kind
+from slatehoist.routing import Membership
 
 LEAVING = {"Leaving": "1"}
 TURNED_AWAY = {"Not-Run": "1", "Wait": "4"}
@@ -24,11 +25,14 @@
     def make_world(self, *replies, **route_fields) -> ReplyWorld:
         return ReplyWorld(*replies, **{"kind": Kind.SAFE, **route_fields})
 
-    async def call_and_count(self, world: ReplyWorld, calls: int) -> dict[str, int]:
+    async def call_and_count(
+        self, world: ReplyWorld, calls: int, **headers: str
+    ) -> dict[str, int]:
         """Send requests that are answered, and count them by the endpoint's address."""
         first = len(world.upstream.requests)
         for _ in range(calls):
-            world.upstream.replies.append(ScriptedReply(b"whole", "length"))
+            reply = ScriptedReply(b"whole", "length", headers=headers)
+            world.upstream.replies.append(reply)
             answer = await world.call()
             self.assertTrue(answer.head.startswith("HTTP/1.1 200"), answer.head)
         counts: dict[str, int] = {}
@@ -111,7 +115,7 @@
             headers = {**TURNED_AWAY, "Wait": wait}
             reply = ScriptedReply(b"", "length", status=503, headers=headers)
             # The second request was in flight when the first was turned away.
-            world.gateway._forwarder._holds.record_reply(
+            world.forwarder._holds.record_reply(
                 first, world.codec.read_reply(503, reply.headers), world.now
             )
         world.directory.update([first, second], world.now)
@@ -148,5 +152,52 @@
         self.assertEqual(len(delays), 4)
 
 
+class RateLimitTests(HoldTestCase):
+    def make_limited_world(self, rate: str, **route_fields) -> ReplyWorld:
+        world = self.make_world(max_attempts=1, **route_fields)
+        world.directory.update([make_endpoint("e1")], world.now)
+        names = tuple(f"gateway-{n}" for n in range(4))
+        world.forwarder.record_membership(Membership(4, 0.0, 0.0, names))
+        world.upstream.replies.append(
+            ScriptedReply(b"whole", "length", headers={"Rate": rate})
+        )
+        return world
+
+    # Guards against more requests than an endpoint said that it takes, from all
+    # gateways together.
+    async def test_endpoint_gets_no_more_than_this_gateways_share_of_its_rate(self):
+        world = self.make_limited_world("8")
+        statuses = []
+        for _ in range(40):
+            world.upstream.replies.append(
+                ScriptedReply(b"whole", "length", headers={"Rate": "8"})
+            )
+            answer = await world.call()
+            statuses.append(answer.head.split()[1])
+            world.now += 0.1
+        # A quarter of 8 requests a second, in 4 s; the first ones came before the rate
+        # was known.
+        self.assertLessEqual(statuses.count("200"), 9)
+        self.assertGreaterEqual(statuses.count("200"), 6)
+        self.assertEqual(set(statuses), {"200", "503"})
+
+    async def test_work_beyond_the_share_goes_to_other_endpoints(self):
+        world = self.make_limited_world("8")
+        await world.call()
+        first, second = make_endpoint("e1"), make_endpoint("e2")
+        # The share of each is 3 requests in a second.
+        await self.call_and_count(world, 3, Rate="8")
+        world.directory.update([first, second], world.now)
+        counts = await self.call_and_count(world, 3, Rate="8")
+        self.assertEqual(counts, {second.address: 3})
+
+    async def test_limit_ends_when_answers_do_not_state_it(self):
+        world = self.make_limited_world("8")
+        await world.call()
+        counts = await self.call_and_count(world, 1)
+        self.assertEqual(await self.call_and_count(world, 20), {"10.0.0.1:1": 20})
+        self.assertEqual(counts, {"10.0.0.1:1": 1})
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/packages/routing/src/slatehoist/routing/__init__.py
+++ b/packages/routing/src/slatehoist/routing/__init__.py
@@ -12,6 +12,7 @@
     TokenBucket,
     home_entry,
 )
+from slatehoist.routing.rates import RateShares
 from slatehoist.routing.retries import (
     AllowanceShare,
     Membership,
@@ -51,6 +52,7 @@
     "QuotaHolder",
     "QuotaHome",
     "QuotaShare",
+    "RateShares",
     "RetryBudget",
     "SharedRetryBudget",
     "SuspectStatus",
--- a/packages/routing/src/slatehoist/routing/retries.py
+++ b/packages/routing/src/slatehoist/routing/retries.py
@@ -117,11 +117,14 @@
     previous_start : float
         Start time of this instance's previous process; minus infinity if there was
         none.
+    names : tuple of str
+        Names of the instances counted.
     """
 
     instances: int
     joined_at: float
     previous_start: float
+    names: tuple[str, ...] = ()
 
 
 class AllowanceShare:
--- /dev/null
+++ b/packages/routing/tests/test_routing_rates.py
@@ -0,0 +1,68 @@
+"""Tests of the shares of a rate that an endpoint states for all instances."""
+
+import unittest
+
+from slatehoist.routing import RateShares
+from slatehoist.routing.rates import WINDOW_S
+
+PROPAGATION_S = 10.0
+
+
+class RateSharesTests(unittest.TestCase):
+    def make_shares(self, count: int, joined_at: float = -60.0) -> list[RateShares]:
+        names = [f"gateway-{number}" for number in range(count)]
+        shares = [RateShares(name, PROPAGATION_S) for name in names]
+        for share in shares:
+            share.set_members(names, joined_at)
+        return shares
+
+    def count_sent(self, shares: list[RateShares], seconds: float) -> int:
+        """Send as much as all instances may, and return the number of requests."""
+        sent = 0
+        for step in range(int(seconds / 0.05)):
+            now = step * 0.05
+            for share in shares:
+                while share.free_at("e", now) <= now:
+                    share.record_sent("e", now)
+                    sent += 1
+        return sent
+
+    def test_shares_add_up_to_the_rate_for_any_number_of_instances(self):
+        for count in (1, 3, 14, 30):
+            for rate in (0.5, 2.0, 7.3, 40.0):
+                with self.subTest(count=count, rate=rate):
+                    shares = self.make_shares(count)
+                    for share in shares:
+                        share.observe("e", rate)
+                    sent = self.count_sent(shares, WINDOW_S)
+                    self.assertLessEqual(sent, rate * WINDOW_S)
+                    self.assertGreaterEqual(sent, int(rate * WINDOW_S))
+
+    def test_rate_below_one_request_in_a_window_is_kept(self):
+        shares = self.make_shares(5)
+        for share in shares:
+            share.observe("e", 0.1)
+        self.assertEqual(self.count_sent(shares, 20.0), 2)
+
+    def test_rate_of_zero_allows_nothing(self):
+        (share,) = self.make_shares(1)
+        share.observe("e", 0.0)
+        self.assertEqual(share.free_at("e", 0.0), float("inf"))
+
+    def test_instance_that_others_may_not_count_yet_takes_a_small_share(self):
+        (share,) = self.make_shares(1, joined_at=0.0)
+        share.observe("e", 18.0)
+        self.assertLessEqual(self.count_sent([share], WINDOW_S), 4)
+
+    def test_endpoint_without_a_rate_is_not_limited(self):
+        (share,) = self.make_shares(1)
+        share.observe("e", 1.0)
+        self.assertTrue(share.observe("e", None))
+        self.assertFalse(share.observe("e", None))
+        for _ in range(100):
+            share.record_sent("e", 0.0)
+        self.assertEqual(share.free_at("e", 0.0), 0.0)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -197,6 +197,19 @@
                 self.assertIsNone(info.retry_after_s)
             self.assertLess(len(logs.records[0].value), 50)
 
+    def test_rate_limit_of_a_server_is_decoded(self):
+        codec = PlatformHeaderCodec()
+        for text, expected in (("12.5", 12.5), ("0", 0.0)):
+            info = codec.read_reply(200, {"Server-Limit": text})
+            self.assertEqual(
+                (info.rate_limit, info.states_rate_limit), (expected, True)
+            )
+        self.assertFalse(codec.read_reply(200, {}).states_rate_limit)
+        for text in ("many", "-3", "nan", "inf"):
+            with self.assertLogs("adapter.headers", "WARNING"):
+                info = codec.read_reply(200, {"Server-Limit": text})
+            self.assertEqual((info.rate_limit, info.states_rate_limit), (None, True))
+
     def test_malformed_numbers_are_ignored(self):
         info = PlatformHeaderCodec().read_request(
             {"Deadline-Ms": "soon", "Token-Count": "x,y"}
