--- a/standins/src/slatehoist_standins/deployment_server.py
+++ b/standins/src/slatehoist_standins/deployment_server.py
@@ -104,6 +104,7 @@
         self.delay_s = 0.0
         self.leaving = False
         self.turns_away_for_s = 0.0
+        self.rate_limit: float | None = None
         #: Start time in milliseconds, which the server registers.
         self.born = 1_700_000_000_000
 
@@ -231,7 +232,10 @@
         return "\r\n".join([*lines, *self._notices(), "", ""]).encode()
 
     def _notices(self) -> list[str]:
-        return ["Server-Leaving: 1"] if self.leaving else []
+        lines = ["Server-Leaving: 1"] if self.leaving else []
+        if self.rate_limit is not None:
+            lines.append(f"Server-Limit: {self.rate_limit:g}")
+        return lines
 
     def _make_head(self, arrival: Arrival, behaviour: str, status: int = 200) -> bytes:
         request_id = arrival.headers["Request-Id"]
--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -7,6 +7,7 @@
 import time
 from collections.abc import Awaitable, Callable, Iterator
 
+from soak.servers import RateLimit
 from soak.world import GRACE_S, REVOKE_S, Gateway, World
 
 #: Number of series of faults that run concurrently.
@@ -17,6 +18,10 @@
 #: a gateway trusts credentials without contact to the store.
 MAX_DURATION_S = 6.0
 
+#: Shortest time in seconds for which a server states a rate: gateways must keep it only
+#: some seconds after its first answer.
+MIN_LIMIT_S = 6.0
+
 #: Characters of a process's log that a finding contains.
 LOG_TAIL_CHARS = 600
 
@@ -264,6 +269,18 @@
         server.turns_away_for_s = 0.0
 
 
+async def limit_rate(injector: FaultInjector, gateway: Gateway) -> None:
+    """Let a server state the rate of requests that it takes from all gateways."""
+    server = injector.rng.choice(injector.world.servers)
+    if server.rate_limit is not None:
+        return
+    server.rate_limit = rate = injector.rng.choice([1.0, 5.0, 20.0])
+    start = time.monotonic()
+    await asyncio.sleep(MIN_LIMIT_S + injector.draw_duration_s())
+    server.rate_limit = None
+    server.rate_limits.append(RateLimit(rate, start, time.monotonic()))
+
+
 async def misbehave(injector: FaultInjector, gateway: Gateway) -> None:
     """Make a fraction of the servers' responses faulty for a while."""
     injector.world.bad_ratio = 0.02 + 0.2 * injector.rng.random()
@@ -294,6 +311,7 @@
         drain_server,
         leave_server,
         turn_away,
+        limit_rate,
         misbehave,
     )
 }
--- a/tools/soak/guarantees.py
+++ b/tools/soak/guarantees.py
@@ -14,6 +14,14 @@
 #: number of them that is allowed until the end of the stated time.
 TURN_AWAY_SLACK_S = 0.5
 MAX_LATE_ARRIVALS = 2
+#: Seconds after a server first stated a rate from which it is checked, and after which
+#: a gateway that got an answer with it must know it.
+RATE_CONTACT_S = 3.0
+RATE_KNOWN_S = 0.5
+#: Window in seconds in which a rate is checked, and what is allowed there beyond it.
+RATE_WINDOW_S = 4.0
+RATE_TOLERANCE = 1.5
+RATE_EXTRA = 5
 #: Kinds of requests that may run at most once.
 AT_MOST_ONCE = frozenset({"unsafe", "once"})
 
@@ -32,6 +40,7 @@
         yield from _check_drains(world, result, draining_since)
     for server in [*world.servers, *world.retired]:
         yield from _check_notices(world, server, results)
+        yield from _check_rates(world, server, results)
 
 
 def _check_answer(result: Result) -> Iterator[str]:
@@ -131,3 +140,30 @@
         return result.began > notice.at + DRAIN_S
     age_s = arrived_at - notice.at
     return TURN_AWAY_SLACK_S < age_s < notice.for_s
+
+
+def _check_rates(
+    world: World, server: SoakServer, results: list[Result]
+) -> Iterator[str]:
+    """Check that all gateways together keep to the rate that a server states."""
+    gateways = {result.request_id: result.gateway for result in results}
+    for limit in server.rate_limits:
+        known_from: dict[str, float] = {}
+        counted = []
+        for request_id, at in server.arrived:
+            gateway = gateways.get(request_id)
+            if gateway is None or not limit.start <= at <= limit.end:
+                continue
+            known_at = known_from.setdefault(gateway, at + RATE_KNOWN_S)
+            is_bound = at >= max(known_at, limit.start + RATE_CONTACT_S)
+            if is_bound and world.was_undisturbed(gateway, known_at, at):
+                counted.append(at)
+        allowed = RATE_TOLERANCE * limit.rate * RATE_WINDOW_S + RATE_EXTRA
+        for first, at in enumerate(counted):
+            count = sum(at <= other < at + RATE_WINDOW_S for other in counted[first:])
+            if count > allowed:
+                yield (
+                    f"{server.server_id}: {count} requests in {RATE_WINDOW_S:g} s at a "
+                    f"stated rate of {limit.rate:g} a second"
+                )
+                break
--- a/tools/soak/servers.py
+++ b/tools/soak/servers.py
@@ -75,6 +75,14 @@
     for_s: float
 
 
+class RateLimit(NamedTuple):
+    """Time span in which a server stated a rate, in requests per second."""
+
+    rate: float
+    start: float
+    end: float
+
+
 class SoakServer(DeploymentServer):
     """Server that can crash and drain, draws its behaviour, and records its runs.
 
@@ -105,6 +113,7 @@
         #: id and time), in order.
         self.notices: list[Notice] = []
         self.arrived: list[tuple[str, float]] = []
+        self.rate_limits: list[RateLimit] = []
         #: Seconds before a plain response and after each event of a stream.
         self.pause_s = 0.02
         #: Time at which the store accepted the state ``draining``; None before that.
