--- a/tools/run_soak.py
+++ b/tools/run_soak.py
@@ -1,8 +1,9 @@
 """Run real gateways on loopback under random faults and check their guarantees.
 
 ``SEED=`` seeds all random draws, ``MINUTES=`` sets how long faults are injected,
-``GATEWAYS=`` sets the number of gateways, and ``KEEP=1`` keeps the logs of the
-processes. The last line is JSON.
+``GATEWAYS=`` sets the number of gateways, ``FAULTS=`` names the faults to draw from,
+separated by commas, and ``KEEP=1`` keeps the logs of the processes. The last line is
+JSON.
 """
 
 import asyncio
@@ -21,7 +22,8 @@
     minutes = float(os.environ.get("MINUTES") or 1.0)
     gateways = int(os.environ.get("GATEWAYS") or GATEWAYS)
     print(f"seed {seed}, {minutes} minutes, {gateways} gateways", flush=True)
-    report = await run_seed(seed, minutes * 60, gateways)
+    faults = [name for name in os.environ.get("FAULTS", "").split(",") if name]
+    report = await run_seed(seed, minutes * 60, gateways, faults)
     for line in report.history:
         print(line)
     for line in report.broken:
--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -5,7 +5,7 @@
 import random
 import signal
 import time
-from collections.abc import Awaitable, Callable, Iterator
+from collections.abc import Awaitable, Callable, Iterator, Sequence
 
 from soak.servers import RateLimit
 from soak.world import GRACE_S, REVOKE_S, Gateway, World
@@ -35,11 +35,16 @@
     ----------
     rng : random.Random
         Draws the faults, the gateways and the durations.
+    names : sequence of str
+        Faults to draw from; all of `FAULTS` if empty.
     """
 
-    def __init__(self, world: World, rng: random.Random) -> None:
+    def __init__(
+        self, world: World, rng: random.Random, names: Sequence[str] = ()
+    ) -> None:
         self.world = world
         self.rng = rng
+        self._names = sorted(names or FAULTS)
         #: Injected faults with their times, for the report.
         self.history: list[str] = []
         self.findings: list[str] = []
@@ -55,7 +60,7 @@
         rng = random.Random(seed)
         while time.monotonic() < ends_at:
             await asyncio.sleep(rng.random() * MAX_PAUSE_S)
-            name = rng.choice(sorted(FAULTS))
+            name = rng.choice(self._names)
             gateway = rng.choice(self.world.gateways)
             if gateway.stopping:
                 continue
--- a/tools/soak/runner.py
+++ b/tools/soak/runner.py
@@ -4,6 +4,7 @@
 import collections
 import random
 import time
+from collections.abc import Sequence
 from typing import NamedTuple
 
 import aiohttp
@@ -40,19 +41,32 @@
     counts: dict[str, int]
 
 
-async def run_seed(seed: int, seconds: float, gateway_count: int = GATEWAYS) -> Report:
-    """Run a seed and inject faults for the given number of seconds."""
+async def run_seed(
+    seed: int,
+    seconds: float,
+    gateway_count: int = GATEWAYS,
+    faults: Sequence[str] = (),
+) -> Report:
+    """Run a seed and inject faults for the given number of seconds.
+
+    Parameters
+    ----------
+    faults : sequence of str
+        Names of the faults to draw from; all if empty.
+    """
     rng = random.Random(seed)
     world = World(rng, gateway_count)
     async with world:
         await world.start()
         try:
-            return await _run_seed(world, rng, seconds)
+            return await _run_seed(world, rng, seconds, faults)
         finally:
             await world.stop()
 
 
-async def _run_seed(world: World, rng: random.Random, seconds: float) -> Report:
+async def _run_seed(
+    world: World, rng: random.Random, seconds: float, faults: Sequence[str]
+) -> Report:
     callers = [
         Caller(world, gateway, random.Random(rng.getrandbits(32)), version)
         for gateway in world.gateways
@@ -64,7 +78,7 @@
         asyncio.create_task(poison_caller.run()),
         asyncio.create_task(world.send_heartbeats()),
     ]
-    injector = FaultInjector(world, rng)
+    injector = FaultInjector(world, rng, faults)
     await injector.run(time.monotonic() + seconds)
     for task in tasks:
         task.cancel()
