--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 PY := .venv/bin/python
 PACKAGES := http wire storage config coord routing observe gateway maps experts daemon cli
 
-.PHONY: soak mutations demo test lint format matrix bench-path bench-experts bench-routing bench-control
+.PHONY: soak mutations demo test lint format matrix bench-path bench-experts bench-routing bench-control bench-rates
 
 .venv/installed: requirements.txt requirements-dev.txt
 	python3 -m venv .venv
@@ -30,7 +30,7 @@
 matrix: .venv/installed
 	$(PY) tools/matrix.py
 
-bench-path bench-routing bench-control: .venv/installed
+bench-path bench-routing bench-control bench-rates: .venv/installed
 	$(PY) tools/$(subst -,_,$@).py
 
 bench-experts: .venv/installed
--- a/packages/gateway/src/slatehoist/gateway/holds.py
+++ b/packages/gateway/src/slatehoist/gateway/holds.py
@@ -68,6 +68,8 @@
     def available(self, endpoints: Sequence[Endpoint], now: float) -> list[Endpoint]:
         """Return the endpoints that are not held."""
         self._drop_ended(now)
+        if not (self._leaving or self._held_until or self._rates.is_limiting):
+            return list(endpoints)
         return [e for e in endpoints if self._end(e, now) <= now]
 
     def held_for_s(self, endpoints: Sequence[Endpoint], now: float) -> float:
--- a/packages/routing/src/slatehoist/routing/rates.py
+++ b/packages/routing/src/slatehoist/routing/rates.py
@@ -50,6 +50,11 @@
         self._members = tuple(names)
         self._full_from = joined_at + self._propagation_s
 
+    @property
+    def is_limiting(self) -> bool:
+        """Return True if any endpoint states a rate."""
+        return bool(self._rates)
+
     def observe(self, endpoint: str, rate: float | None) -> bool:
         """Record the rate that an answer states, or None if it states none.
 
