--- a/tools/models/rate_shares.py
+++ b/tools/models/rate_shares.py
@@ -140,39 +140,20 @@
 ) -> Result:
     """Run one model; half of the seconds have a stated rate of half the given one."""
     rng = random.Random(seed)
-    late = int(instances * CHURN)
-    nodes = []
-    for number in range(instances + late):
-        weight = 1 / (1 + number) if uneven else 1.0
-        joins_at = 0.0 if number < instances else DURATION_S / 3
-        nodes.append(_Instance(f"gateway-{number}", weight, policy, joins_at))
-    rng.shuffle(nodes)
-    for node in rng.sample(nodes, late):
-        node.dies_at = DURATION_S * 2 / 3
+    nodes = _make_instances(policy, instances, uneven, rng)
     rates = [
         rate * (0.5 if rng.random() < 0.5 else 1.0) for _ in range(int(DURATION_S) + 1)
     ]
-    answers: deque = deque()
+    #: Time of each answer, its receiver and the rate that it states.
+    answers: deque[tuple[float, _Instance, float]] = deque()
     #: Time of each request, and True if its sender had known the rate for `KNOWN_S`.
     arrivals: list[tuple[float, bool]] = []
     now = 0.0
     while now < DURATION_S:
         live = [n for n in nodes if n.joins_at <= now < n.dies_at]
+        _deliver_answers(answers, live, now)
+        _poll_registry(nodes, live, now)
         total_weight = sum(n.weight for n in live)
-        total = sum(n.in_progress for n in live)
-        while answers and answers[0][0] <= now:
-            _, node, stated = answers.popleft()
-            node.policy.learn(stated, node.in_progress, total)
-            node.learned_at = min(node.learned_at, now)
-            node.in_progress -= 1
-        for node in live:
-            if node.next_poll <= now:
-                node.next_poll = now + POLL_S
-                members = [
-                    n.name for n in nodes if n.joins_at <= now < n.dies_at + DEAD_ROW_S
-                ]
-                demands = {n.name: n.demand for n in nodes}
-                node.policy.poll(members, demands, now)
         for node in live:
             expected = OFFERED * rate * STEP_S * node.weight / total_weight
             node.demand += (expected / STEP_S - node.demand) * STEP_S / POLL_S
@@ -185,6 +166,43 @@
     return _evaluate(arrivals, rates)
 
 
+def _make_instances(
+    policy: type, count: int, uneven: bool, rng: random.Random
+) -> list[_Instance]:
+    """Return the instances in random order, with the times of joins and deaths."""
+    changing = int(count * CHURN)
+    nodes = []
+    for number in range(count + changing):
+        weight = 1 / (1 + number) if uneven else 1.0
+        joins_at = 0.0 if number < count else DURATION_S / 3
+        nodes.append(_Instance(f"gateway-{number}", weight, policy, joins_at))
+    rng.shuffle(nodes)
+    for node in rng.sample(nodes, changing):
+        node.dies_at = DURATION_S * 2 / 3
+    return nodes
+
+
+def _deliver_answers(
+    answers: deque[tuple[float, _Instance, float]], live: list[_Instance], now: float
+) -> None:
+    total = sum(n.in_progress for n in live)
+    while answers and answers[0][0] <= now:
+        _, node, stated = answers.popleft()
+        node.policy.learn(stated, node.in_progress, total)
+        node.learned_at = min(node.learned_at, now)
+        node.in_progress -= 1
+
+
+def _poll_registry(nodes: list[_Instance], live: list[_Instance], now: float) -> None:
+    for node in live:
+        if node.next_poll > now:
+            continue
+        node.next_poll = now + POLL_S
+        members = [n.name for n in nodes if n.joins_at <= now < n.dies_at + DEAD_ROW_S]
+        demands = {n.name: n.demand for n in nodes}
+        node.policy.poll(members, demands, now)
+
+
 def _evaluate(arrivals: list[tuple[float, bool]], rates: list[float]) -> Result:
     served = [at for at, _ in arrivals if at >= WINDOW_S]
     counted = [at for at, knows in arrivals if knows and at >= WINDOW_S]
