--- a/packages/gateway/src/slatehoist/gateway/process.py
+++ b/packages/gateway/src/slatehoist/gateway/process.py
@@ -184,6 +184,7 @@
     def _update_metrics(self) -> None:
         table = self.catalogue.table
         self._metrics.config_version.set(self.catalogue.version)
+        self._metrics.store_eras.set(self._source.era)
         self._metrics.config_age.set(self.catalogue.age_s(self._clock()))
         for service in table.cfg.services if table else ():
             count = len(self.directory.of_service(service.name))
--- a/packages/observe/src/slatehoist/observe/metrics.py
+++ b/packages/observe/src/slatehoist/observe/metrics.py
@@ -97,6 +97,11 @@
             "Seconds since the configuration was last confirmed to be the newest.",
             **kwargs,
         )
+        self.store_eras = Gauge(
+            "slatehoist_store_era_changes",
+            "Times that the store was seen to come back from an older copy.",
+            **kwargs,
+        )
         self.endpoints = Gauge(
             "slatehoist_endpoints",
             "Endpoints that accept new requests, by service.",
