Let fencing numbers of a new era of the table exceed all before

A table that went back to a copy gave a fencing number out twice: a holder of the old era and one of the new era had the same, so that receivers could not tell their orders apart, or the late one won. Each era has a range of its own now; a holder gets a new number when it renews. The HTTP client reads the era from a header that the stand-in states. An exploration runs all 6-step sequences of two processes, waits, copies and restores with the real LeaseKeeper.

--- a/packages/coord/src/slatehoist/coord/leases.py
+++ b/packages/coord/src/slatehoist/coord/leases.py
@@ -9,6 +9,10 @@
 A process that was suspended may still act on a lease that was taken over. Each
 take-over therefore increments the fencing number, and the receivers of orders refuse
 numbers lower than the highest that they have seen.
+
+The table may go back to an older copy, which may lack the newest fencing numbers. Those
+of a new era are therefore higher than all of the eras before, and a holder gets a new
+one when it renews.
 """
 
 import uuid
@@ -30,6 +34,8 @@
 #: Fraction of the lifetime after which the holder stops using a lease that it has not
 #: renewed. The rest is the margin before a challenger may take it over.
 HOLDER_LIFETIME_FRACTION = 0.8
+#: Fencing numbers of one era of the table.
+FENCES_PER_ERA = 1 << 32
 
 
 class Lease(NamedTuple):
@@ -116,14 +122,15 @@
             pass
 
     async def _update_row(self, row: Row | None, now: float) -> None:
+        first_fence = self._table.era * FENCES_PER_ERA + 1
         if row is None:
-            await self._write(None, 1, now)
+            await self._write(None, first_fence, now)
             return
         self._highest_fence = max(self._highest_fence, row.value["fence"])
         if row.value["holder"] == self._holder:
-            await self._write(row, row.value["fence"], now)
+            await self._write(row, max(row.value["fence"], first_fence), now)
         elif row.value["holder"] == "" or self._has_expired(row, now):
-            await self._write(row, row.value["fence"] + 1, now)
+            await self._write(row, max(row.value["fence"] + 1, first_fence), now)
 
     def _has_expired(self, row: Row, now: float) -> bool:
         """Return True if the row was seen unchanged for a whole lifetime.
--- a/packages/coord/tests/test_coord_leases.py
+++ b/packages/coord/tests/test_coord_leases.py
@@ -1,5 +1,6 @@
 """Tests of the acquisition, renewal, expiry and take-over of leases."""
 
+import itertools
 import unittest
 
 from slatehoist.coord import LeaseKeeper
@@ -8,6 +9,15 @@
 LIFETIME_S = 10.0
 
 
+def run_coroutine(coro) -> None:
+    """Run a coroutine that never suspends."""
+    try:
+        coro.send(None)
+    except StopIteration:
+        return
+    raise AssertionError("the coroutine suspended")
+
+
 class FaultyTable(MemoryTable):
     """Table that can be down, or carry out writes and lose their answers."""
 
@@ -85,3 +95,60 @@
         await self.one.release()
         await self.two.renew_or_acquire(0.1)
         self.assertEqual(self.two.valid_lease(1.0).fence, 2)
+
+    # Guards against two holders with one fencing number, since the table went back to a
+    # copy without the newest take-over.
+    async def test_fence_of_a_new_era_is_higher_than_all_before(self):
+        await self.one.renew_or_acquire(0.0)
+        copy = self.table.copy()
+        await self.one.release()
+        await self.two.renew_or_acquire(0.1)
+        old = self.two.valid_lease(1.0)
+        self.table.restore(copy)
+        await self.one.renew_or_acquire(1.0)
+        new = self.one.valid_lease(1.1)
+        self.assertGreater(new.fence, old.fence)
+        await self.two.renew_or_acquire(1.2)
+        self.assertEqual(self.two.valid_lease(1.3), old)
+        self.assertIsNone(self.two.valid_lease(1.0 + LIFETIME_S))
+
+
+class EraExplorationTests(unittest.TestCase):
+    """All sequences of steps of two processes and a table that goes back to copies."""
+
+    STEPS = ("one", "two", "release", "wait", "copy", "restore")
+    LENGTH = 6
+
+    # Guards against orders of two holders that a receiver cannot tell apart, and
+    # against a late one that wins over a newer one.
+    def test_no_two_holders_have_one_fence_and_later_fences_are_higher(self):
+        runs = 0
+        for steps in itertools.product(self.STEPS, repeat=self.LENGTH):
+            if "restore" in steps and "copy" in steps:
+                run_coroutine(self.run_steps(steps))
+                runs += 1
+        self.assertGreater(runs, 10_000)
+
+    async def run_steps(self, steps):
+        table, now, copies = MemoryTable(), 0.0, []
+        keepers = {n: LeaseKeeper(table, "g", n, LIFETIME_S) for n in ("one", "two")}
+        fences: dict[int, str] = {}
+        highest = 0
+        for step in steps:
+            if step == "wait":
+                now += LIFETIME_S
+            elif step == "copy":
+                copies.append(table.copy())
+            elif step == "restore" and copies:
+                table.restore(copies[0])
+            elif step == "release":
+                await keepers["one"].release()
+            elif step in keepers:
+                before = keepers[step].valid_lease(now)
+                await keepers[step].renew_or_acquire(now)
+                lease = keepers[step].valid_lease(now)
+                if lease is None or lease == before:
+                    continue
+                self.assertEqual(fences.setdefault(lease.fence, step), step, steps)
+                self.assertGreaterEqual(lease.fence, highest, steps)
+                highest = lease.fence
--- a/packages/storage/src/slatehoist/storage/__init__.py
+++ b/packages/storage/src/slatehoist/storage/__init__.py
@@ -21,6 +21,7 @@
     StoreDownError,
 )
 from slatehoist.storage.http import (
+    ERA_HEADER,
     HttpInstanceList,
     HttpObjectStore,
     HttpTable,
@@ -30,6 +31,7 @@
 
 __all__ = [
     "ABSENT",
+    "ERA_HEADER",
     "Check",
     "ConflictError",
     "Feed",
--- a/packages/storage/src/slatehoist/storage/base.py
+++ b/packages/storage/src/slatehoist/storage/base.py
@@ -78,6 +78,14 @@
 class Table(Protocol):
     """Transactional table service."""
 
+    @property
+    def era(self) -> int:
+        """Return a number that rises each time that the service goes back to a copy.
+
+        Rows that were written after the copy are lost then. No version of an older era
+        equals one that is given out in a newer era.
+        """
+
     async def get(self, table: str, key: str) -> Row | None:
         """Return a row, or None if it does not exist."""
 
--- a/packages/storage/src/slatehoist/storage/http.py
+++ b/packages/storage/src/slatehoist/storage/http.py
@@ -1,5 +1,7 @@
 """HTTP clients of the platform's services."""
 
+import logging
+from collections.abc import Mapping
 from typing import Any, TypeVar
 
 import aiohttp
@@ -16,8 +18,13 @@
 #: Timeout of one call in seconds.
 CALL_TIMEOUT_S = 2.0
 
+log = logging.getLogger(__name__)
+
 Doc = TypeVar("Doc")
 
+#: Header in which the table service states its era.
+ERA_HEADER = "Table-Era"
+
 _HTTP_OK = 200
 _HTTP_NOT_FOUND = 404
 _HTTP_CONFLICT = 409
@@ -67,6 +74,7 @@
             async with self._session.request(
                 method, url, data=data, params=params, timeout=self._timeout
             ) as resp:
+                self._observe(resp.headers)
                 body = await resp.read()
         except aiohttp.ClientConnectorError as exc:
             raise StoreDownError(f"{url}: {exc}") from exc
@@ -81,6 +89,9 @@
             raise OutcomeUnknownError(f"{url}: the end of the body is not proved")
         return resp.status, body
 
+    def _observe(self, headers: Mapping[str, str]) -> None:
+        """Process the headers of an answer."""
+
     async def _read(
         self, path: str, whole: bool = False, **params: str
     ) -> bytes | None:
@@ -98,6 +109,16 @@
 class HttpTable(_HttpClient):
     """Table service over HTTP and JSON."""
 
+    #: Era that the service stated last; see `Table.era`.
+    era = 0
+
+    def _observe(self, headers: Mapping[str, str]) -> None:
+        stated = headers.get(ERA_HEADER, "")
+        if stated.isdecimal() and int(stated) != self.era:
+            log.warning("table_era_changed", extra={"from": self.era, "to": stated})
+            # The number never falls, so that neither do fencing numbers.
+            self.era = max(self.era + 1, int(stated))
+
     async def get(self, table: str, key: str) -> Row | None:
         """Return a row, or None if it does not exist."""
         body = await self._read("/v1/row", table=table, key=key)
--- a/packages/storage/src/slatehoist/storage/memory.py
+++ b/packages/storage/src/slatehoist/storage/memory.py
@@ -5,18 +5,24 @@
 from slatehoist.storage.base import Check, Instance, Row, Write
 from slatehoist.storage.exceptions import ConflictError
 
+#: Versions of one era are smaller than this.
+VERSIONS_PER_ERA = 1 << 40
+
 
 class MemoryTable:
     """Table service in memory; also used by the stand-in of the platform.
 
     Attributes
     ----------
+    era : int
+        Number of times that `restore` was called.
     reads, writes : int
         Number of ``get`` and ``scan`` calls, and of successful transactions.
     """
 
     def __init__(self) -> None:
         self._rows: dict[str, dict[str, Row]] = {}
+        self.era = 0
         self.reads = 0
         self.writes = 0
 
@@ -45,6 +51,15 @@
         for write in writes:
             self._apply(write)
 
+    def copy(self) -> dict[str, dict[str, Row]]:
+        """Return a copy of all rows, for `restore`."""
+        return {table: dict(rows) for table, rows in self._rows.items()}
+
+    def restore(self, rows: dict[str, dict[str, Row]]) -> None:
+        """Go back to a copy, in a new era."""
+        self._rows = {table: dict(copied) for table, copied in rows.items()}
+        self.era += 1
+
     def _version(self, table: str, key: str) -> int:
         row = self._rows.get(table, {}).get(key)
         return row.version if row is not None else 0
@@ -55,7 +70,8 @@
             rows.pop(write.key, None)
             return
         value: dict[str, Any] = dict(write.value)
-        version = self._version(write.table, write.key) + 1
+        previous = self._version(write.table, write.key)
+        version = max(previous, self.era * VERSIONS_PER_ERA) + 1
         rows[write.key] = Row(write.key, version, value)
 
 
--- a/standins/src/slatehoist_standins/platform.py
+++ b/standins/src/slatehoist_standins/platform.py
@@ -22,7 +22,14 @@
 
 from aiohttp import web
 
-from slatehoist.storage import Check, ConflictError, Instance, MemoryTable, Write
+from slatehoist.storage import (
+    ERA_HEADER,
+    Check,
+    ConflictError,
+    Instance,
+    MemoryTable,
+    Write,
+)
 from slatehoist_standins.faults import build_app_with_faults
 
 TABLE = web.AppKey("table", MemoryTable)
@@ -108,6 +115,11 @@
     return web.json_response({"bytes": weights["bytes"]})
 
 
+async def state_era(req: web.Request, resp: web.StreamResponse) -> None:
+    """State the table's era in a response."""
+    resp.headers[ERA_HEADER] = str(req.app[TABLE].era)
+
+
 async def get_record(req: web.Request) -> web.Response:
     """Return the numbers of reads and transactions of the table."""
     table = req.app[TABLE]
@@ -118,6 +130,7 @@
     """Build the application; rates are in bytes per second, sizes in bytes."""
     app = build_app_with_faults()
     app[TABLE] = MemoryTable()
+    app.on_response_prepare.append(state_era)
     app[OBJECTS] = {}
     app[INSTANCES] = {"lag_s": float(lag_s), "log": []}
     app[WEIGHTS] = {
