Keep a hold although the list shows the server's start late

What servers saw: up to 11 requests from each gateway, of two allowed, while they turned requests away, after they had started again under their id. Cause: a hold belonged to the start that the list showed when the server answered. The list may still show the one before; once it caught up, the hold was lost. Class: a fact is filed under an identity that is older than the fact. Now a hold belongs to the id. A departure ends with the listed start, and only when the list has certainly caught up (30 s). The soak records a notice when it is written.

--- a/packages/gateway/src/slatehoist/gateway/holds.py
+++ b/packages/gateway/src/slatehoist/gateway/holds.py
@@ -2,11 +2,16 @@
 
 An endpoint tells each gateway for itself, so holds are not shared. Unlike an ejection,
 a hold is no failure, and it holds for every endpoint of a service at once.
+
+An answer does not state when its endpoint started, and the list may still show an
+earlier start then. A hold therefore belongs to the endpoint's id. Only a departure ends
+with the listed start, and only when the list has certainly caught up.
 """
 
 import logging
 from collections import OrderedDict
 from collections.abc import Sequence
+from typing import NamedTuple
 
 from slatehoist.gateway.model import Endpoint, ReplyInfo
 from slatehoist.observe import GatewayMetrics
@@ -14,38 +19,47 @@
 
 log = logging.getLogger(__name__)
 
-#: Endpoints that are remembered as leaving. They do not come back under the same id
-#: and start time, so the number only bounds the memory.
+#: Endpoints that are remembered as leaving; the number only bounds the memory.
 _MAX_LEAVING = 4096
+#: Seconds after which the list shows the start of the process that answered.
+_START_LISTED_S = 30.0
 _UNKNOWN_END = float("inf")
 
 
+class _Departure(NamedTuple):
+    """Last answer in which an endpoint said that it leaves, and its start as listed."""
+
+    at: float
+    started_at_ms: int
+
+
 class EndpointHolds:
     """Track which endpoints get no requests from this instance, and until when."""
 
     def __init__(self, metrics: GatewayMetrics, rates: RateShares) -> None:
         self._metrics = metrics
         self._rates = rates
-        #: Endpoints that are leaving, in the order in which they said so first.
-        self._leaving: OrderedDict[str, None] = OrderedDict()
-        #: Times until which other endpoints are held.
+        #: Endpoints that are leaving, by id, in the order in which they said so first.
+        self._leaving: OrderedDict[str, _Departure] = OrderedDict()
+        #: Times until which endpoints turn requests away, by id.
         self._held_until: dict[str, float] = {}
 
     def record_reply(self, endpoint: Endpoint, info: ReplyInfo, now: float) -> None:
         """Record what the head of an endpoint's response asks for."""
-        run_id = endpoint.run_id
-        if info.leaving and run_id not in self._leaving:
-            self._leaving[run_id] = None
+        name = endpoint.endpoint_id
+        if info.leaving:
+            if name not in self._leaving:
+                self._log_start(endpoint, "leaving", None)
+            self._leaving[name] = _Departure(now, endpoint.started_at_ms)
             if len(self._leaving) > _MAX_LEAVING:
                 self._leaving.popitem(last=False)
-            self._log_start(endpoint, "leaving", None)
         self._record_rate(endpoint, info)
         if info.retry_after_s is None:
             return
         until = now + info.retry_after_s
-        current = self._held_until.get(run_id, now)
+        current = self._held_until.get(name, now)
         if until > current:
-            self._held_until[run_id] = until
+            self._held_until[name] = until
             if current <= now:
                 self._log_start(endpoint, "retry_after", info.retry_after_s)
 
@@ -54,16 +68,16 @@
         if rate is None and info.states_rate_limit:
             # The value is unusable, so the last one stays.
             return
-        if not self._rates.observe(endpoint.run_id, rate):
+        if not self._rates.observe(endpoint.endpoint_id, rate):
             return
         if rate is not None:
             self._log_start(endpoint, "rate_limit", None)
         else:
-            log.info("endpoint_hold_ended", extra={"endpoint": endpoint.run_id})
+            log.info("endpoint_hold_ended", extra={"endpoint": endpoint.endpoint_id})
 
     def record_sent(self, endpoint: Endpoint, now: float) -> None:
         """Record that a request is sent to an endpoint."""
-        self._rates.record_sent(endpoint.run_id, now)
+        self._rates.record_sent(endpoint.endpoint_id, now)
 
     def available(self, endpoints: Sequence[Endpoint], now: float) -> list[Endpoint]:
         """Return the endpoints that are not held."""
@@ -85,17 +99,21 @@
 
     def _end(self, endpoint: Endpoint, now: float) -> float:
         """Return the time from which an endpoint takes requests; `now` if it does."""
-        run_id = endpoint.run_id
-        if run_id in self._leaving:
+        name = endpoint.endpoint_id
+        departure = self._leaving.get(name)
+        if departure is not None and (
+            departure.started_at_ms == endpoint.started_at_ms
+            or now < departure.at + _START_LISTED_S
+        ):
             return _UNKNOWN_END
-        free_at = self._rates.free_at(run_id, now)
-        return max(self._held_until.get(run_id, now), free_at)
+        free_at = self._rates.free_at(name, now)
+        return max(self._held_until.get(name, now), free_at)
 
     def _drop_ended(self, now: float) -> None:
-        ended = [run_id for run_id, until in self._held_until.items() if until <= now]
-        for run_id in ended:
-            del self._held_until[run_id]
-            log.info("endpoint_hold_ended", extra={"endpoint": run_id})
+        ended = [name for name, until in self._held_until.items() if until <= now]
+        for name in ended:
+            del self._held_until[name]
+            log.info("endpoint_hold_ended", extra={"endpoint": name})
 
     def _log_start(
         self, endpoint: Endpoint, reason: str, seconds: float | None
@@ -104,7 +122,8 @@
         log.info(
             "endpoint_held",
             extra={
-                "endpoint": endpoint.run_id,
+                "endpoint": endpoint.endpoint_id,
+                "started_at_ms": endpoint.started_at_ms,
                 "address": endpoint.address,
                 "reason": reason,
                 "for_s": seconds,
--- a/packages/gateway/tests/test_gateway_holds.py
+++ b/packages/gateway/tests/test_gateway_holds.py
@@ -81,9 +81,24 @@
         world = self.make_world(reply)
         await world.call()
         restarted = [make_endpoint(n, started_at_ms=5) for n in ("e1", "e2")]
+        world.now += 31.0
         world.directory.update(restarted, world.now)
         self.assertEqual(len(await self.call_and_count(world, 12)), 2)
 
+    # Guards against a hold that is lost, since the list showed an earlier start of the
+    # server when that answered.
+    async def test_start_that_is_listed_late_does_not_end_the_hold(self):
+        for headers, status in ((LEAVING, 200), (TURNED_AWAY, 503)):
+            with self.subTest(headers=headers):
+                reply = ScriptedReply(b"", "length", status=status, headers=headers)
+                world = self.make_world(reply, max_attempts=1)
+                await world.call()
+                held = world.upstream.requests[0].address
+                world.now += 0.8
+                started = [make_endpoint(n, started_at_ms=5) for n in ("e1", "e2")]
+                world.directory.update(started, world.now)
+                self.assertNotIn(held, await self.call_and_count(world, 8))
+
     async def test_request_is_refused_at_once_if_all_endpoints_leave(self):
         world = self.make_world()
         for _ in range(2):
--- a/standins/src/slatehoist_standins/deployment_server.py
+++ b/standins/src/slatehoist_standins/deployment_server.py
@@ -212,7 +212,7 @@
             writer.write(b"this is no answer\r\n\r\n")
             return False
         if behaviour == "shed" or self.turns_away_for_s:
-            writer.write(self._make_refusal())
+            writer.write(self._make_refusal(arrival))
             return True
         if "text/event-stream" in arrival.headers.get("Accept", ""):
             return await self._send_stream(arrival, behaviour, reader, writer)
@@ -225,13 +225,14 @@
         writer.close()
         return False
 
-    def _make_refusal(self) -> bytes:
+    def _make_refusal(self, arrival: Arrival) -> bytes:
         lines = ["HTTP/1.1 503 Service Unavailable", "Not-Run: 1", "Content-Length: 0"]
         if self.turns_away_for_s:
             lines.append(f"Retry-After: {self.turns_away_for_s:g}")
-        return "\r\n".join([*lines, *self._notices(), "", ""]).encode()
+        return "\r\n".join([*lines, *self._notices(arrival), "", ""]).encode()
 
-    def _notices(self) -> list[str]:
+    def _notices(self, arrival: Arrival) -> list[str]:
+        """Return the header lines that ask for no requests, or fewer."""
         lines = ["Server-Leaving: 1"] if self.leaving else []
         if self.rate_limit is not None:
             lines.append(f"Server-Limit: {self.rate_limit:g}")
@@ -245,7 +246,7 @@
             f"HTTP/1.1 {status} X",
             f"Request-Id: {request_id}",
             "Server-Load: 1,0,6",
-            *self._notices(),
+            *self._notices(arrival),
         ]
         if behaviour != "no_proof":
             lines.append(f"Server-Stamp: proof-of-{self.server_id}")
--- a/tools/soak/servers.py
+++ b/tools/soak/servers.py
@@ -148,12 +148,7 @@
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
     ) -> bool:
-        request_id, now = arrival.headers["Request-Id"], time.monotonic()
-        self.arrived.append((request_id, now))
-        if self.turns_away_for_s:
-            self.notices.append(Notice(request_id, now, self.turns_away_for_s))
-        if self.leaving:
-            self.notices.append(Notice(request_id, now, float("inf")))
+        self.arrived.append((arrival.headers["Request-Id"], time.monotonic()))
         expected = arrival.headers.get("Expect-Instance")
         if CRASH_MARKER not in arrival.body or expected != self.server_id:
             return await super()._respond(arrival, reader, writer)
@@ -171,6 +166,20 @@
             await asyncio.sleep(HANG_S)
         return False
 
+    def _make_refusal(self, arrival: Arrival) -> bytes:
+        if self.turns_away_for_s:
+            self._record_notice(arrival, self.turns_away_for_s)
+        return super()._make_refusal(arrival)
+
+    def _notices(self, arrival: Arrival) -> list[str]:
+        if self.leaving:
+            self._record_notice(arrival, float("inf"))
+        return super()._notices(arrival)
+
+    def _record_notice(self, arrival: Arrival, for_s: float) -> None:
+        request_id = arrival.headers["Request-Id"]
+        self.notices.append(Notice(request_id, time.monotonic(), for_s))
+
     def _next_behaviour(self) -> str:
         return self.draw_behaviour()
 
