--- a/packages/daemon/tests/raw_server.py
+++ b/packages/daemon/tests/raw_server.py
@@ -1,4 +1,4 @@
-"""HTTP server on loopback that sends given bytes and ends the connection as told."""
+"""HTTP server on loopback that sends given bytes, then closes or resets connections."""
 
 import asyncio
 import socket
--- a/tests/recorded_caller.py
+++ b/tests/recorded_caller.py
@@ -51,7 +51,7 @@
         return bool(self.ending)
 
     def lose(self) -> None:
-        """Lose the connection; as in asyncio, the protocol is told later."""
+        """Lose the connection; like asyncio, do not call the protocol at once."""
         self.ending = "lost"
 
     def close(self) -> None:
