--- a/packages/gateway/src/slatehoist/gateway/forwarding.py
+++ b/packages/gateway/src/slatehoist/gateway/forwarding.py
@@ -283,6 +283,7 @@
             "own_inflight": record.inflight,
             "pace": record.pace,
             "list_age_ms": milliseconds(now - (self._directory.updated_at or now)),
+            **self._holds.rate_log_fields(endpoint, now),
         }
 
     def _candidate(self, endpoint: Endpoint, now: float) -> Candidate:
--- a/packages/gateway/src/slatehoist/gateway/holds.py
+++ b/packages/gateway/src/slatehoist/gateway/holds.py
@@ -71,14 +71,26 @@
         if not self._rates.observe(endpoint.endpoint_id, rate):
             return
         if rate is not None:
-            self._log_start(endpoint, "rate_limit", None)
+            self._log_start(endpoint, "rate_limit", None, rate)
         else:
-            log.info("endpoint_hold_ended", extra={"endpoint": endpoint.endpoint_id})
+            _log_end(endpoint.endpoint_id, "rate_limit")
 
     def record_sent(self, endpoint: Endpoint, now: float) -> None:
         """Record that a request is sent to an endpoint."""
         self._rates.record_sent(endpoint.endpoint_id, now)
 
+    def rate_log_fields(self, endpoint: Endpoint, now: float) -> dict[str, object]:
+        """Return the use of an endpoint's stated rate as log fields."""
+        use = self._rates.use(endpoint.endpoint_id, now)
+        if use is None:
+            return {}
+        return {
+            "rate": use.rate,
+            "rate_allowed": use.allowed,
+            "rate_sent": use.sent,
+            "rate_instances": use.instances,
+        }
+
     def available(self, endpoints: Sequence[Endpoint], now: float) -> list[Endpoint]:
         """Return the endpoints that are not held."""
         self._drop_ended(now)
@@ -113,10 +125,14 @@
         ended = [name for name, until in self._held_until.items() if until <= now]
         for name in ended:
             del self._held_until[name]
-            log.info("endpoint_hold_ended", extra={"endpoint": name})
+            _log_end(name, "retry_after")
 
     def _log_start(
-        self, endpoint: Endpoint, reason: str, seconds: float | None
+        self,
+        endpoint: Endpoint,
+        reason: str,
+        seconds: float | None,
+        rate: float | None = None,
     ) -> None:
         self._metrics.endpoint_holds.labels(reason).inc()
         log.info(
@@ -127,5 +143,10 @@
                 "address": endpoint.address,
                 "reason": reason,
                 "for_s": seconds,
+                "rate": rate,
             },
         )
+
+
+def _log_end(endpoint_id: str, reason: str) -> None:
+    log.info("endpoint_hold_ended", extra={"endpoint": endpoint_id, "reason": reason})
--- a/packages/routing/src/slatehoist/routing/__init__.py
+++ b/packages/routing/src/slatehoist/routing/__init__.py
@@ -12,7 +12,7 @@
     TokenBucket,
     home_entry,
 )
-from slatehoist.routing.rates import RateShares
+from slatehoist.routing.rates import RateShares, RateUse
 from slatehoist.routing.retries import (
     AllowanceShare,
     Membership,
@@ -53,6 +53,7 @@
     "QuotaHome",
     "QuotaShare",
     "RateShares",
+    "RateUse",
     "RetryBudget",
     "SharedRetryBudget",
     "SuspectStatus",
--- a/packages/routing/src/slatehoist/routing/rates.py
+++ b/packages/routing/src/slatehoist/routing/rates.py
@@ -10,6 +10,7 @@
 import math
 from collections import deque
 from collections.abc import Sequence
+from typing import NamedTuple
 
 from slatehoist.routing.hashing import rendezvous_weight
 from slatehoist.routing.retries import ASSUMED_INSTANCES
@@ -24,6 +25,26 @@
 _MIN_WINDOW_RATE = 1 / WINDOW_S
 
 
+class RateUse(NamedTuple):
+    """Use of a share of a stated rate.
+
+    Attributes
+    ----------
+    rate : float
+        Requests per second that the endpoint takes from all instances together.
+    allowed, sent : int
+        Requests that this instance may send in a window, and those that it sent in the
+        current one.
+    instances : int
+        Instances that share the rate, as this one knows them.
+    """
+
+    rate: float
+    allowed: int
+    sent: int
+    instances: int
+
+
 class RateShares:
     """Keep the requests of this instance to its shares of the endpoints' rates.
 
@@ -73,6 +94,15 @@
         if endpoint in self._rates:
             self._sent.setdefault(endpoint, deque()).append(now)
 
+    def use(self, endpoint: str, now: float) -> RateUse | None:
+        """Return the use of the share of an endpoint's rate; None without a rate."""
+        rate = self._rates.get(endpoint)
+        if rate is None:
+            return None
+        allowed = self._share(endpoint, max(1, int(rate * WINDOW_S)), now)
+        sent = sum(now - at < WINDOW_S for at in self._sent.get(endpoint, ()))
+        return RateUse(rate, allowed, sent, len(self._members))
+
     def free_at(self, endpoint: str, now: float) -> float:
         """Return the earliest time at which the share allows another request.
 
