Send trials to an endpoint of whose stated rate this instance has no share

What callers saw: nothing from the endpoint, at gateways without a share, also long after the rate had ended; at all gateways if the rate was 0.

Cause: only answers tell that a rate has ended, and an instance without a share sent nothing that could be answered.

Change: instances without a share send trials, in turns by rank: one in 8 to 30 s of all together, depending on the rate. A turn that is not used within 2 s is lost, so that trials do not add up in a burst.

--- a/packages/routing/src/slatehoist/routing/rates.py
+++ b/packages/routing/src/slatehoist/routing/rates.py
@@ -28,6 +28,16 @@
 BURST_RATIO = 0.3
 #: Lowest rate in requests per second for which a window of `WINDOW_S` allows a request.
 _MIN_WINDOW_RATE = 1 / WINDOW_S
+#: Rate in requests per second below which the time between two requests is that of this
+#: rate; it bounds the record of the requests sent.
+_MIN_RATE = 1e-3
+#: Seconds between the trials of all instances without a share: at least, at most, and
+#: otherwise the time in which the rate allows one request. A trial is a request whose
+#: answer shows whether the rate still holds.
+MIN_TRIAL_S = 8.0
+MAX_TRIAL_S = 30.0
+#: Seconds from the begin of an instance's turn in which it may send its trial.
+TRIAL_OPEN_S = 2.0
 #: Endpoints that are remembered as having stated a rate; only bounds the memory.
 _MAX_ENDPOINTS = 4096
 
@@ -40,6 +50,8 @@
     rate : float or None
         None if the endpoint states none any more. The requests are kept, as it may
         state one again within the window.
+    since : float
+        Time at which the endpoint began to state a rate.
     stated_at : float
         Time at which the last answer with any rate arrived.
     rate_at : float
@@ -49,16 +61,27 @@
         `stated_at`; None if there was none.
     """
 
-    __slots__ = ("lacked_at", "rate", "rate_at", "sent", "stated_at")
+    __slots__ = (
+        "lacked_at",
+        "last_sent_at",
+        "rate",
+        "rate_at",
+        "sent",
+        "since",
+        "stated_at",
+    )
 
     def __init__(self) -> None:
         self.rate: float | None = None
         self.sent: deque[float] = deque()
-        self.stated_at = self.rate_at = float("-inf")
+        self.last_sent_at = float("-inf")
+        self.since = self.stated_at = self.rate_at = float("-inf")
         self.lacked_at: float | None = None
 
     def observe(self, rate: float, sent_at: float, now: float) -> None:
         """Record an answer with a rate."""
+        if self.rate is None:
+            self.since = now
         if self.rate is None or rate <= self.rate or sent_at >= self.rate_at:
             self.rate, self.rate_at = rate, now
         self.stated_at = now
@@ -155,6 +178,7 @@
         if stated is None:
             return
         stated.sent.append(now)
+        stated.last_sent_at = now
         if stated.rate is None:
             _drop_before(stated.sent, now - WINDOW_S)
 
@@ -170,20 +194,19 @@
     def free_at(self, endpoint: str, now: float) -> float:
         """Return the earliest time at which the share allows another request.
 
-        The result is `now` if it is allowed at once, and infinite if this instance has
-        no share as long as the rate and the instances stay the same.
+        The result is `now` if it is allowed at once. An instance without a share may
+        send trials; without them it would never learn that the rate has ended.
         """
         stated = self._stated.get(endpoint)
         if stated is None or stated.rate is None:
             return now
         rate, sent = stated.rate, stated.sent
-        if rate <= 0.0:
-            return float("inf")
-        window_s = WINDOW_S if rate >= _MIN_WINDOW_RATE else 1 / rate
-        allowed = self._share(endpoint, max(1, int(rate * window_s)), now)
-        _drop_before(sent, now - window_s)
+        window_s = WINDOW_S if rate >= _MIN_WINDOW_RATE else 1 / max(rate, _MIN_RATE)
+        _drop_before(sent, now - max(window_s, WINDOW_S))
+        requests = max(1, int(rate * window_s)) if rate > 0.0 else 0
+        allowed = self._share(endpoint, requests, now)
         if not allowed:
-            return float("inf")
+            return self._trial_at(endpoint, stated, now)
         burst = math.ceil(allowed * BURST_RATIO)
         free_at = now
         for count, length_s in ((allowed, window_s), (burst, BURST_S)):
@@ -191,15 +214,48 @@
                 free_at = max(free_at, sent[-count] + length_s)
         return free_at
 
+    def _trial_at(self, endpoint: str, stated: _StatedRate, now: float) -> float:
+        """Return the time of the next trial; `now` if one is due.
+
+        The trials of all instances follow each other in turns of a common length, in
+        the order of their ranks. An instance that has nothing to send in its turn waits
+        for the next one, so that trials do not add up. An answer without a rate may be
+        followed at once by the request that confirms its end.
+        """
+        sent_at = stated.last_sent_at
+        if stated.lacked_at is not None and sent_at < stated.lacked_at:
+            return now
+        turn_s = 1 / max(stated.rate, _MIN_RATE)
+        turn_s = min(max(turn_s, MIN_TRIAL_S), MAX_TRIAL_S)
+        period_s = turn_s * self._assumed_instances()
+        first_at = stated.since + turn_s * (self._rank(endpoint) + 1)
+        if now < first_at:
+            return first_at
+        began_at = first_at + (now - first_at) // period_s * period_s
+        if sent_at < began_at and now < began_at + TRIAL_OPEN_S:
+            return now
+        return began_at + period_s
+
+    def _assumed_instances(self) -> int:
+        """Return the number of instances, or more if it may not be known yet."""
+        if self._instance in self._members:
+            return len(self._members)
+        return max(ASSUMED_INSTANCES, len(self._members))
+
+    def _rank(self, endpoint: str) -> int:
+        """Return the position of this instance among those that share a rate."""
+        own = rendezvous_weight(endpoint, self._instance)
+        if self._instance not in self._members:
+            return own % self._assumed_instances()
+        return sum(rendezvous_weight(endpoint, m) > own for m in self._members)
+
     def _share(self, endpoint: str, requests: int, now: float) -> int:
         """Return this instance's share of the requests that a window allows."""
         if now < self._full_from or self._instance not in self._members:
             # Other instances may not count this one yet.
             return requests // max(ASSUMED_INSTANCES, len(self._members))
-        own = rendezvous_weight(endpoint, self._instance)
-        rank = sum(rendezvous_weight(endpoint, m) > own for m in self._members)
         share, rest = divmod(requests, len(self._members))
-        return share + (rank < rest)
+        return share + (self._rank(endpoint) < rest)
 
 
 def _drop_before(times: deque[float], earliest: float) -> None:
