Send callers to another gateway if only this one's shares are used

What callers saw: 503 with a Retry-After of 1 s and more, up to the whole wait, and an open connection to the same gateway, although other gateways could have sent their requests at once.

Cause: a used share was taken for a hold of the endpoint, which holds for all gateways. The test failed before: no Connection: close.

--- a/packages/gateway/src/slatehoist/gateway/exchange.py
+++ b/packages/gateway/src/slatehoist/gateway/exchange.py
@@ -6,6 +6,7 @@
 import xxhash
 from aiohttp import web
 
+from slatehoist.gateway.holds import Hold
 from slatehoist.gateway.model import Kind, RequestInfo, Route, Service
 from slatehoist.http import Framing, RelayedResponse
 
@@ -100,8 +101,8 @@
         self.may_have_run = False
         #: True if the request was refused because no group of its service is open.
         self.group_closed = False
-        #: Seconds until an endpoint takes requests again, if all asked for none.
-        self.held_for_s = 0.0
+        #: Hold of all endpoints of the service, if there is one.
+        self.hold: Hold | None = None
         #: Seconds for which the request is refused because it crashed endpoints.
         self.blocked_for_s = 0.0
         #: Time at which the current attempt was sent.
--- a/packages/gateway/src/slatehoist/gateway/forwarding.py
+++ b/packages/gateway/src/slatehoist/gateway/forwarding.py
@@ -261,7 +261,7 @@
         untried = [e for e in listed if e.endpoint_id not in exchange.tried]
         open_endpoints = self._holds.available(untried, now)
         if not open_endpoints:
-            exchange.held_for_s = self._holds.held_for_s(listed, now)
+            exchange.hold = self._holds.find_hold(listed, now)
             return None
         endpoints = self._health.available(open_endpoints, now)
         candidates = [self._candidate(endpoint, now) for endpoint in endpoints]
--- a/packages/gateway/src/slatehoist/gateway/gateway.py
+++ b/packages/gateway/src/slatehoist/gateway/gateway.py
@@ -10,6 +10,7 @@
 from slatehoist.gateway.codec import HeaderCodec
 from slatehoist.gateway.exchange import CallerLeftError, Exchange
 from slatehoist.gateway.forwarding import Forwarder
+from slatehoist.gateway.holds import Hold
 from slatehoist.gateway.model import Kind, RequestInfo, Route
 from slatehoist.gateway.settings import STALE_LOOKUP_S
 from slatehoist.observe import GatewayMetrics, milliseconds
@@ -220,13 +221,20 @@
             raise RefusalError(503, reason, exchange.blocked_for_s, hopeless=True)
         if exchange.group_closed:
             raise RefusalError(503, "the group of endpoints is forming", _GROUP_WAIT_S)
-        if exchange.held_for_s:
-            # Callers must not all return at the moment at which the hold ends.
-            wait_s = retry_after_s(exchange.held_for_s, self._rng)
-            reason = "all endpoints asked for no requests"
-            raise RefusalError(503, reason, wait_s, hopeless=True)
+        if exchange.hold is not None:
+            raise self._refuse_held(exchange.hold)
         raise RefusalError(503, "no endpoint took the request", _ENDPOINT_WAIT_S)
 
+    def _refuse_held(self, hold: Hold) -> RefusalError:
+        """Return the refusal of a request whose endpoints are all held."""
+        if hold.by_share:
+            reason = "this instance's shares of the endpoints' rates are used"
+            return RefusalError(503, reason, hold.for_s, use_other_instance=True)
+        # Callers must not all return at the moment at which the hold ends.
+        wait_s = retry_after_s(hold.for_s, self._rng)
+        reason = "all endpoints asked for no requests"
+        return RefusalError(503, reason, wait_s, hopeless=True)
+
     def _log_failed_request(self, exchange: Exchange, event: str, now: float) -> None:
         log.warning(
             event,
--- a/packages/gateway/src/slatehoist/gateway/holds.py
+++ b/packages/gateway/src/slatehoist/gateway/holds.py
@@ -33,6 +33,22 @@
     started_at_ms: int
 
 
+class Hold(NamedTuple):
+    """Hold of all endpoints of a service.
+
+    Attributes
+    ----------
+    for_s : float
+        Expected seconds until a request can be accepted.
+    by_share : bool
+        True if some endpoint takes requests, but this instance's share of its stated
+        rate is used, so that another instance may serve the caller.
+    """
+
+    for_s: float
+    by_share: bool
+
+
 class EndpointHolds:
     """Track which endpoints get no requests from this instance, and until when."""
 
@@ -108,19 +124,31 @@
             return list(endpoints)
         return [e for e in endpoints if self._end(e, now) <= now]
 
-    def held_for_s(self, endpoints: Sequence[Endpoint], now: float) -> float:
-        """Return the seconds until the first hold ends; 0 if not all are held.
+    def find_hold(self, endpoints: Sequence[Endpoint], now: float) -> Hold | None:
+        """Return the hold of a service's endpoints; None unless all are held.
 
-        The result is also 0 if no hold has a known end: endpoints that are leaving
-        never take requests again, and a low rate may leave no share for this instance.
+        The result is also None if no hold has a known end: endpoints that are leaving
+        never take requests again.
         """
         self._drop_ended(now)
-        ends = [self._end(endpoint, now) for endpoint in endpoints]
-        first = min(ends, default=now)
-        return 0.0 if first == _UNKNOWN_END else max(0.0, first - now)
+        first = min((self._end(e, now) for e in endpoints), default=now)
+        if first <= now or first == _UNKNOWN_END:
+            return None
+        limited = [e for e in endpoints if self._asked_end(e, now) <= now]
+        if not limited:
+            return Hold(first - now, by_share=False)
+        uses = [self._rates.use(e.endpoint_id, now) for e in limited]
+        total_rate = sum(use.rate for use in uses if use is not None)
+        next_s = 1 / total_rate if total_rate > 0.0 else first - now
+        return Hold(min(next_s, first - now), by_share=True)
 
     def _end(self, endpoint: Endpoint, now: float) -> float:
         """Return the time from which an endpoint takes requests; `now` if it does."""
+        free_at = self._rates.free_at(endpoint.endpoint_id, now)
+        return max(self._asked_end(endpoint, now), free_at)
+
+    def _asked_end(self, endpoint: Endpoint, now: float) -> float:
+        """Return the time until which an endpoint asked for no requests, or `now`."""
         name = endpoint.endpoint_id
         departure = self._leaving.get(name)
         if departure is not None and (
@@ -128,8 +156,7 @@
             or now < departure.at + _START_LISTED_S
         ):
             return _UNKNOWN_END
-        free_at = self._rates.free_at(name, now)
-        return max(self._held_until.get(name, now), free_at)
+        return max(self._held_until.get(name, now), now)
 
     def _drop_ended(self, now: float) -> None:
         ended = [name for name, until in self._held_until.items() if until <= now]
--- a/packages/gateway/tests/test_gateway_holds.py
+++ b/packages/gateway/tests/test_gateway_holds.py
@@ -205,6 +205,19 @@
         counts = await self.call_and_count(world, 3, Rate="8")
         self.assertEqual(counts, {second.address: 3})
 
+    # Guards against a caller that is told to wait although other gateways have shares
+    # left, and against connections that keep it at this gateway.
+    async def test_caller_beyond_the_share_is_sent_to_another_gateway_at_once(self):
+        world = self.make_limited_world("2")
+        await world.call()
+        await self.call_and_count(world, 1, Rate="2")
+        answer = await world.call(keep_alive=True)
+        self.assertTrue(answer.head.startswith("HTTP/1.1 503"), answer.head)
+        self.assertIn("Connection: close", answer.head)
+        delay_s = float(answer.head.partition("Retry-After: ")[2].split("\r\n")[0])
+        # All gateways together may send a request each 0.5 s; half of it is jitter.
+        self.assertLessEqual(delay_s, 0.75)
+
     async def test_limit_ends_when_answers_do_not_state_it(self):
         world = self.make_limited_world("8")
         await world.call()
