Let a gateway join only when its row is written

What callers saw: an endpoint that takes 20 requests a second got 226 in 4 s (allowed 125) from gateways that registered in turn after the store had refused writes; the same counts divide the retry allowance.

Cause: a gateway took the time of its first read for the time from which the others could count it. While writes were refused nobody could, and the bound for new instances had passed when they were accepted again.

--- a/packages/gateway/src/slatehoist/gateway/registry.py
+++ b/packages/gateway/src/slatehoist/gateway/registry.py
@@ -43,6 +43,9 @@
         self._on_count = on_count
         self._clock = clock
         self._started_at = clock()
+        #: True once it is known whether the store has a row of this instance.
+        self._own_row_read = False
+        #: Time of the write of this instance's first row; None before that.
         self._joined_at: float | None = None
         self._previous_start = float("-inf")
         self._renewals = 0
@@ -63,7 +66,7 @@
 
     async def refresh(self) -> None:
         """Renew this instance's row if that is due, and count all rows."""
-        if self._joined_at is None:
+        if not self._own_row_read:
             await self._read_own_row()
         await self._renew_own_row()
         await self._count_instances()
@@ -71,29 +74,31 @@
     async def _read_own_row(self) -> None:
         """Read when this instance joined and when its previous process started."""
         row = await self._table.get(GATEWAYS, self._instance)
+        self._own_row_read = True
         value = {} if row is None else row.value
         started_at = value.get("started_at", float("inf"))
         # The clock restarts at boot: a start time later than that of this process was
         # written before the last boot. In that case, and if there is no row, the
-        # instance joins now.
-        if started_at > self._started_at:
-            self._joined_at = self._clock()
-            return
-        self._joined_at = value["joined_at"]
-        self._previous_start = started_at
+        # instance joins with its first write.
+        if started_at <= self._started_at:
+            self._joined_at = value["joined_at"]
+            self._previous_start = started_at
 
     async def _renew_own_row(self) -> None:
         now = self._clock()
         if now - self._renewed_at < REGISTRY_RENEWAL_S:
             return
         self._renewals += 1
+        # The others cannot count this instance before a write has succeeded.
+        joined_at = now if self._joined_at is None else self._joined_at
         value = {
             "renewals": self._renewals,
-            "joined_at": self._joined_at,
+            "joined_at": joined_at,
             "started_at": self._started_at,
         }
         row = Write(GATEWAYS, self._instance, value)
         await self._table.transact([], [row])
+        self._joined_at = joined_at
         self._renewed_at = now
 
     async def _count_instances(self) -> None:
