Take a whole share of a rate only after a count that is not the first

What callers saw: an endpoint that takes 20 requests a second got 146 in 4 s (allowed 125). One gateway had lost the store just after its first count, in which it was alone, and took the whole rate.

Cause: the bound for new instances looked at the time since the instance joined, not at the time of the count that its share was computed from.

The new test fails without this change.

--- a/packages/gateway/src/slatehoist/gateway/forwarding.py
+++ b/packages/gateway/src/slatehoist/gateway/forwarding.py
@@ -111,8 +111,9 @@
 
     def record_membership(self, membership: Membership) -> None:
         """Record the instances that share the retry allowance and endpoints' rates."""
-        self._allowance_share.record_membership(membership, self._clock())
-        self._rates.set_members(membership.names, membership.joined_at)
+        now = self._clock()
+        self._allowance_share.record_membership(membership, now)
+        self._rates.set_members(membership.names, membership.joined_at, now)
 
     async def forward(self, exchange: Exchange) -> web.StreamResponse | None:
         """Send the request until an endpoint answers it or no attempt is allowed.
--- a/packages/gateway/tests/rate_world.py
+++ b/packages/gateway/tests/rate_world.py
@@ -22,7 +22,7 @@
 )
 from slatehoist.observe import GatewayMetrics
 from slatehoist.routing import Membership, RateShares
-from slatehoist.storage import Check, StoreDownError, Write
+from slatehoist.storage import Check, Row, StoreDownError, Write
 
 #: Seconds of one step of the simulation.
 STEP_S = 0.05
@@ -61,15 +61,28 @@
     info: ReplyInfo
 
 
-class _RefusingTable:
-    """Table that refuses writes while the store of a `RateWorld` does."""
+class _GatewaysTable:
+    """Table as a gateway reaches it, or not."""
 
     def __init__(self, table: SharedTable, world: "RateWorld") -> None:
+        self.is_cut = False
         self._world = world
         self._table = table
-        self.get, self.scan = table.get, table.scan
+
+    def _check_path(self) -> None:
+        if self.is_cut:
+            raise StoreDownError("the store is out of reach")
+
+    async def get(self, table: str, key: str) -> Row | None:
+        self._check_path()
+        return await self._table.get(table, key)
+
+    async def scan(self, table: str) -> list[Row]:
+        self._check_path()
+        return await self._table.scan(table)
 
     async def transact(self, checks: list[Check], writes: list[Write]) -> None:
+        self._check_path()
         if self._world.refuses_writes:
             raise StoreDownError("too many writes")
         await self._table.transact(checks, writes)
@@ -87,14 +100,17 @@
         self._world = world
         self._shares = RateShares(name, REGISTRY_PROPAGATION_S)
         self.holds = EndpointHolds(GatewayMetrics(), self._shares)
-        self._registry = InstanceRegistry(
-            _RefusingTable(table, world), name, self._count, world.clock
-        )
+        self.table = _GatewaysTable(table, world)
+        self._registry = InstanceRegistry(self.table, name, self._count, world.clock)
         self._next_poll = world.now
         self._answers: list[_Answer] = []
+        #: True if the last answer that was made for this gateway lacks the rate.
+        self.lacked_rate = False
 
     def _count(self, membership: Membership) -> None:
-        self._shares.set_members(membership.names, membership.joined_at)
+        self._shares.set_members(
+            membership.names, membership.joined_at, self._world.now
+        )
 
     async def step(self, offered: float) -> None:
         """Process the answers that arrived, poll the registry, and send requests."""
@@ -115,7 +131,7 @@
             if self.holds.available([self._world.endpoint], now):
                 self.holds.record_sent(self._world.endpoint, now)
                 self.sent_at.append(now)
-                self._answers.append(self._world.make_answer(now))
+                self._answers.append(self._world.make_answer(self, now))
 
     async def _poll(self, now: float) -> None:
         if now < self._next_poll:
@@ -137,7 +153,7 @@
     late_s : float
         Longest time in seconds that an answer travels.
     missing : float
-        Fraction of the answers that lack the rate; never two in a row.
+        Fraction of a gateway's answers that lack the rate; never two in a row.
     offered : float
         Requests per second that callers send to each gateway.
     seed : int
@@ -165,7 +181,6 @@
         self.events: deque[tuple[float, object]] = deque()
         self._late_s = late_s
         self._missing = missing
-        self._lacked_rate = False
         self._offered = offered
         for _ in range(gateways):
             self.add_gateway()
@@ -191,13 +206,15 @@
         """Return what the endpoint states at a time."""
         return next((s for s in self.statements if s.start <= at < s.end), None)
 
-    def make_answer(self, sent_at: float) -> _Answer:
-        """Return the answer to a request that is sent now."""
+    def make_answer(self, gateway: RateGateway, sent_at: float) -> _Answer:
+        """Return the answer to a request that a gateway sends now."""
         made_at = sent_at + SERVICE_S
         statement = self.statement(made_at)
         rate = None if statement is None else statement.rate
-        self._lacked_rate = not self._lacked_rate and self.rng.random() < self._missing
-        if self._lacked_rate:
+        gateway.lacked_rate = (
+            not gateway.lacked_rate and self.rng.random() < self._missing
+        )
+        if gateway.lacked_rate:
             rate = None
         info = ReplyInfo(
             "id",
@@ -266,3 +283,47 @@
             gateway.name: sum(start <= at < end for at in gateway.sent_at)
             for gateway in self.gateways
         }
+
+
+def make_random_world(seed: int) -> RateWorld:
+    """Return a world for 120 s with random statements, answers, gateways and faults."""
+    rng = random.Random(seed)
+    statements, now = [], 15.0
+    while now < 100.0:
+        length_s = rng.uniform(2.0, 40.0)
+        rate = rng.choice([0.0, 0.1, 0.5, 1.0, 3.0, 8.0, 20.0])
+        statements.append(Statement(rate, now, now + length_s))
+        now += length_s + rng.choice([0.3, 1.0, 5.0, 15.0])
+    late_s = rng.choice([0.05, 0.5, 2.0, 6.0])
+    world = RateWorld(
+        rng.choice([1, 2, 4, 5, 14, 30]),
+        *statements,
+        late_s=late_s,
+        # An answer that lacks the rate and is late would hide the one before it.
+        missing=rng.choice([0.0, 0.05, 0.2]) if late_s <= 0.5 else 0.0,
+        offered=rng.choice([0.5, 3.0, 20.0]),
+        seed=rng.getrandbits(32),
+    )
+    copy = world.table.copy()
+    events = [world.add_gateway for _ in range(rng.randint(0, 3))]
+    events += [
+        lambda g=gateway: setattr(g, "is_up", False)
+        for gateway in rng.sample(world.gateways, len(world.gateways) // 4)
+    ]
+    for gateway in rng.sample(world.gateways, len(world.gateways) // 4):
+        events += [
+            lambda g=gateway, is_cut=is_cut: setattr(g.table, "is_cut", is_cut)
+            for is_cut in (True, False)
+        ]
+    events += [
+        lambda: world.refuse_writes(True),
+        lambda: world.refuse_writes(False),
+        lambda: world.table.restore(copy),
+    ]
+    for at, event in zip(
+        sorted(rng.uniform(0.0, 110.0) for _ in events),
+        rng.sample(events, len(events)),
+        strict=True,
+    ):
+        world.at(at, event)
+    return world
--- a/packages/gateway/tests/test_gateway_rates.py
+++ b/packages/gateway/tests/test_gateway_rates.py
@@ -3,7 +3,7 @@
 import logging
 import unittest
 
-from rate_world import RateWorld, Statement
+from rate_world import RateWorld, Statement, make_random_world
 
 
 def setUpModule():
@@ -71,6 +71,37 @@
         world.at(40.0, lambda: world.table.restore(empty))
         await self.check_rate_is_kept(world)
 
+    # Guards against a gateway that takes the whole rate, since it lost the store just
+    # after it had counted itself alone.
+    async def test_rate_is_kept_if_a_gateway_loses_the_store_after_its_first_count(
+        self,
+    ):
+        world = RateWorld(4, Statement(20.0, 15.0), offered=40.0)
+        gateway = world.gateways[0]
+        world.at(1.0, lambda: setattr(gateway.table, "is_cut", True))
+        await self.check_rate_is_kept(world)
+
+    # Guards against shares of more than the rate: the store came back without the rows
+    # of gateways that had joined just before, and that the others had not counted yet.
+    async def test_rate_is_kept_if_the_store_loses_the_rows_of_new_gateways(self):
+        world = RateWorld(8, Statement(20.0, 15.0), offered=40.0)
+        empty = world.table.copy()
+        world.at(1.0, lambda: world.table.restore(empty))
+        await self.check_rate_is_kept(world)
+
+    # Guards against the same after a long cut: the others had removed the rows of the
+    # gateways that were cut off, and those took their full shares at once.
+    async def test_rate_is_kept_if_gateways_return_after_a_long_cut(self):
+        world = RateWorld(8, Statement(20.0, 20.0), offered=40.0)
+
+        def cut(is_cut: bool) -> None:
+            for gateway in world.gateways[:4]:
+                gateway.table.is_cut = is_cut
+
+        world.at(30.0, lambda: cut(True))
+        world.at(330.0, lambda: cut(False))
+        await self.check_rate_is_kept(world, until=360.0)
+
     async def test_rate_is_kept_if_gateways_join_and_end(self):
         world = RateWorld(4, Statement(20.0, 20.0), offered=40.0)
         for number in range(4):
@@ -81,5 +112,12 @@
         await self.check_rate_is_kept(world, until=80.0)
 
 
+class RandomTests(RateTestCase):
+    async def test_rate_is_kept_under_random_events(self):
+        for seed in range(1, 13):
+            with self.subTest(seed=seed):
+                await self.check_rate_is_kept(make_random_world(seed), until=120.0)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/packages/routing/src/slatehoist/routing/rates.py
+++ b/packages/routing/src/slatehoist/routing/rates.py
@@ -38,6 +38,7 @@
 MAX_TRIAL_S = 30.0
 #: Seconds from the begin of an instance's turn in which it may send its trial.
 TRIAL_OPEN_S = 2.0
+_NEVER = float("inf")
 #: Endpoints that are remembered as having stated a rate; only bounds the memory.
 _MAX_ENDPOINTS = 4096
 
@@ -131,14 +132,24 @@
         self._instance = instance
         self._propagation_s = propagation_s
         self._members: tuple[str, ...] = ()
-        self._full_from = float("inf")
+        self._full_from = _NEVER
         #: Endpoints that state a rate or did, least recently stated first.
         self._stated: OrderedDict[str, _StatedRate] = OrderedDict()
 
-    def set_members(self, names: Sequence[str], joined_at: float) -> None:
-        """Set the instances that share the rates, and when this one joined them."""
+    def set_members(
+        self, names: Sequence[str], joined_at: float, counted_at: float
+    ) -> None:
+        """Set the instances that share the rates, as counted at a time.
+
+        Parameters
+        ----------
+        joined_at : float
+            Time at which this instance joined them. Those that joined together with it
+            may be missing from a count that was made just then.
+        """
         self._members = tuple(names)
-        self._full_from = joined_at + self._propagation_s
+        is_recent = counted_at - joined_at < self._propagation_s / 2
+        self._full_from = _NEVER if is_recent else joined_at + self._propagation_s
 
     @property
     def is_limiting(self) -> bool:
--- a/tools/models/rate_shares.py
+++ b/tools/models/rate_shares.py
@@ -48,7 +48,7 @@
 
     def poll(self, members: list[str], demands: dict[str, float], now: float) -> None:
         """Process a read of the registry; see `Policy`."""
-        self._shares.set_members(members, self._joined_at)
+        self._shares.set_members(members, self._joined_at, now)
 
     def allows(self, now: float) -> bool:
         """Return True if a request may be sent; see `Policy`."""
