End a stated rate only when no answer has stated it for a second

Cause: two answers in a row that lack the rate ended it at once, and a busy endpoint may send both within some milliseconds.

The tests of the end of a rate let a second pass.

--- a/packages/gateway/tests/test_gateway_holds.py
+++ b/packages/gateway/tests/test_gateway_holds.py
@@ -222,6 +222,8 @@
         world = self.make_limited_world("8")
         await world.call()
         counts = await self.call_and_count(world, 1)
+        world.now += 1.1
+        await self.call_and_count(world, 1)
         self.assertEqual(await self.call_and_count(world, 20), {"10.0.0.1:1": 20})
         self.assertEqual(counts, {"10.0.0.1:1": 1})
 
--- a/packages/routing/src/slatehoist/routing/rates.py
+++ b/packages/routing/src/slatehoist/routing/rates.py
@@ -9,7 +9,7 @@
 Answers can arrive late and overtake each other. One shows what the endpoint said after
 another only if its request was sent after that other had arrived. An answer therefore
 ends or raises a rate only in this order, and otherwise the lower of both rates holds.
-Single answers may lack the rate, so it ends with the second one in a row.
+Single answers may lack the rate, so it ends only when none has stated it for a while.
 """
 
 import math
@@ -31,6 +31,8 @@
 #: Rate in requests per second below which the time between two requests is that of this
 #: rate; it bounds the record of the requests sent.
 _MIN_RATE = 1e-3
+#: Seconds after the first answer without a rate from which another one ends the rate.
+CONFIRM_S = 1.0
 #: Seconds between the trials of all instances without a share: at least, at most, and
 #: otherwise the time in which the rate allows one request. A trial is a request whose
 #: answer shows whether the rate still holds.
@@ -93,7 +95,7 @@
         if self.lacked_at is None:
             if sent_at >= self.stated_at:
                 self.lacked_at = now
-        elif sent_at >= self.lacked_at:
+        elif sent_at >= self.lacked_at + CONFIRM_S:
             self.rate = None
 
 
@@ -234,8 +236,8 @@
         followed at once by the request that confirms its end.
         """
         sent_at = stated.last_sent_at
-        if stated.lacked_at is not None and sent_at < stated.lacked_at:
-            return now
+        if stated.lacked_at is not None and sent_at < stated.lacked_at + CONFIRM_S:
+            return max(now, stated.lacked_at + CONFIRM_S)
         turn_s = 1 / max(stated.rate, _MIN_RATE)
         turn_s = min(max(turn_s, MIN_TRIAL_S), MAX_TRIAL_S)
         period_s = turn_s * self._assumed_instances()
