Read the endpoint list at fixed intervals also if a read has no answer

What callers saw: nothing; a server that had reported its drain 2 s before could still get requests.

Cause: a read without an answer ends after 0.9 s and was repeated 0.3 s later, so the change was known 2.005 s after the last answer (measured; allowed 2 s), although one read was meant to be allowed to fail.

Change: the next read begins on time, on another connection, and of two reads the later one counts.

--- a/packages/gateway/src/slatehoist/gateway/sync.py
+++ b/packages/gateway/src/slatehoist/gateway/sync.py
@@ -111,7 +111,12 @@
 
 
 class EndpointSync:
-    """Keep the directory at the newest list of endpoints, by periodic reads."""
+    """Keep the directory at the newest list of endpoints, by periodic reads.
+
+    A read begins at fixed intervals also if the one before has no answer yet, so that
+    one silent connection does not delay the news of a drain. Of two reads, the result
+    of the one that began later counts.
+    """
 
     def __init__(
         self,
@@ -127,23 +132,47 @@
         self._crashes = crashes
         self._clock = clock
         self._dependency = Dependency("endpoint list")
+        #: Begin of the latest read whose result is known.
+        self._known_from = float("-inf")
+        self._reads: set[asyncio.Task] = set()
 
     async def run(self) -> None:
         """Read the list until cancelled."""
-        while True:
-            started_at = self._clock()
-            try:
-                listed = await self._source.endpoints()
-                self.apply(listed, started_at, self._source.era)
-                self._dependency.record_success()
-            except PlatformError as exc:
+        try:
+            while True:
+                await self._read_once()
+        finally:
+            for read in self._reads:
+                read.cancel()
+
+    async def _read_once(self) -> None:
+        """Begin a read, and return when the next one is due."""
+        started_at = self._clock()
+        read = asyncio.create_task(self._read(started_at))
+        self._reads.add(read)
+        await asyncio.wait({read}, timeout=ENDPOINT_POLL_S)
+        failed = read.done() and not read.result()
+        for ended in [task for task in self._reads if task.done()]:
+            self._reads.discard(ended)
+            ended.result()
+        due_s = ENDPOINT_POLL_S - (self._clock() - started_at)
+        await asyncio.sleep(STORE_RETRY_S if failed else max(0.0, due_s))
+
+    async def _read(self, started_at: float) -> bool:
+        """Read the list once; return True if it was read."""
+        try:
+            listed = await self._source.endpoints()
+        except PlatformError as exc:
+            if started_at >= self._known_from:
+                self._known_from = started_at
                 self._directory.record_outage()
                 self._dependency.record_failure(exc)
-                await asyncio.sleep(STORE_RETRY_S)
-                continue
-            await asyncio.sleep(
-                max(0.0, ENDPOINT_POLL_S - (self._clock() - started_at))
-            )
+            return False
+        if started_at >= self._known_from:
+            self._known_from = started_at
+            self.apply(listed, started_at, self._source.era)
+            self._dependency.record_success()
+        return True
 
     def apply(self, listed: list[Endpoint], read_at: float, era: int = 0) -> None:
         """Replace the endpoints by a list that was read, and act on the changes.
