Do not take one failed read of the endpoint list for an outage

What callers saw: nothing; a server whose row was removed without a drain still got requests 4.3 s later (measured; allowed 2 s).

Cause: rows expire in an outage of the store, so endpoints that are missing afterwards are kept for 2.8 s. One failed read counted as such an outage, but a row needs three missed heartbeats to expire, so two heartbeats at least.

--- a/packages/gateway/src/slatehoist/gateway/directory.py
+++ b/packages/gateway/src/slatehoist/gateway/directory.py
@@ -27,9 +27,18 @@
         Seconds after an outage of the list for which missing endpoints are kept.
     row_ttl_s : float
         Longest time in seconds for which the list shows an endpoint that has ended.
+    min_outage_s : float
+        Shortest outage in seconds in which an entry can expire. Endpoints that are
+        missing after a shorter one have left.
     """
 
-    def __init__(self, relist_s: float, row_ttl_s: float = 0.0) -> None:
+    def __init__(
+        self,
+        relist_s: float,
+        row_ttl_s: float = 0.0,
+        min_outage_s: float = 0.0,
+    ) -> None:
+        self._min_outage_s = min_outage_s
         self._relist_s = relist_s
         self._row_ttl_s = row_ttl_s
         #: Runs of endpoints that have left, with the time at which that was seen.
@@ -70,8 +79,10 @@
         listed = self._without_undone_changes(listed, now)
         if self._outage:
             self._outage = False
-            self.reliable_since = self._keep_until = now + self._relist_s
-            self._unseen = set(self._endpoints)
+            self.reliable_since = now + self._relist_s
+            if self.updated_at is None or now - self.updated_at >= self._min_outage_s:
+                self._keep_until = now + self._relist_s
+                self._unseen = set(self._endpoints)
         current = {endpoint.endpoint_id: endpoint for endpoint in listed}
         self._unseen -= current.keys()
         missing = self._endpoints.keys() - current.keys()
--- a/packages/gateway/src/slatehoist/gateway/process.py
+++ b/packages/gateway/src/slatehoist/gateway/process.py
@@ -97,7 +97,9 @@
         self._rng = rng
         self._lifecycle = GatewayLifecycle()
         self.catalogue = Catalogue(cfg.revoke_s * TRUST_RATIO)
-        self.directory = EndpointDirectory(ENDPOINT_RELIST_S, cfg.row_ttl_s)
+        self.directory = EndpointDirectory(
+            ENDPOINT_RELIST_S, cfg.row_ttl_s, cfg.min_outage_s
+        )
         self._health = EndpointHealth()
         self._metrics = GatewayMetrics()
         self._tasks: list[asyncio.Task] = []
--- a/packages/gateway/src/slatehoist/gateway/settings.py
+++ b/packages/gateway/src/slatehoist/gateway/settings.py
@@ -50,6 +50,11 @@
         """Return the longest time for which the list shows an endpoint that ended."""
         return self.heartbeat_s * ROW_TTL_HEARTBEATS
 
+    @property
+    def min_outage_s(self) -> float:
+        """Return the shortest outage of the list in which a row can expire."""
+        return self.heartbeat_s * (EXPIRY_HEARTBEATS - 1)
+
 
 #: Fraction of `revoke_s` for which credentials are trusted after the last read. The
 #: rest covers change notifications of the store that arrive about a second late.
@@ -115,6 +120,9 @@
 #: not coincide; with the whole ratio, the retries of all instances together could
 #: exceed it in some windows.
 RETRY_RATIO_USED = 0.75
+#: Heartbeats after whose absence the platform removes a row. The last one may have been
+#: sent just before an outage.
+EXPIRY_HEARTBEATS = 3
 #: Heartbeats after whose absence the row of an endpoint is certainly gone: the platform
 #: removes it after three, and may be late by one.
 ROW_TTL_HEARTBEATS = 4
