Let requests wait shortly for a list of endpoints that is overdue

What callers saw: nothing; a process that stood still for 2 s sent the requests that had arrived meanwhile by its old list, also to servers that had left.

Cause: the handlers of those requests run before the read that was due.

Change: if the list is older than 0.7 of the drain bound, and is not known to be unavailable, a request waits for the read, 0.3 s at most. Test: test_request_ waits_for_a_list_that_is_overdue; it failed before.

--- a/packages/gateway/src/slatehoist/gateway/directory.py
+++ b/packages/gateway/src/slatehoist/gateway/directory.py
@@ -1,5 +1,6 @@
 """Directory of endpoints, which tolerates outages of the platform's list."""
 
+import asyncio
 from collections import OrderedDict
 from collections.abc import Iterable
 
@@ -30,6 +31,8 @@
     min_outage_s : float
         Shortest outage in seconds in which an entry can expire. Endpoints that are
         missing after a shorter one have left.
+    max_age_s : float
+        Age in seconds above which a list is overdue, unless it is unavailable.
     """
 
     def __init__(
@@ -37,8 +40,12 @@
         relist_s: float,
         row_ttl_s: float = 0.0,
         min_outage_s: float = 0.0,
+        max_age_s: float = float("inf"),
     ) -> None:
         self._min_outage_s = min_outage_s
+        self._max_age_s = max_age_s
+        #: Set, and replaced, with each result of a read.
+        self._was_read = asyncio.Event()
         self._relist_s = relist_s
         self._row_ttl_s = row_ttl_s
         #: Runs of endpoints that have left, with the time at which that was seen.
@@ -61,6 +68,24 @@
     def record_outage(self) -> None:
         """Record that the list could not be read."""
         self._outage = True
+        self._announce_read()
+
+    def _announce_read(self) -> None:
+        self._was_read.set()
+        self._was_read = asyncio.Event()
+
+    async def wait_for_read(self) -> None:
+        """Wait for the result of the next read, a list or an outage."""
+        await self._was_read.wait()
+
+    def is_overdue(self, now: float) -> bool:
+        """Return True if the list should have been read again by now.
+
+        This process then stood still, or the read has no answer yet.
+        """
+        if self._outage or self.updated_at is None:
+            return False
+        return now - self.updated_at > self._max_age_s
 
     def update(
         self, listed: Iterable[Endpoint], now: float, era: int = 0
@@ -120,6 +145,7 @@
         self._endpoints = current
         self._index()
         self.updated_at = now
+        self._announce_read()
         return changes
 
     def _without_undone_changes(
--- a/packages/gateway/src/slatehoist/gateway/forwarding.py
+++ b/packages/gateway/src/slatehoist/gateway/forwarding.py
@@ -11,6 +11,7 @@
 """
 
 import asyncio
+import contextlib
 import logging
 from collections.abc import Callable
 
@@ -29,6 +30,7 @@
     ATTEMPT_TIMEOUT_OBJECTIVES,
     GROUP_FORMING_POLL_S,
     GROUP_FORMING_WAIT_S,
+    LIST_WAIT_S,
     MIN_ATTEMPT_S,
     PROBE_SILENCE_S,
     REGISTRY_PROPAGATION_S,
@@ -134,6 +136,7 @@
         while True:
             if self._is_blocked(exchange):
                 return None
+            await self._wait_for_list()
             if not await self._wait_for_open_group(exchange):
                 exchange.group_closed = True
                 return None
@@ -210,6 +213,18 @@
         else:
             self._crashes.record_loss(endpoint, exchange.digest, sent_at)
 
+    async def _wait_for_list(self) -> None:
+        """Wait shortly for the list of endpoints, if it is overdue.
+
+        Otherwise a process that stood still would send the requests that arrived
+        meanwhile to endpoints that have left.
+        """
+        if not self._directory.is_overdue(self._clock()):
+            return
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(LIST_WAIT_S):
+                await self._directory.wait_for_read()
+
     async def _wait_for_open_group(self, exchange: Exchange) -> bool:
         """Wait while a group of the service forms, and return True if one is open.
 
--- a/packages/gateway/src/slatehoist/gateway/process.py
+++ b/packages/gateway/src/slatehoist/gateway/process.py
@@ -98,7 +98,7 @@
         self._lifecycle = GatewayLifecycle()
         self.catalogue = Catalogue(cfg.revoke_s * TRUST_RATIO)
         self.directory = EndpointDirectory(
-            ENDPOINT_RELIST_S, cfg.row_ttl_s, cfg.min_outage_s
+            ENDPOINT_RELIST_S, cfg.row_ttl_s, cfg.min_outage_s, cfg.max_list_age_s
         )
         self._health = EndpointHealth()
         self._metrics = GatewayMetrics()
--- a/packages/gateway/src/slatehoist/gateway/settings.py
+++ b/packages/gateway/src/slatehoist/gateway/settings.py
@@ -29,6 +29,8 @@
         fails.
     heartbeat_s : float
         Time between heartbeats of an endpoint to the list.
+    drain_s : float
+        Time from an endpoint's notice that it leaves until it may get no requests.
     """
 
     instance: str
@@ -44,6 +46,7 @@
     retry_window_s: float = 10.0
     stall_s: float = 1.5
     heartbeat_s: float = 1.2
+    drain_s: float = 2.0
 
     @property
     def row_ttl_s(self) -> float:
@@ -55,6 +58,11 @@
         """Return the shortest outage of the list in which a row can expire."""
         return self.heartbeat_s * (EXPIRY_HEARTBEATS - 1)
 
+    @property
+    def max_list_age_s(self) -> float:
+        """Return the age from which requests wait for the list that is due."""
+        return self.drain_s * MAX_LIST_AGE_RATIO
+
 
 #: Fraction of `revoke_s` for which credentials are trusted after the last read. The
 #: rest covers change notifications of the store that arrive about a second late.
@@ -123,6 +131,12 @@
 #: Heartbeats after whose absence the platform removes a row. The last one may have been
 #: sent just before an outage.
 EXPIRY_HEARTBEATS = 3
+#: Age of the list, as a fraction of `drain_s`, above which a request waits for the read
+#: that is due; the rest is left for connecting. One read may fail before.
+MAX_LIST_AGE_RATIO = 0.7
+#: Longest wait in seconds for a list that is overdue. Without it the request is sent:
+#: the store may be silent, which must not delay callers further.
+LIST_WAIT_S = 0.3
 #: Heartbeats after whose absence the row of an endpoint is certainly gone: the platform
 #: removes it after three, and may be late by one.
 ROW_TTL_HEARTBEATS = 4
--- a/packages/gateway/tests/reply_world.py
+++ b/packages/gateway/tests/reply_world.py
@@ -147,7 +147,12 @@
 class ReplyWorld:
     """One gateway and two endpoints whose replies are scripted."""
 
-    def __init__(self, *replies: ScriptedReply, **route_fields) -> None:
+    def __init__(
+        self,
+        *replies: ScriptedReply,
+        max_list_age_s: float = float("inf"),
+        **route_fields,
+    ) -> None:
         self.now = 100.0
         self.tally = CrashTally()
         #: HTTP client, to whose replies a test may add.
@@ -158,7 +163,7 @@
         self.crashes = CrashReports(
             SharedTable(), cfg.instance, cfg.row_ttl_s, self.tally, metrics, self.clock
         )
-        directory = self.directory = EndpointDirectory(1.0)
+        directory = self.directory = EndpointDirectory(1.0, max_age_s=max_list_age_s)
         endpoints = [make_endpoint("e1"), make_endpoint("e2")]
         directory.update(endpoints, self.now)
         self.health = EndpointHealth()
--- /dev/null
+++ b/packages/gateway/tests/test_gateway_sync.py
@@ -0,0 +1,132 @@
+"""Tests that gateways learn in time that endpoints are leaving, or are gone."""
+
+import asyncio
+import logging
+import time
+import unittest
+from types import SimpleNamespace
+
+from gateway_builders import make_endpoint
+from reply_world import ReplyWorld, ScriptedReply
+
+from slatehoist.gateway import EndpointDirectory, Kind
+from slatehoist.gateway.health import EndpointHealth
+from slatehoist.gateway.sync import EndpointSync
+from slatehoist.storage import StoreDownError
+
+#: Seconds within which the shortest of the users' bounds wants a drain to be known.
+DRAIN_S = 2.0
+#: Seconds after which a call to the store fails that gets no answer.
+CALL_TIMEOUT_S = 0.9
+
+
+def setUpModule():
+    logging.getLogger("slatehoist").setLevel(logging.CRITICAL)
+
+
+def tearDownModule():
+    logging.getLogger("slatehoist").setLevel(logging.NOTSET)
+
+
+class ScriptedSource:
+    """List of endpoints of which the second read fails.
+
+    Attributes
+    ----------
+    silence_s : float
+        Seconds until that read fails.
+    """
+
+    era = 0
+
+    def __init__(self) -> None:
+        self.listed = [make_endpoint("e1"), make_endpoint("e2")]
+        self.reads = 0
+        self.silence_s = CALL_TIMEOUT_S
+        #: Time of the last answer before the silent read.
+        self.answered_at = 0.0
+
+    async def endpoints(self) -> list:
+        self.reads += 1
+        if self.reads == 2:
+            await asyncio.sleep(self.silence_s)
+            raise StoreDownError("no answer")
+        if self.reads == 1:
+            self.answered_at = time.monotonic()
+        return self.listed
+
+
+class ReadTests(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.directory = EndpointDirectory(2.8, 4.8, min_outage_s=2.4)
+        crashes = SimpleNamespace(
+            record_end=lambda endpoint: None,
+            record_restart=lambda old, current: None,
+            observe_list=lambda listed, read_at, reliable_since: None,
+        )
+        self.source = ScriptedSource()
+        sync = EndpointSync(
+            self.source, self.directory, EndpointHealth(), crashes, time.monotonic
+        )
+        task = asyncio.create_task(sync.run())
+        self.addAsyncCleanup(asyncio.wait, {task})
+        self.addCleanup(task.cancel)
+
+    async def seconds_until_one_is_left(self) -> float:
+        """Return the seconds from the answer before the change until it is known."""
+        async with asyncio.timeout(8.0):
+            while len(self.directory.of_service("app")) != 1:
+                await asyncio.sleep(0.005)
+        return time.monotonic() - self.source.answered_at
+
+    # Guards against requests to a server that reported its drain `DRAIN_S` ago, since
+    # one read of the list got no answer.
+    async def test_drain_is_known_in_time_if_one_read_gets_no_answer(self):
+        await asyncio.sleep(0.1)
+        self.source.listed = [make_endpoint("e1"), make_endpoint("e2", draining=True)]
+        self.assertLess(await self.seconds_until_one_is_left(), DRAIN_S)
+
+    # Guards against the same where the list drops the server without notice: one failed
+    # read counted as an outage, in which rows expire, and kept the server for 2.8 s.
+    async def test_removal_is_known_in_time_if_one_read_fails(self):
+        self.source.silence_s = 0.0
+        await asyncio.sleep(0.1)
+        self.source.listed = [make_endpoint("e1")]
+        self.assertLess(await self.seconds_until_one_is_left(), DRAIN_S)
+
+
+class OverdueListTests(unittest.IsolatedAsyncioTestCase):
+    def make_world(self) -> ReplyWorld:
+        reply = ScriptedReply(b"whole", "length")
+        return ReplyWorld(reply, max_list_age_s=1.4, kind=Kind.SAFE)
+
+    async def drain(self, world: ReplyWorld, name: str) -> None:
+        """Let the list show after some rounds of the loop that an endpoint drains."""
+        for _ in range(10):
+            await asyncio.sleep(0)
+        listed = [make_endpoint(n, draining=n == name) for n in ("e1", "e2")]
+        world.directory.update(listed, world.now)
+
+    # Guards against requests that are sent by a list which is older than `DRAIN_S`,
+    # since the process stood still and handled them before the read that was due.
+    async def test_request_waits_for_a_list_that_is_overdue(self):
+        for name in ("e1", "e2"):
+            with self.subTest(draining=name):
+                world = self.make_world()
+                world.now += DRAIN_S
+                answer, _ = await asyncio.gather(world.call(), self.drain(world, name))
+                self.assertTrue(answer.head.startswith("HTTP/1.1 200"), answer.head)
+                sent_to = world.upstream.requests[0].address
+                self.assertNotEqual(sent_to, make_endpoint(name).address)
+
+    async def test_request_does_not_wait_during_an_outage_of_the_list(self):
+        world = self.make_world()
+        world.now += DRAIN_S
+        world.directory.record_outage()
+        async with asyncio.timeout(0.1):
+            answer = await world.call()
+        self.assertTrue(answer.head.startswith("HTTP/1.1 200"), answer.head)
+
+
+if __name__ == "__main__":
+    unittest.main()
