Repeat a read of the endpoint list soon if it has no answer

Cause: two reads in a row of one gateway got no answer. The next one came 1.6 s after the last that had been answered; two of them also passed for an outage.

--- a/packages/gateway/src/slatehoist/gateway/settings.py
+++ b/packages/gateway/src/slatehoist/gateway/settings.py
@@ -76,8 +76,11 @@
 #: credentials are trusted.
 CONFIG_LONG_POLL_S = 1.0
 #: Seconds between reads of the endpoint list: less than half the shortest drain time
-#: of a deployment (2 s), so that one read may fail.
+#: of a deployment (2 s), so that some reads may get no answer.
 ENDPOINT_POLL_S = 0.8
+#: Seconds after which a read of the list that has no answer is repeated on another
+#: connection; a slow store answers within 0.25 s.
+ENDPOINT_HEDGE_S = 0.35
 #: Seconds before a failed call to the store is retried.
 STORE_RETRY_S = 0.3
 #: Seconds after an outage of the store within which expired endpoints list themselves
--- a/packages/gateway/src/slatehoist/gateway/sync.py
+++ b/packages/gateway/src/slatehoist/gateway/sync.py
@@ -12,6 +12,7 @@
 from slatehoist.gateway.model import Endpoint
 from slatehoist.gateway.settings import (
     CONFIG_LONG_POLL_S,
+    ENDPOINT_HEDGE_S,
     ENDPOINT_POLL_S,
     STORE_RETRY_S,
 )
@@ -113,9 +114,9 @@
 class EndpointSync:
     """Keep the directory at the newest list of endpoints, by periodic reads.
 
-    A read begins at fixed intervals also if the one before has no answer yet, so that
-    one silent connection does not delay the news of a drain. Of two reads, the result
-    of the one that began later counts.
+    If a read has no answer yet, another one begins soon, so that some silent
+    connections do not delay the news of a drain; during an outage reads begin at fixed
+    intervals. Of two reads, the result of the one that began later counts.
     """
 
     def __init__(
@@ -134,6 +135,7 @@
         self._dependency = Dependency("endpoint list")
         #: Begin of the latest read whose result is known.
         self._known_from = float("-inf")
+        self._is_outage = False
         self._reads: set[asyncio.Task] = set()
 
     async def run(self) -> None:
@@ -150,13 +152,15 @@
         started_at = self._clock()
         read = asyncio.create_task(self._read(started_at))
         self._reads.add(read)
-        await asyncio.wait({read}, timeout=ENDPOINT_POLL_S)
-        failed = read.done() and not read.result()
+        wait_s = ENDPOINT_POLL_S if self._is_outage else ENDPOINT_HEDGE_S
+        await asyncio.wait({read}, timeout=wait_s)
         for ended in [task for task in self._reads if task.done()]:
             self._reads.discard(ended)
             ended.result()
+        if not read.done():
+            return
         due_s = ENDPOINT_POLL_S - (self._clock() - started_at)
-        await asyncio.sleep(STORE_RETRY_S if failed else max(0.0, due_s))
+        await asyncio.sleep(max(0.0, due_s) if read.result() else STORE_RETRY_S)
 
     async def _read(self, started_at: float) -> bool:
         """Read the list once; return True if it was read."""
@@ -165,11 +169,13 @@
         except PlatformError as exc:
             if started_at >= self._known_from:
                 self._known_from = started_at
+                self._is_outage = True
                 self._directory.record_outage()
                 self._dependency.record_failure(exc)
             return False
         if started_at >= self._known_from:
             self._known_from = started_at
+            self._is_outage = False
             self.apply(listed, started_at, self._source.era)
             self._dependency.record_success()
         return True
--- a/packages/gateway/tests/test_gateway_sync.py
+++ b/packages/gateway/tests/test_gateway_sync.py
@@ -29,12 +29,14 @@
 
 
 class ScriptedSource:
-    """List of endpoints of which the second read fails.
+    """List of endpoints of which some reads fail.
 
     Attributes
     ----------
+    failing_reads : range
+        Numbers of the reads that fail; the first is number 1.
     silence_s : float
-        Seconds until that read fails.
+        Seconds until such a read fails.
     """
 
     era = 0
@@ -42,13 +44,14 @@
     def __init__(self) -> None:
         self.listed = [make_endpoint("e1"), make_endpoint("e2")]
         self.reads = 0
+        self.failing_reads = range(2, 3)
         self.silence_s = CALL_TIMEOUT_S
         #: Time of the last answer before the silent read.
         self.answered_at = 0.0
 
     async def endpoints(self) -> list:
         self.reads += 1
-        if self.reads == 2:
+        if self.reads in self.failing_reads:
             await asyncio.sleep(self.silence_s)
             raise StoreDownError("no answer")
         if self.reads == 1:
@@ -79,13 +82,22 @@
                 await asyncio.sleep(0.005)
         return time.monotonic() - self.source.answered_at
 
-    # Guards against requests to a server that reported its drain `DRAIN_S` ago, since
-    # one read of the list got no answer.
-    async def test_drain_is_known_in_time_if_one_read_gets_no_answer(self):
+    async def check_drain_is_known_in_time(self) -> None:
         await asyncio.sleep(0.1)
         self.source.listed = [make_endpoint("e1"), make_endpoint("e2", draining=True)]
         self.assertLess(await self.seconds_until_one_is_left(), DRAIN_S)
 
+    # Guards against requests to a server that reported its drain `DRAIN_S` ago, since
+    # one read of the list got no answer.
+    async def test_drain_is_known_in_time_if_one_read_gets_no_answer(self):
+        await self.check_drain_is_known_in_time()
+
+    # Guards against the same after several reads without an answer, as on connections
+    # that went silent together.
+    async def test_drain_is_known_in_time_if_two_reads_get_no_answer(self):
+        self.source.failing_reads = range(2, 4)
+        await self.check_drain_is_known_in_time()
+
     # Guards against the same where the list drops the server without notice: one failed
     # read counted as an outage, in which rows expire, and kept the server for 2.8 s.
     async def test_removal_is_known_in_time_if_one_read_fails(self):
