--- a/standins/src/slatehoist_standins/deployment_store.py
+++ b/standins/src/slatehoist_standins/deployment_store.py
@@ -14,6 +14,9 @@
 import msgspec
 from aiohttp import web
 
+#: Seconds for which a silent call gets no answer; longer than any caller waits.
+_SILENCE_S = 60.0
+
 
 class StoreRow(NamedTuple):
     """Row of the store; a removed row stays as a tombstone with its version."""
@@ -34,6 +37,8 @@
         responding.
     delay_s : float
         Seconds from a call until it is carried out.
+    silent_reads : int
+        Reads of the list of servers that get no answer from now on.
     calls : list of str
         Names of the calls received, in order.
     era : int
@@ -43,6 +48,7 @@
     def __init__(self) -> None:
         self.fault = ""
         self.delay_s = 0.0
+        self.silent_reads = 0
         self.calls: list[str] = []
         self.era = 1
         self._rows: dict[tuple[str, str], StoreRow] = {}
@@ -118,7 +124,7 @@
         if self.delay_s:
             await asyncio.sleep(self.delay_s)
         if self.fault == "silent":
-            await asyncio.sleep(60)
+            await asyncio.sleep(_SILENCE_S)
         if self.fault == "down":
             return web.Response(status=503)
         return None
@@ -133,6 +139,9 @@
     async def _get_rows(self, req: web.Request) -> web.Response:
         if (fault_response := await self._apply_fault("get")) is not None:
             return fault_response
+        if req.query["table"] == "servers" and self.silent_reads:
+            self.silent_reads -= 1
+            await asyncio.sleep(_SILENCE_S)
         start, end = req.query.get("from", ""), req.query.get("to")
         limit = int(req.query.get("limit", "500"))
         found = [
--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -7,7 +7,7 @@
 import time
 from collections.abc import Awaitable, Callable, Iterator, Sequence
 
-from soak.servers import RateLimit
+from soak.servers import RateLimit, SoakServer
 from soak.world import GRACE_S, REVOKE_S, Gateway, World
 
 #: Number of series of faults that run concurrently.
@@ -22,6 +22,9 @@
 #: some seconds after its first answer.
 MIN_LIMIT_S = 6.0
 
+#: Seconds for which a server that leaves still serves.
+SERVES_ON_S = 4.0
+
 #: Characters of a process's log that a finding contains.
 LOG_TAIL_CHARS = 600
 
@@ -239,25 +242,47 @@
 
 async def drain_server(injector: FaultInjector, gateway: Gateway) -> None:
     """Add a server, drain the oldest one, and remove it from the store."""
-    world = injector.world
+    server = await replace_oldest_server(injector.world)
+    row = server.row("app", state="draining")
+    injector.world.store.put("servers", server.server_id, row)
+    server.draining_since = time.monotonic()
+    await asyncio.sleep(SERVES_ON_S)
+    injector.world.store.remove("servers", server.server_id)
+    server.crash()
+
+
+async def remove_server(injector: FaultInjector, gateway: Gateway) -> None:
+    """Add a server, and remove the oldest one from the store before it ends."""
+    server = await replace_oldest_server(injector.world)
+    injector.world.store.remove("servers", server.server_id)
+    server.draining_since = time.monotonic()
+    await asyncio.sleep(SERVES_ON_S)
+    server.crash()
+
+
+async def lose_read(injector: FaultInjector, gateway: Gateway) -> None:
+    """Leave a read of the list unanswered while a server drains or is removed.
+
+    This counts as no fault of a gateway or of the store: some reads may fail.
+    """
+    injector.world.store.silent_reads += 1
+    await injector.rng.choice([drain_server, remove_server])(injector, gateway)
+
+
+async def replace_oldest_server(world: World) -> SoakServer:
+    """Add a server, and return the oldest one, which is no longer kept up."""
     await world.add_server()
     server = world.servers.pop(0)
     world.retired.append(server)
-    world.store.put("servers", server.server_id, server.row("app", state="draining"))
-    server.draining_since = time.monotonic()
-    await asyncio.sleep(4.0)
-    world.store.remove("servers", server.server_id)
-    server.crash()
+    return server
 
 
 async def leave_server(injector: FaultInjector, gateway: Gateway) -> None:
     """Let a server say in its answers that it leaves, while it is listed as ready."""
     world = injector.world
-    await world.add_server()
-    server = world.servers.pop(0)
-    world.retired.append(server)
+    server = await replace_oldest_server(world)
     server.leaving = True
-    await asyncio.sleep(4.0)
+    await asyncio.sleep(SERVES_ON_S)
     world.store.remove("servers", server.server_id)
     server.crash()
 
@@ -314,6 +339,8 @@
         revoke,
         crash_server,
         drain_server,
+        remove_server,
+        lose_read,
         leave_server,
         turn_away,
         limit_rate,
