--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -17,7 +17,7 @@
     8: "the same, with more crashes",
     108: "a gateway was not ready 20 s after a kill; see KNOWN-RED.txt",
     401: "an HTTP/1.0 caller got the end of its stream only after its deadline",
-    702: "servers got requests 3 s after their drain, since reads of the list were lost",
+    702: "servers got requests 3 s after their drain; reads of the list were lost",
     504: "servers that turned requests away got more, after they had started again",
 }
 #: Faults that a seed draws from, for seeds that do not draw from all.
