Close connections whose responses have no end in sight

What callers saw: their requests waited for the deadline, and others for the event loop, while a server sent informational responses or a chunk extension without end: 42 to 100 MB were read in 1.5 s.

Cause: aiohttp bounds the lines and the number of headers, but neither the number of informational responses nor the bytes of a chunk's extension.

Change: at most 16 informational responses, and 4 MiB and 8 bytes per byte of the body besides it.

--- a/packages/http/src/slatehoist/http/client.py
+++ b/packages/http/src/slatehoist/http/client.py
@@ -11,15 +11,65 @@
 
 #: Value of SO_LINGER with which a close resets the connection.
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+#: Informational responses (status below 200) that are accepted before the final one.
+MAX_INFORMATIONAL = 16
+_FIRST_FINAL_STATUS = 200
+#: Bytes of a response that are accepted besides its body: head, chunk sizes, chunk
+#: extensions and trailers. More are accepted with a body, whose chunks may be small.
+MAX_OVERHEAD_BYTES = 4 * 1024 * 1024
+MAX_OVERHEAD_RATIO = 8
 
 
 class StrictResponseHandler(ResponseHandler):
     """Connection whose failure is never taken for the end of a response.
 
     aiohttp takes any end of the connection for the end of a response without a length,
-    also a reset.
+    also a reset. It also reads informational responses and chunk extensions without
+    end; a connection with too many of them is closed.
     """
 
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        super().__init__(loop=loop)
+        self._received_bytes = 0
+        self._informational = 0
+        #: Body of the response before.
+        self._last_payload: object = None
+
+    def set_response_params(self, **params) -> None:
+        """Prepare for a response."""
+        self._received_bytes = self._informational = 0
+        self._last_payload = self._payload
+        super().set_response_params(**params)
+
+    def feed_data(self, data, size: int = 0) -> None:
+        """Add a response whose head was received."""
+        if data[0].code < _FIRST_FINAL_STATUS:
+            self._informational += 1
+        super().feed_data(data, size)
+
+    def data_received(self, data: bytes) -> None:
+        """Process received bytes, unless the response has no end in sight."""
+        super().data_received(data)
+        self._received_bytes += len(data)
+        if self._informational > MAX_INFORMATIONAL:
+            self._give_up(f"over {MAX_INFORMATIONAL} informational responses")
+        body_bytes = 0
+        if self._payload is not self._last_payload:
+            body_bytes = getattr(self._payload, "total_bytes", 0)
+        allowed_bytes = MAX_OVERHEAD_BYTES + body_bytes * MAX_OVERHEAD_RATIO
+        if self._received_bytes - body_bytes > allowed_bytes:
+            self._give_up(f"{self._received_bytes} bytes, of them {body_bytes} of body")
+
+    def _give_up(self, reason: str) -> None:
+        """Fail the response and close the connection."""
+        exc = ClientPayloadError(reason)
+        payload = self._payload
+        if payload is not None and not payload.is_eof():
+            payload.set_exception(exc)
+        self.set_exception(exc)
+        if self.transport is not None:
+            self.transport.abort()
+
     def connection_lost(self, exc: BaseException | None) -> None:
         """Fail a response whose body has not ended, if the connection failed."""
         payload = self._payload
