Bound the bodies and events of endpoints that a gateway buffers

What callers saw: a server that sent a body or an event without end filled the gateway's memory until the route's timeout: 43 to 100 MB in 1.5 s, measured, with a limit of 200 to 300 MB for the whole process. Of streams that are not resumed, they got all of it.

Change: 4 MiB for a body, 24 MiB for all that are being read, 1 MiB for an event; beyond that the response is broken.

--- a/packages/gateway/src/slatehoist/gateway/forwarding.py
+++ b/packages/gateway/src/slatehoist/gateway/forwarding.py
@@ -31,6 +31,8 @@
     GROUP_FORMING_POLL_S,
     GROUP_FORMING_WAIT_S,
     LIST_WAIT_S,
+    MAX_BUFFERED_BYTES,
+    MAX_REPLY_BYTES,
     MIN_ATTEMPT_S,
     PROBE_SILENCE_S,
     REGISTRY_PROPAGATION_S,
@@ -45,9 +47,12 @@
     UpstreamRequest,
 )
 from slatehoist.http import (
+    BufferBudget,
     EventSplitter,
+    OversizedEventError,
     RelayedResponse,
     is_event_stream,
+    read_body,
     response_framing,
 )
 from slatehoist.observe import GatewayMetrics, milliseconds
@@ -104,6 +109,7 @@
         self._clock = clock
         self._rates = RateShares(cfg.instance, REGISTRY_PROPAGATION_S)
         self._holds = EndpointHolds(metrics, self._rates)
+        self._buffers = BufferBudget(MAX_BUFFERED_BYTES)
         self._budgets: dict[str, SharedRetryBudget] = {}
         self._stream_timeouts: dict[str, set[asyncio.Timeout]] = {}
         self._allowance_share = AllowanceShare(
@@ -408,7 +414,7 @@
                 )
             if exchange.is_stream:
                 return await self._relay_stream(exchange, endpoint, reply)
-        body = await reply.read()
+        body = await read_body(reply, MAX_REPLY_BYTES, self._buffers)
         exchange.reply_bytes = len(body)
         whole_reply = Reply(reply.status, reply.headers, body, exchange.framing)
         if info.not_run and reply.status in _NOT_RUN_STATUSES:
@@ -471,7 +477,7 @@
                     timeout.reschedule(loop.time() + idle_timeout_s)
                     exchange.last_data_at = self._clock()
                     exchange.reply_bytes += len(chunk)
-                    events = splitter.feed(chunk)
+                    events = self._split_events(endpoint, splitter, chunk)
                     data = events if exchange.route.resumable else chunk
                     if data:
                         await self._write_to_caller(exchange, reply, data)
@@ -486,6 +492,15 @@
         self._health.record_success(endpoint.endpoint_id)
         return Outcome.DELIVERED, exchange.stream
 
+    def _split_events(
+        self, endpoint: Endpoint, splitter: EventSplitter, chunk: bytes
+    ) -> bytes:
+        """Return the events that a chunk completes; raise BrokenReplyError if large."""
+        try:
+            return splitter.feed(chunk)
+        except OversizedEventError as exc:
+            raise BrokenReplyError(f"{endpoint.address}: {exc}") from exc
+
     def _check_stream_end(
         self, exchange: Exchange, endpoint: Endpoint, splitter: EventSplitter
     ) -> None:
--- a/packages/gateway/src/slatehoist/gateway/settings.py
+++ b/packages/gateway/src/slatehoist/gateway/settings.py
@@ -150,3 +150,7 @@
 #: has gone silent, reports arrive only after the poll and its timeout. Each poll is a
 #: billed call.
 CRASH_LONG_POLL_S = 1.5
+#: Largest body of an endpoint's response that is no stream, and the bytes of all such
+#: bodies that are being read at the same time.
+MAX_REPLY_BYTES = 4 * 1024 * 1024
+MAX_BUFFERED_BYTES = 24 * 1024 * 1024
--- a/packages/http/src/slatehoist/http/__init__.py
+++ b/packages/http/src/slatehoist/http/__init__.py
@@ -1,21 +1,30 @@
-"""How HTTP messages and event streams end."""
+"""How HTTP messages and event streams end, and how large they may be."""
 
+from slatehoist.http.bodies import BufferBudget, OversizedBodyError, read_body
 from slatehoist.http.client import (
     ResettingResponseHandler,
     StrictResponseHandler,
     strict_connector,
 )
-from slatehoist.http.events import EventSplitter, is_event_stream
+from slatehoist.http.events import (
+    EventSplitter,
+    OversizedEventError,
+    is_event_stream,
+)
 from slatehoist.http.framing import Framing, response_framing
 from slatehoist.http.responses import RelayedResponse, reset_on_close
 
 __all__ = [
+    "BufferBudget",
     "EventSplitter",
     "Framing",
+    "OversizedBodyError",
+    "OversizedEventError",
     "RelayedResponse",
     "ResettingResponseHandler",
     "StrictResponseHandler",
     "is_event_stream",
+    "read_body",
     "reset_on_close",
     "response_framing",
     "strict_connector",
--- a/standins/src/slatehoist_standins/deployment_server.py
+++ b/standins/src/slatehoist_standins/deployment_server.py
@@ -24,6 +24,41 @@
 LAST_CHUNK = b"0\r\n\r\n"
 #: Seconds from an early response until the server reads the request's body.
 EARLY_READ_DELAY_S = 0.2
+#: Bytes that a response without end sends at most, and those of one write.
+MAX_ENDLESS_BYTES = 96 * 1024 * 1024
+_FILL = b"x" * 65536
+#: Responses without end: what follows the status line and the usual headers, and what
+#: is then repeated. Those in `_BARE` send these bytes alone.
+ENDLESS = {
+    "endless_status": (b"HTTP/1.1 200 ", _FILL),
+    "endless_informational": (b"", b"HTTP/1.1 102 Processing\r\n\r\n" * 2000),
+    "endless_upgrade": (
+        b"HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n",
+        _FILL,
+    ),
+    "endless_header": (b"X-Fill: ", _FILL),
+    "endless_headers": (b"", b"X-Fill: x\r\n" * 5000),
+    "endless_body": (b"\r\n", _FILL),
+    "endless_length": (b"Content-Length: 999999999999\r\n\r\n", _FILL),
+    "endless_chunks": (
+        b"Transfer-Encoding: chunked\r\n\r\n",
+        b"10000\r\n" + _FILL + b"\r\n",
+    ),
+    "endless_chunk_size": (b"Transfer-Encoding: chunked\r\n\r\n1;", _FILL),
+    "endless_trailers": (
+        b"Transfer-Encoding: chunked\r\n\r\n0\r\n",
+        b"X-Fill: x\r\n" * 5000,
+    ),
+    "endless_event": (
+        b"Content-Type: text/event-stream\r\n\r\nid: 1\ndata: ",
+        _FILL,
+    ),
+    "endless_lines": (
+        b"Content-Type: text/event-stream\r\n\r\n",
+        b"data: piece\n" * 5000,
+    ),
+}
+_BARE = frozenset({"endless_status", "endless_informational", "endless_upgrade"})
 #: Request body, or part of one, that crashes every server which begins to run it.
 CRASH_MARKER = b"crashes the server"
 
@@ -72,6 +107,8 @@
         chunks nor a length; for streams only.
     ``ends_within_event``
         End a stream within an event by its last chunk; for streams only.
+    ``endless_...``
+        Send a response without end until the connection closes; a key of `ENDLESS`.
 
     Attributes
     ----------
@@ -100,6 +137,8 @@
         self.crashes = 0
         #: Requests with the behaviour ``hang`` whose connection the gateway reset.
         self.resets = 0
+        #: Bytes of responses without end that were sent.
+        self.endless_bytes = 0
         self.event_pause_s = 0.0
         self.delay_s = 0.0
         self.leaving = False
@@ -211,6 +250,8 @@
         if behaviour == "garbage":
             writer.write(b"this is no answer\r\n\r\n")
             return False
+        if behaviour in ENDLESS:
+            return await self._send_endless(arrival, behaviour, writer)
         if behaviour == "shed" or self.turns_away_for_s:
             writer.write(self._make_refusal(arrival))
             return True
@@ -218,6 +259,24 @@
             return await self._send_stream(arrival, behaviour, reader, writer)
         return await self._send_plain(arrival, behaviour, writer)
 
+    async def _send_endless(
+        self, arrival: Arrival, behaviour: str, writer: asyncio.StreamWriter
+    ) -> bool:
+        """Send a response without end, `MAX_ENDLESS_BYTES` at most."""
+        begin, repeated = ENDLESS[behaviour]
+        if behaviour not in _BARE:
+            writer.write(self._make_head(arrival, behaviour))
+        writer.write(begin)
+        sent = 0
+        while sent < MAX_ENDLESS_BYTES:
+            writer.write(repeated)
+            await writer.drain()
+            sent += len(repeated)
+            self.endless_bytes += len(repeated)
+            # A peer that reads at once would otherwise never let other tasks run.
+            await asyncio.sleep(0)
+        return False
+
     def _close(self, writer: asyncio.StreamWriter, reset: bool) -> bool:
         """Close or reset the connection; return False, as `_respond` does."""
         if reset:
