Bound the answers of endpoints, ranks and stores at sidecar, entry and agent

What callers saw: a plain service, an engine, a rank or a store that answered without end filled the memory of the process that read it, up to its time-out: 96 MB and more in the tests, and an engine's response was read again and again until the deadline.

Cause: bodies were read to their end, events without a bound, and the sessions of stores and ranks bounded neither informational responses nor framing.

Change: all of them read by read_body with a bound, on strict connections; an event over 1 MiB and a response over 16 MiB end the attempt as buffer_limit. The splitter of events is fed only with event streams. A connection that switches protocols is closed. The scripted session of the tests reads its body in pieces.

--- a/packages/cli/src/slatehoist/cli/client.py
+++ b/packages/cli/src/slatehoist/cli/client.py
@@ -6,8 +6,12 @@
 
 import aiohttp
 
+from slatehoist.http import read_body
+
 #: Timeout of one call, and of a watch that receives nothing, in seconds.
 CALL_TIMEOUT_S = 15.0
+#: Largest answer of an entry, in bytes.
+MAX_ANSWER_BYTES = 64 * 1024 * 1024
 
 
 class ApiError(Exception):
@@ -48,7 +52,7 @@
                     method, url, json=body, headers=self._headers(headers)
                 ) as resp,
             ):
-                answer = json.loads(await resp.text() or "{}")
+                answer = json.loads(await read_body(resp, MAX_ANSWER_BYTES) or "{}")
                 if resp.status >= 400:
                     raise ApiError(resp.status, answer)
                 return answer
@@ -67,7 +71,9 @@
                 ) as resp,
             ):
                 if resp.status >= 400:
-                    raise ApiError(resp.status, json.loads(await resp.text()))
+                    raise ApiError(
+                        resp.status, json.loads(await read_body(resp, MAX_ANSWER_BYTES))
+                    )
                 async for line in resp.content:
                     if line.startswith(b"data: "):
                         yield json.loads(line[6:])
--- a/packages/cli/src/slatehoist/cli/fleet.py
+++ b/packages/cli/src/slatehoist/cli/fleet.py
@@ -7,9 +7,13 @@
 import aiohttp
 from prometheus_client.parser import text_string_to_metric_families
 
+from slatehoist.http import read_body
+
 #: Timeout for reading the metrics of one process, in seconds; a partitioned instance
 #: never answers.
 TIMEOUT_S = 2.0
+#: Largest answer with the metrics of a process, in bytes.
+MAX_METRICS_BYTES = 4 * 1024 * 1024
 METRICS_PATH = "/metrics"
 
 _VERSION = "slatehoist_configuration_version"
@@ -57,7 +61,10 @@
         async with session.get(f"http://{address}{METRICS_PATH}") as resp:
             if resp.status != 200:
                 return Process(address, {}, f"status {resp.status}")
-            return Process(address, parse_metrics(await resp.text()))
+            return Process(
+                address,
+                parse_metrics((await read_body(resp, MAX_METRICS_BYTES)).decode()),
+            )
     except (TimeoutError, aiohttp.ClientError, ValueError) as exc:
         return Process(address, {}, str(exc) or type(exc).__name__)
 
--- a/packages/daemon/src/slatehoist/daemon/entry/attempts.py
+++ b/packages/daemon/src/slatehoist/daemon/entry/attempts.py
@@ -12,6 +12,7 @@
 import xxhash
 
 from slatehoist.config.settings import RetrySettings
+from slatehoist.http import read_body, strict_connector
 from slatehoist.wire import FrameDecoder, WireError, encode
 from slatehoist.wire.messages import (
     AttemptRequest,
@@ -31,6 +32,8 @@
 CANCEL_PAUSE_S = 0.5
 #: Timeout for opening a connection to a sidecar, in seconds.
 CONNECT_TIMEOUT_S = 1.0
+#: Largest answer to a query for the state of an attempt, in bytes.
+MAX_STATE_BYTES = 1024
 
 _HTTP_GONE = 410
 _HTTP_OK = 200
@@ -112,11 +115,11 @@
     def __init__(self, cfg: RetrySettings) -> None:
         self._cfg = cfg
         self._session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(limit=0, keepalive_timeout=30),
+            connector=strict_connector(limit=0, keepalive_timeout=30),
             auto_decompress=False,
         )
         self._unpooled_session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(limit=0, force_close=True),
+            connector=strict_connector(limit=0, force_close=True),
             auto_decompress=False,
         )
 
@@ -186,7 +189,8 @@
             ) as resp:
                 if resp.status == _HTTP_GONE:
                     raise IncarnationGoneError
-                return AttemptState(await resp.text())
+                state = await read_body(resp, MAX_STATE_BYTES)
+                return AttemptState(state.decode())
         except (aiohttp.ClientError, TimeoutError, ValueError):
             return None
 
--- a/packages/daemon/src/slatehoist/daemon/entry/process.py
+++ b/packages/daemon/src/slatehoist/daemon/entry/process.py
@@ -24,6 +24,7 @@
 from slatehoist.daemon.entry.resource_api import ResourceApi
 from slatehoist.daemon.lifecycle import Lifecycle
 from slatehoist.daemon.metrics import Metric, Metrics
+from slatehoist.http import strict_connector
 from slatehoist.routing import SuspectTracker
 from slatehoist.storage import (
     HttpInstanceList,
@@ -135,7 +136,7 @@
 
     def _build(self) -> None:
         cfg = self.cfg
-        self._session = aiohttp.ClientSession()
+        self._session = aiohttp.ClientSession(connector=strict_connector())
         table = HttpTable(cfg.platform.table, self._session)
         self._instances = HttpInstanceList(cfg.platform.instances, self._session)
         self.store = ResourceStore(table)
--- a/packages/daemon/src/slatehoist/daemon/sidecar/coordinator.py
+++ b/packages/daemon/src/slatehoist/daemon/sidecar/coordinator.py
@@ -16,6 +16,7 @@
 from slatehoist.daemon.metrics import Metric, Metrics
 from slatehoist.daemon.sidecar.peers import GroupPeers
 from slatehoist.experts import MoveCost, Planner, initial_placement
+from slatehoist.http import read_body
 from slatehoist.storage import PlatformError, Table
 from slatehoist.wire import LinkDownError
 
@@ -27,6 +28,8 @@
 RENEWALS_PER_LIFETIME = 3
 #: Timeout for reading the experts' loads, in seconds.
 READ_TIMEOUT_S = 1.0
+#: Largest answer with the experts' loads, in bytes.
+MAX_LOADS_BYTES = 4 * 1024 * 1024
 
 
 class GroupCoordinator:
@@ -132,7 +135,7 @@
         url = f"{self.cfg.url.rstrip('/')}/loads"
         try:
             async with self._session.get(url, timeout=timeout) as resp:
-                report = msgspec.json.decode(await resp.read())
+                report = msgspec.json.decode(await read_body(resp, MAX_LOADS_BYTES))
         except (aiohttp.ClientError, TimeoutError, msgspec.DecodeError):
             return None
         return np.array(report["tokens"], dtype=float)
--- a/packages/daemon/src/slatehoist/daemon/sidecar/endpoints.py
+++ b/packages/daemon/src/slatehoist/daemon/sidecar/endpoints.py
@@ -11,10 +11,15 @@
 import aiohttp
 import msgspec
 
+from slatehoist.daemon.sidecar.attempts import MAX_RESPONSE_BYTES
 from slatehoist.http import (
+    MAX_EVENT_BYTES,
     EventSplitter,
     Framing,
+    OversizedBodyError,
+    OversizedEventError,
     is_event_stream,
+    read_body,
     response_framing,
     strict_connector,
 )
@@ -38,6 +43,8 @@
 CANCEL_DELAY_S = 2.0
 #: Size of the read buffer of a response, in bytes.
 READ_BYTES = 64 * 1024
+#: Largest report of an endpoint's load, in bytes.
+MAX_REPORT_BYTES = 64 * 1024
 #: Headers of the endpoint's response that are forwarded.
 FORWARDED_HEADERS = ("Content-Type", "Cache-Control", "Location", "ETag")
 
@@ -111,7 +118,8 @@
         timeout = aiohttp.ClientTimeout(total=LOAD_TIMEOUT_S)
         try:
             async with self._session.get(f"{self._url}/load", timeout=timeout) as resp:
-                report = msgspec.json.decode(await resp.read(), type=_LoadReport)
+                data = await read_body(resp, MAX_REPORT_BYTES)
+                report = msgspec.json.decode(data, type=_LoadReport)
                 return Load(**report)
         except (TimeoutError, aiohttp.ClientError, msgspec.DecodeError):
             return None
@@ -159,13 +167,17 @@
                 yield _make_head(resp, proves_end)
                 events = EventSplitter()
                 received = 0
+                has_events = is_event_stream(resp.headers)
                 async for chunk in resp.content.iter_any():
-                    events.feed(chunk)
+                    if has_events:
+                        events.feed(chunk)
                     received += len(chunk)
                     yield chunk
                 cut = events.within_event or not (received or proves_end)
-                if is_event_stream(resp.headers) and cut:
+                if has_events and cut:
                     raise BrokenResponseError(BrokenReason.ENDPOINT_CRASHED)
+        except OversizedEventError as exc:
+            raise BrokenResponseError(BrokenReason.BUFFER_LIMIT) from exc
         except aiohttp.ClientConnectorError as exc:
             raise EndpointDownError(str(exc)) from exc
         except (TimeoutError, aiohttp.ClientError) as exc:
@@ -287,7 +299,11 @@
         Yield nothing if the response is a JSON document that was cut off.
         """
         if not is_event_stream(resp.headers):
-            body = await resp.read()
+            try:
+                body = await read_body(resp, MAX_RESPONSE_BYTES)
+            except OversizedBodyError as exc:
+                # To read it again would not help.
+                raise BrokenResponseError(BrokenReason.BUFFER_LIMIT) from exc
             proves_end = _framing(resp).proves_end or _is_json(body)
             if not proves_end and resp.content_type == "application/json":
                 return
@@ -304,6 +320,8 @@
         remainder = b""
         async for data in resp.content.iter_any():
             events, separator, remainder = (remainder + data).rpartition(b"\n\n")
+            if len(remainder) > MAX_EVENT_BYTES:
+                raise BrokenResponseError(BrokenReason.BUFFER_LIMIT)
             if separator:
                 yield self._count_events(events + separator)
 
--- a/packages/daemon/src/slatehoist/daemon/sidecar/process.py
+++ b/packages/daemon/src/slatehoist/daemon/sidecar/process.py
@@ -21,6 +21,7 @@
 from slatehoist.daemon.sidecar.ranks import EngineRank, RankHost
 from slatehoist.daemon.sidecar.runner import AttemptRunner
 from slatehoist.daemon.sidecar.server import AttemptServer
+from slatehoist.http import strict_connector
 from slatehoist.routing import AdaptiveLimit, FairQueue
 from slatehoist.storage import HttpInstanceList, HttpTable, HttpWeightStore
 from slatehoist.wire import LinkServer, decode
@@ -135,7 +136,7 @@
 
     def _build(self) -> None:
         cfg = self.cfg.endpoint
-        self._session = aiohttp.ClientSession()
+        self._session = aiohttp.ClientSession(connector=strict_connector())
         platform = self.cfg.platform
         self.platform_table = HttpTable(platform.table, self._session)
         self.weights = HttpWeightStore(platform.weights, self._session)
--- a/packages/daemon/src/slatehoist/daemon/sidecar/ranks.py
+++ b/packages/daemon/src/slatehoist/daemon/sidecar/ranks.py
@@ -15,6 +15,7 @@
 from slatehoist.coord import RankGate, RankState, RankUnreachableError, settle_arm
 from slatehoist.daemon.background import Background
 from slatehoist.daemon.sidecar.peers import GroupPeers
+from slatehoist.http import read_body
 from slatehoist.storage import PlatformError, WeightStore
 from slatehoist.wire import LinkDownError, decode
 from slatehoist.wire.messages import MapOrder, MapReply, RanksAnswer, RanksQuestion
@@ -23,6 +24,8 @@
 
 #: Timeout for one request to a rank's engine, in seconds.
 ORDER_TIMEOUT_S = 1.0
+#: Largest answer of a rank's engine, in bytes.
+MAX_ANSWER_BYTES = 64 * 1024
 #: Seconds that a rank may be held before an armed step. After that its sidecar settles
 #: the arm, because the coordinator may have crashed.
 ARM_TIMEOUT_S = 1.0
@@ -117,7 +120,7 @@
             async with self._session.request(
                 method, self._url + path, json=body, timeout=self._timeout
             ) as resp:
-                return msgspec.json.decode(await resp.read())
+                return msgspec.json.decode(await read_body(resp, MAX_ANSWER_BYTES))
         except (aiohttp.ClientError, TimeoutError, msgspec.DecodeError) as exc:
             raise RankUnreachableError(
                 f"rank {self._index} at {self._url}: {method} {path} failed: {exc!r}"
--- a/packages/gateway/src/slatehoist/gateway/forwarding.py
+++ b/packages/gateway/src/slatehoist/gateway/forwarding.py
@@ -466,6 +466,7 @@
             was broken off then.
         """
         splitter = EventSplitter()
+        has_events = is_event_stream(reply.headers, default=True)
         idle_timeout_s = self._cfg.stall_s + STREAM_IDLE_MARGIN_S
         loop = asyncio.get_running_loop()
         timeouts = self._stream_timeouts.setdefault(endpoint.endpoint_id, set())
@@ -477,7 +478,9 @@
                     timeout.reschedule(loop.time() + idle_timeout_s)
                     exchange.last_data_at = self._clock()
                     exchange.reply_bytes += len(chunk)
-                    events = self._split_events(endpoint, splitter, chunk)
+                    events = b""
+                    if has_events or exchange.route.resumable:
+                        events = self._split_events(endpoint, splitter, chunk)
                     data = events if exchange.route.resumable else chunk
                     if data:
                         await self._write_to_caller(exchange, reply, data)
@@ -485,7 +488,7 @@
             timeouts.discard(timeout)
             exchange.partial_event_bytes = len(splitter.rest)
             exchange.last_event_id = splitter.last_event_id or exchange.last_event_id
-        if is_event_stream(reply.headers, default=True):
+        if has_events:
             self._check_stream_end(exchange, endpoint, splitter)
         rest = splitter.rest if exchange.route.resumable else b""
         await self._write_to_caller(exchange, reply, rest, last=True)
--- a/packages/gateway/src/slatehoist/gateway/upstream.py
+++ b/packages/gateway/src/slatehoist/gateway/upstream.py
@@ -12,7 +12,6 @@
 
 #: Headers that aiohttp must not add to a forwarded request.
 _NO_AUTO_HEADERS = ("Accept", "Accept-Encoding", "User-Agent", "Content-Type")
-_FIRST_FINAL_STATUS = 200
 #: Longest response header line that is accepted, in bytes.
 _MAX_HEADER_BYTES = 16384
 
@@ -80,7 +79,7 @@
         """
         url = URL(f"http://{req.address}{req.target}", encoded=True)
         try:
-            reply = await self._session.request(
+            return await self._session.request(
                 req.method,
                 url,
                 headers=req.headers,
@@ -92,11 +91,6 @@
             raise NotSentError(f"{req.address}: {exc}", refused) from exc
         except (aiohttp.ClientError, OSError, ValueError) as exc:
             raise BrokenReplyError(f"{req.address}: {exc!r}") from exc
-        if reply.status < _FIRST_FINAL_STATUS:
-            # Only 101 is returned: the endpoint leaves HTTP, which no request asks for.
-            reply.close()
-            raise BrokenReplyError(f"{req.address}: status {reply.status}")
-        return reply
 
     async def probe(self, address: str) -> None:
         """Open a connection without a request, and reset it.
--- a/packages/http/src/slatehoist/http/__init__.py
+++ b/packages/http/src/slatehoist/http/__init__.py
@@ -7,6 +7,7 @@
     strict_connector,
 )
 from slatehoist.http.events import (
+    MAX_EVENT_BYTES,
     EventSplitter,
     OversizedEventError,
     is_event_stream,
@@ -15,6 +16,7 @@
 from slatehoist.http.responses import RelayedResponse, reset_on_close
 
 __all__ = [
+    "MAX_EVENT_BYTES",
     "BufferBudget",
     "EventSplitter",
     "Framing",
--- a/packages/http/src/slatehoist/http/client.py
+++ b/packages/http/src/slatehoist/http/client.py
@@ -13,6 +13,7 @@
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 #: Informational responses (status below 200) that are accepted before the final one.
 MAX_INFORMATIONAL = 16
+_SWITCHING_PROTOCOLS = 101
 _FIRST_FINAL_STATUS = 200
 #: Bytes of a response that are accepted besides its body: head, chunk sizes, chunk
 #: extensions and trailers. More are accepted with a body, whose chunks may be small.
@@ -43,7 +44,12 @@
 
     def feed_data(self, data, size: int = 0) -> None:
         """Add a response whose head was received."""
-        if data[0].code < _FIRST_FINAL_STATUS:
+        status = data[0].code
+        if status == _SWITCHING_PROTOCOLS:
+            # No request asks for another protocol.
+            self._give_up(f"status {status}")
+            return
+        if status < _FIRST_FINAL_STATUS:
             self._informational += 1
         super().feed_data(data, size)
 
--- a/packages/storage/src/slatehoist/storage/http.py
+++ b/packages/storage/src/slatehoist/storage/http.py
@@ -7,7 +7,7 @@
 import aiohttp
 import msgspec
 
-from slatehoist.http import response_framing
+from slatehoist.http import read_body, response_framing
 from slatehoist.storage.base import Check, Instance, Row, Write
 from slatehoist.storage.exceptions import (
     ConflictError,
@@ -17,6 +17,8 @@
 
 #: Timeout of one call in seconds.
 CALL_TIMEOUT_S = 2.0
+#: Largest answer of a service in bytes.
+MAX_ANSWER_BYTES = 16 * 1024 * 1024
 
 log = logging.getLogger(__name__)
 
@@ -75,7 +77,7 @@
                 method, url, data=data, params=params, timeout=self._timeout
             ) as resp:
                 self._observe(resp.headers)
-                body = await resp.read()
+                body = await read_body(resp, MAX_ANSWER_BYTES)
         except aiohttp.ClientConnectorError as exc:
             raise StoreDownError(f"{url}: {exc}") from exc
         except (TimeoutError, aiohttp.ClientError) as exc:
--- a/tests/scripted_session.py
+++ b/tests/scripted_session.py
@@ -11,9 +11,12 @@
     ) -> None:
         self.status = status
         self.headers = CIMultiDict(headers or {})
+        self.content = self
         self._body = body
+        self._pieces: list[bytes] = []
 
     def request(self, *args, **kwargs) -> "ScriptedSession":
+        self._pieces = [self._body] if self._body else []
         return self
 
     async def __aenter__(self) -> "ScriptedSession":
@@ -22,5 +25,8 @@
     async def __aexit__(self, *exc_info) -> None:
         pass
 
-    async def read(self) -> bytes:
-        return self._body
+    async def readany(self) -> bytes:
+        return self._pieces.pop() if self._pieces else b""
+
+    def close(self) -> None:
+        pass
--- a/tests/test_platform_endless.py
+++ b/tests/test_platform_endless.py
@@ -5,14 +5,16 @@
 import unittest
 
 import aiohttp
+from adapter.ranks import HttpRank
+from adapter.store import PlatformTable
 
+from endless_server import MAX_ACCEPTED_BYTES, EndlessServer
 from gateway_world import GatewayTestCase
 from slatehoist.http import strict_connector
+from slatehoist.maps import Answer, RankUnreachableError
+from slatehoist.storage import StoreDownError
 from slatehoist_standins.deployment_server import ENDLESS
 
-#: Bytes of a response that may arrive before it is given up: the largest body that is
-#: accepted, what sockets buffer, and some reads.
-MAX_ACCEPTED_BYTES = 16 * 1024 * 1024
 #: Seconds until the final answer: the routes' timeout and some slack.
 MAX_ANSWER_S = 2.2
 
@@ -63,5 +65,27 @@
             self.assertIn(resp.status, expected)
 
 
+class ClientTests(unittest.IsolatedAsyncioTestCase):
+    # Guards against a store or a rank whose answers without end fill the memory of a
+    # gateway or an agent.
+    async def test_endless_answers_of_store_and_rank_fail_and_little_is_read(self):
+        for kind in ENDLESS:
+            with self.subTest(kind=kind):
+                server = EndlessServer(kind)
+                await server.start()
+                self.addAsyncCleanup(server.stop)
+                session = aiohttp.ClientSession(connector=strict_connector())
+                self.addAsyncCleanup(session.close)
+                rank = HttpRank(server.address, session)
+                began = time.monotonic()
+                with self.assertRaises(StoreDownError):
+                    await PlatformTable(server.address, session).get("t", "k")
+                with self.assertRaises(RankUnreachableError):
+                    await rank.report()
+                self.assertIs(await rank.hold(1, 2), Answer.UNKNOWN)
+                self.assertLess(time.monotonic() - began, 2.0)
+                self.assertLess(server.sent_bytes, 3 * MAX_ACCEPTED_BYTES)
+
+
 if __name__ == "__main__":
     unittest.main()
