--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -18,6 +18,9 @@
 #: a gateway trusts credentials without contact to the store.
 MAX_DURATION_S = 6.0
 
+#: Further times that `limit_rate` stands among the faults to draw from: other faults
+#: soon excuse the gateways, and a rate excuses nobody.
+EXTRA_LIMITS = 5
 #: Shortest time in seconds for which a server states a rate: gateways must keep it only
 #: some seconds after its first answer.
 MIN_LIMIT_S = 6.0
@@ -47,7 +50,7 @@
     ) -> None:
         self.world = world
         self.rng = rng
-        self._names = sorted(names or FAULTS)
+        self._names = sorted(names or [*FAULTS, *[limit_rate.__name__] * EXTRA_LIMITS])
         #: Injected faults with their times, for the report.
         self.history: list[str] = []
         self.findings: list[str] = []
--- a/tools/soak/guarantees.py
+++ b/tools/soak/guarantees.py
@@ -3,7 +3,13 @@
 from collections.abc import Iterator
 
 from soak.callers import DEADLINE_S, Result
-from soak.servers import Notice, SoakServer, plain_body, stream_body
+from soak.servers import (
+    Notice,
+    RateLimit,
+    SoakServer,
+    plain_body,
+    stream_body,
+)
 from soak.world import DRAIN_S, REVOKE_S, World
 
 #: Statuses which guarantee that the request has not run and will not run.
@@ -14,8 +20,8 @@
 #: number of them that is allowed until the end of the stated time.
 TURN_AWAY_SLACK_S = 0.5
 MAX_LATE_ARRIVALS = 2
-#: Seconds after a server first stated a rate from which it is checked, and after which
-#: a gateway that got an answer with it must know it.
+#: Seconds after a server first stated a rate from which windows may end that are
+#: checked, and after which a gateway that got an answer with it must know it.
 RATE_CONTACT_S = 3.0
 RATE_KNOWN_S = 0.5
 #: Window in seconds in which a rate is checked, and what is allowed there beyond it.
@@ -146,24 +152,40 @@
     world: World, server: SoakServer, results: list[Result]
 ) -> Iterator[str]:
     """Check that all gateways together keep to the rate that a server states."""
-    gateways = {result.request_id: result.gateway for result in results}
     for limit in server.rate_limits:
-        known_from: dict[str, float] = {}
-        counted = []
-        for request_id, at in server.arrived:
-            gateway = gateways.get(request_id)
-            if gateway is None or not limit.start <= at <= limit.end:
-                continue
-            known_at = known_from.setdefault(gateway, at + RATE_KNOWN_S)
-            is_bound = at >= max(known_at, limit.start + RATE_CONTACT_S)
-            if is_bound and world.was_undisturbed(gateway, known_at, at):
-                counted.append(at)
+        counted = find_bound_arrivals(world, server, limit, results)
         allowed = RATE_TOLERANCE * limit.rate * RATE_WINDOW_S + RATE_EXTRA
         for first, at in enumerate(counted):
-            count = sum(at <= other < at + RATE_WINDOW_S for other in counted[first:])
-            if count > allowed:
+            window = [t for t in counted[first:] if t < at + RATE_WINDOW_S]
+            if window[-1] < limit.start + RATE_CONTACT_S:
+                continue
+            if len(window) > allowed:
                 yield (
-                    f"{server.server_id}: {count} requests in {RATE_WINDOW_S:g} s at a "
-                    f"stated rate of {limit.rate:g} a second"
+                    f"{server.server_id}: {len(window)} requests in "
+                    f"{RATE_WINDOW_S:g} s at a stated rate of {limit.rate:g} a second"
                 )
                 break
+
+
+def find_bound_arrivals(
+    world: World, server: SoakServer, limit: RateLimit, results: list[Result]
+) -> list[float]:
+    """Return the arrivals from gateways that a stated rate binds, in order.
+
+    It binds a gateway some time after an answer with the rate. A fault of the gateway
+    ends that, until its next request after the fault has been answered.
+    """
+    gateways = {result.request_id: result.gateway for result in results}
+    #: First arrival from each gateway since its last fault.
+    since: dict[str, float] = {}
+    bound = []
+    for request_id, at in server.arrived:
+        gateway = gateways.get(request_id)
+        if gateway is None or not limit.start <= at <= limit.end:
+            continue
+        first = since.setdefault(gateway, at)
+        if not world.was_undisturbed(gateway, first, at):
+            since[gateway] = at
+        elif at >= first + RATE_KNOWN_S:
+            bound.append(at)
+    return bound
--- a/tools/soak/runner.py
+++ b/tools/soak/runner.py
@@ -11,7 +11,7 @@
 
 from soak.callers import Caller
 from soak.faults import FaultInjector
-from soak.guarantees import find_violations
+from soak.guarantees import find_bound_arrivals, find_violations
 from soak.poisons import PoisonCaller
 from soak.world import GATEWAYS, World
 
@@ -33,7 +33,8 @@
     counts : dict of str to int
         Number of requests, in total and by status; ``cut`` counts the responses with
         status 200 that ended early, ``poison_crashes`` the crashes of servers by a
-        poison request.
+        poison request, ``rates`` the rates that servers stated, and ``rates_in_force``
+        those that bound a gateway; ``rate_arrivals`` requests were checked.
     """
 
     history: list[str]
@@ -90,10 +91,28 @@
     for gateway in world.gateways:
         if world.processes[gateway.name].poll() is not None:
             broken.append(f"{gateway.name}: exited unexpectedly")
-    counts = {**_count_outcomes(results), "poison_crashes": len(world.poison_crashes)}
+    counts = {
+        **_count_outcomes(results),
+        "poison_crashes": len(world.poison_crashes),
+        **_count_rate_checks(world, results),
+    }
     return Report(injector.history, broken, counts)
 
 
+def _count_rate_checks(world: World, results: list) -> dict[str, int]:
+    """Count the stated rates, those that bound a gateway, and the requests checked."""
+    bound = [
+        len(find_bound_arrivals(world, server, limit, results))
+        for server in [*world.servers, *world.retired]
+        for limit in server.rate_limits
+    ]
+    return {
+        "rates": len(bound),
+        "rates_in_force": sum(count > 0 for count in bound),
+        "rate_arrivals": sum(bound),
+    }
+
+
 async def _find_not_serving(world: World) -> list:
     """Return the gateways that do not serve requests after the last fault."""
     not_serving = []
