--- a/packages/gateway/tests/gateway_fleet.py
+++ b/packages/gateway/tests/gateway_fleet.py
@@ -167,9 +167,11 @@
 
     def __init__(self, framed: bool = True) -> None:
         self.headers = {"Content-Length": "5"} if framed else {}
+        self.content = self
+        self._pieces = [self.body]
 
-    async def read(self) -> bytes:
-        return self.body
+    async def readany(self) -> bytes:
+        return self._pieces.pop() if self._pieces else b""
 
     def close(self) -> None:
         pass
