--- a/packages/gateway/tests/test_gateway_holds.py
+++ b/packages/gateway/tests/test_gateway_holds.py
@@ -205,7 +205,7 @@
         counts = await self.call_and_count(world, 3, Rate="8")
         self.assertEqual(counts, {second.address: 3})
 
-    # Guards against a caller that is told to wait although other gateways have shares
+    # Guards against a caller that waits although other gateways have shares
     # left, and against connections that keep it at this gateway.
     async def test_caller_beyond_the_share_is_sent_to_another_gateway_at_once(self):
         world = self.make_limited_world("2")
--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -19,7 +19,7 @@
 MAX_DURATION_S = 6.0
 
 #: Further times that `limit_rate` stands among the faults to draw from: other faults
-#: soon excuse the gateways, and a rate excuses nobody.
+#: soon excuse the gateways, but a rate does not.
 EXTRA_LIMITS = 5
 #: Shortest time in seconds for which a server states a rate: gateways must keep it only
 #: some seconds after its first answer.
