--- a/packages/gateway/src/slatehoist/gateway/streams.py
+++ b/packages/gateway/src/slatehoist/gateway/streams.py
@@ -13,10 +13,14 @@
     EventSplitter,
     OversizedEventError,
     RelayedResponse,
+    has_content,
     is_event_stream,
 )
 from slatehoist.observe import GatewayMetrics
 
+#: Bytes of an event that is not whole yet which count as progress of its stream.
+MIN_PROGRESS_BYTES = 1024
+
 
 class StreamRelay:
     """Pass streams on to callers, and move those of stragglers.
@@ -24,7 +28,7 @@
     Parameters
     ----------
     idle_timeout_s : float
-        Seconds without data after which a stream counts as lost.
+        Seconds without progress after which a stream counts as lost; see `_Progress`.
 
     Attributes
     ----------
@@ -54,8 +58,9 @@
 
         On a resumable route only whole events are passed on until the stream ends, so
         that another endpoint can continue after the last of them. The rest is passed on
-        at the end of the stream. The attempt times out if the endpoint is silent for
-        too long, or if `move_streams` ends it.
+        at the end of the stream. The attempt times out if the stream makes no progress
+        for too long, or if `move_streams` ends it. The time in which the caller does
+        not take what was sent does not count.
 
         Raises
         ------
@@ -71,16 +76,21 @@
             async with asyncio.timeout(self._idle_timeout_s) as timeout:
                 if _is_movable(exchange):
                     timeouts.add(timeout)
+                progress = _Progress(loop.time())
                 while chunk := await reply.content.readany():
-                    timeout.reschedule(loop.time() + self._idle_timeout_s)
                     exchange.last_data_at = self._clock()
                     exchange.reply_bytes += len(chunk)
                     events = b""
                     if has_events or exchange.route.resumable:
                         events = _split_events(endpoint, splitter, chunk)
                     data = events if exchange.route.resumable else chunk
+                    arrived_at = loop.time()
+                    progress.record(chunk, events, has_events, arrived_at)
                     if data:
+                        timeout.reschedule(None)
                         await self._write_to_caller(exchange, reply, data)
+                        progress.at += loop.time() - arrived_at
+                    timeout.reschedule(progress.at + self._idle_timeout_s)
         finally:
             timeouts.discard(timeout)
             exchange.partial_event_bytes = len(splitter.rest)
@@ -138,6 +148,27 @@
         return len(timeouts)
 
 
+class _Progress:
+    """Time at which a stream last made progress.
+
+    An event with content is progress, and so are `MIN_PROGRESS_BYTES` of a large one.
+    Comments, blank lines and a byte now and then are not: an endpoint that is stalled
+    may send them for good.
+    """
+
+    def __init__(self, now: float) -> None:
+        self.at = now
+        self._bytes = 0
+
+    def record(self, chunk: bytes, events: bytes, has_events: bool, now: float) -> None:
+        """Record data that arrived, and the events that it has completed."""
+        self._bytes += len(chunk)
+        is_progress = has_content(events) if has_events else True
+        if is_progress or self._bytes >= MIN_PROGRESS_BYTES:
+            self.at = now
+            self._bytes = 0
+
+
 def _split_events(endpoint: Endpoint, splitter: EventSplitter, chunk: bytes) -> bytes:
     """Return the events that a chunk completes; raise BrokenReplyError if large."""
     try:
--- /dev/null
+++ b/packages/gateway/tests/test_gateway_stream_progress.py
@@ -0,0 +1,107 @@
+"""Tests of which streams count as stalled, without a network."""
+
+import asyncio
+import unittest
+from types import SimpleNamespace
+
+from slatehoist.gateway.streams import StreamRelay
+from slatehoist.http import Framing
+from slatehoist.observe import GatewayMetrics
+
+IDLE_S = 0.2
+
+
+class SlowContent:
+    """Body whose pieces arrive one after the other, each after a pause."""
+
+    def __init__(self, pieces: list[bytes], pause_s: float) -> None:
+        self._pieces = list(pieces)
+        self._pause_s = pause_s
+
+    async def readany(self) -> bytes:
+        if not self._pieces:
+            return b""
+        await asyncio.sleep(self._pause_s)
+        return self._pieces.pop(0)
+
+
+class SlowCaller:
+    """Response that takes each write after a pause."""
+
+    def __init__(self, pause_s: float) -> None:
+        self._pause_s = pause_s
+        self.received = b""
+        self.is_whole = False
+
+    async def write(self, data: bytes) -> None:
+        await asyncio.sleep(self._pause_s)
+        self.received += data
+
+    async def write_eof(self) -> None:
+        self.is_whole = True
+
+
+class StreamProgressTests(unittest.IsolatedAsyncioTestCase):
+    async def relay(
+        self, pieces: list[bytes], pause_s: float, caller_pause_s: float = 0.0
+    ) -> SlowCaller:
+        caller = SlowCaller(caller_pause_s)
+        exchange = SimpleNamespace(
+            route=SimpleNamespace(resumable=True, max_attempts=1),
+            attempts=0,
+            stream=caller,
+            framing=Framing.CHUNKED,
+            reply_bytes=0,
+            partial_event_bytes=0,
+            last_event_id="",
+            last_data_at=0.0,
+            info=SimpleNamespace(request_id="r"),
+        )
+        reply = SimpleNamespace(
+            content=SlowContent(pieces, pause_s),
+            headers={"Content-Type": "text/event-stream"},
+        )
+        endpoint = SimpleNamespace(endpoint_id="e", address="10.0.0.1:80")
+        relay = StreamRelay(None, GatewayMetrics(), IDLE_S, lambda: 0.0)
+        async with asyncio.timeout(3.0):
+            await relay.relay(exchange, endpoint, reply)
+        return caller
+
+    async def check_times_out(self, pieces: list[bytes], pause_s: float) -> None:
+        started_at = asyncio.get_running_loop().time()
+        with self.assertRaises(TimeoutError):
+            await self.relay(pieces, pause_s)
+        took_s = asyncio.get_running_loop().time() - started_at
+        self.assertLess(took_s, 4 * IDLE_S)
+
+    async def test_stream_with_an_event_now_and_then_is_whole(self):
+        events = [f"id: {n}\ndata: x\n\n".encode() for n in range(6)]
+        caller = await self.relay(events, IDLE_S * 0.6)
+        self.assertEqual(caller.received, b"".join(events))
+        self.assertTrue(caller.is_whole)
+
+    # Guards against a large event that arrives slowly and is taken for a stall.
+    async def test_stream_of_one_large_event_is_whole(self):
+        pieces = [b"data: " + b"x" * 2000] + [b"x" * 2000] * 5 + [b"\n\n"]
+        caller = await self.relay(pieces, IDLE_S * 0.6)
+        self.assertTrue(caller.is_whole)
+
+    # Guards against a slow caller that is taken for a stalled endpoint.
+    async def test_stream_to_a_caller_that_reads_slowly_is_whole(self):
+        events = [f"id: {n}\ndata: x\n\n".encode() for n in range(3)]
+        caller = await self.relay(events, 0.01, caller_pause_s=2 * IDLE_S)
+        self.assertTrue(caller.is_whole)
+
+    # Guards against streams that never end: each byte renewed the time-out.
+    async def test_event_that_gets_a_byte_now_and_then_times_out(self):
+        await self.check_times_out([b"d"] + [b"x"] * 100, IDLE_S / 4)
+
+    async def test_comments_are_no_progress(self):
+        await self.check_times_out([b": keep-alive\n\n"] * 100, IDLE_S / 4)
+
+    async def test_blank_lines_are_no_progress(self):
+        await self.check_times_out([b"\n\n"] * 100, IDLE_S / 4)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/packages/http/src/slatehoist/http/__init__.py
+++ b/packages/http/src/slatehoist/http/__init__.py
@@ -10,6 +10,7 @@
     MAX_EVENT_BYTES,
     EventSplitter,
     OversizedEventError,
+    has_content,
     is_event_stream,
 )
 from slatehoist.http.framing import Framing, response_framing
@@ -25,6 +26,7 @@
     "RelayedResponse",
     "ResettingResponseHandler",
     "StrictResponseHandler",
+    "has_content",
     "is_event_stream",
     "read_body",
     "reset_on_close",
--- a/packages/http/src/slatehoist/http/events.py
+++ b/packages/http/src/slatehoist/http/events.py
@@ -31,6 +31,11 @@
     return content_type.partition(";")[0].strip().lower() == _MEDIA_TYPE
 
 
+def has_content(events: bytes) -> bool:
+    """Return True if events contain a line that is neither blank nor a comment."""
+    return any(line and not line.startswith(_COMMENT) for line in events.splitlines())
+
+
 class EventSplitter:
     """Split a byte stream into whole events, and buffer an incomplete one.
 
