Send requests to open groups only, while there is one

Cause: a gateway checked that any group of a service is open, and then chose among the ranks of all groups. With one of three groups closed, a third of the requests went to ranks that stall and refuse them.

--- a/packages/gateway/src/slatehoist/gateway/forwarding.py
+++ b/packages/gateway/src/slatehoist/gateway/forwarding.py
@@ -284,7 +284,8 @@
         if not open_endpoints:
             exchange.hold = self._holds.find_hold(listed, now)
             return None
-        endpoints = self._health.available(open_endpoints, now)
+        endpoints = self._health.in_open_groups(open_endpoints, now)
+        endpoints = self._health.available(endpoints, now)
         candidates = [self._candidate(endpoint, now) for endpoint in endpoints]
         chosen = self._chooser.choose(candidates, self._cfg.zone)
         if chosen is None:
--- a/packages/gateway/src/slatehoist/gateway/health.py
+++ b/packages/gateway/src/slatehoist/gateway/health.py
@@ -58,10 +58,14 @@
     )
 
     def __init__(self) -> None:
+        self.inflight = 0
+        self.clear()
+
+    def clear(self) -> None:
+        """Forget all but the requests in flight."""
         self.failures = 0
         self.ejection_s = FIRST_EJECTION_S
         self.ejected_until = float("-inf")
-        self.inflight = 0
         self.reported_load = 0.0
         self.reported_at = float("-inf")
         self.inflight_at_report = 0
@@ -86,12 +90,16 @@
     def forget(self, endpoint_id: str) -> None:
         """Drop the record of an endpoint that left or restarted.
 
-        Its number of requests in flight is carried over to a new record.
+        Attempts in flight refer to the record, and count themselves out of it later, so
+        it is kept for them.
         """
-        record = self._records.pop(endpoint_id, None)
-        if record is not None and record.inflight:
-            fresh = self.get_record(endpoint_id)
-            fresh.inflight = record.inflight
+        record = self._records.get(endpoint_id)
+        if record is None:
+            return
+        if record.inflight:
+            record.clear()
+        else:
+            del self._records[endpoint_id]
 
     def record_success(self, endpoint_id: str) -> None:
         """Record a response that shows that the endpoint works."""
@@ -143,6 +151,22 @@
             else GroupState.CLOSED
         )
 
+    def in_open_groups(
+        self, endpoints: Sequence[Endpoint], now: float
+    ) -> list[Endpoint]:
+        """Return the endpoints whose groups are not known to be closed.
+
+        Return all of them if all groups are closed. A closed group refuses each request
+        after a while, at any of its ranks.
+        """
+        open_endpoints = [
+            endpoint
+            for endpoint in endpoints
+            if (record := self.get_record(endpoint.endpoint_id)).group_open
+            or now - record.status_at > STATUS_FRESH_S
+        ]
+        return open_endpoints or list(endpoints)
+
     def pace(self, endpoint_id: str, now: float) -> float:
         """Return the endpoint's pace, or 1.0 if its status is not fresh."""
         record = self.get_record(endpoint_id)
