Derive poll intervals from the deployment's bounds, and restart failed tasks

The list of endpoints was read each 0.8 s, since 2 s was the shortest known bound on drains, and crash reports were polled each 1.5 s. Both follow from the settings now: 0.4 of drainMs and half of contactMs; the values for 2 s and 3 s are as before.

A background task that failed was logged and not started again, so an instance went on with old news. supervise restarts and counts it.

A connection accepted just before the listener of a stopping gateway closed was closed 10 ms later, with its first request on the way. It stays open for 0.5 s now: test_request_on_a_connection_accepted_last_is_answered.

--- a/packages/gateway/src/slatehoist/gateway/crash_reports.py
+++ b/packages/gateway/src/slatehoist/gateway/crash_reports.py
@@ -7,7 +7,7 @@
 
 from slatehoist.gateway.losses import Crash, LossLedger
 from slatehoist.gateway.model import Endpoint
-from slatehoist.gateway.settings import CRASH_LONG_POLL_S, STORE_RETRY_S
+from slatehoist.gateway.settings import STORE_RETRY_S
 from slatehoist.observe import GatewayMetrics
 from slatehoist.routing import CRASH_RETENTION_S, CrashTally
 from slatehoist.storage import (
@@ -39,6 +39,8 @@
         Name of this gateway, which removes its own reports when they are old.
     row_ttl_s : float
         Longest time in seconds for which the list shows an endpoint that has ended.
+    poll_s : float
+        Seconds that one poll for the reports of other gateways lasts.
     """
 
     def __init__(
@@ -46,12 +48,14 @@
         table: WatchableTable,
         instance: str,
         row_ttl_s: float,
+        poll_s: float,
         tally: CrashTally,
         metrics: GatewayMetrics,
         clock: Callable[[], float],
     ) -> None:
         self._table = table
         self._instance = instance
+        self._poll_s = poll_s
         self._tally = tally
         self._metrics = metrics
         self._clock = clock
@@ -199,7 +203,7 @@
             rows, self._version = await self._table.snapshot(CRASHES)
             self._write_lost_reports(rows)
         else:
-            feed = await self._table.changes(CRASHES, self._version, CRASH_LONG_POLL_S)
+            feed = await self._table.changes(CRASHES, self._version, self._poll_s)
             rows, self._version = feed.rows, feed.version
         now = self._clock()
         # In the order of their writes: a success clears earlier crashes only.
--- a/packages/gateway/src/slatehoist/gateway/process.py
+++ b/packages/gateway/src/slatehoist/gateway/process.py
@@ -4,7 +4,7 @@
 import contextlib
 import logging
 import random
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 from aiohttp import web
 from transitions import Machine
@@ -20,11 +20,12 @@
 from slatehoist.gateway.probes import EndpointProbes
 from slatehoist.gateway.registry import InstanceRegistry
 from slatehoist.gateway.settings import (
-    ENDPOINT_RELIST_S,
+    ACCEPTED_WAIT_S,
     GRACE_MARGIN_S,
     LEAVE_ROTATION_S,
     MOVE_STREAMS_PACE,
     READY_MAX_AGE_S,
+    TASK_RESTART_S,
     TRUST_RATIO,
     GatewaySettings,
 )
@@ -98,7 +99,10 @@
         self._lifecycle = GatewayLifecycle()
         self.catalogue = Catalogue(cfg.revoke_s * TRUST_RATIO)
         self.directory = EndpointDirectory(
-            ENDPOINT_RELIST_S, cfg.row_ttl_s, cfg.min_outage_s, cfg.max_list_age_s
+            cfg.endpoint_relist_s,
+            cfg.row_ttl_s,
+            cfg.min_outage_s,
+            cfg.max_list_age_s,
         )
         self._health = EndpointHealth()
         self._metrics = GatewayMetrics()
@@ -114,6 +118,7 @@
             self._table,
             self._cfg.instance,
             self._cfg.row_ttl_s,
+            self._cfg.crash_poll_s,
             tally,
             self._metrics,
             self._clock,
@@ -142,7 +147,12 @@
         syncs = [
             ConfigurationSync(self._source, self.catalogue, self._clock),
             EndpointSync(
-                self._source, self.directory, self._health, crashes, self._clock
+                self._source,
+                self.directory,
+                self._health,
+                crashes,
+                self._cfg.endpoint_poll_s,
+                self._clock,
             ),
             InstanceRegistry(
                 self._table,
@@ -151,11 +161,10 @@
                 self._clock,
             ),
         ]
-        self._tasks = [asyncio.create_task(sync.run()) for sync in syncs]
-        self._tasks += [
-            asyncio.create_task(crashes.write_reports()),
-            asyncio.create_task(crashes.follow_reports()),
-        ]
+        for sync in syncs:
+            self._start_task(type(sync).__name__, sync.run)
+        self._start_task("write_reports", crashes.write_reports)
+        self._start_task("follow_reports", crashes.follow_reports)
         self._forwarder = forwarder
         if self._cfg.status_listen is not None:
             feed = StatusFeed(
@@ -166,9 +175,7 @@
                 self._move_streams_if_slow,
                 self._clock,
             )
-            self._tasks.append(asyncio.create_task(feed.run(self._engine_services)))
-        for task in self._tasks:
-            task.add_done_callback(_log_task_failure)
+            self._start_task("StatusFeed", lambda: feed.run(self._engine_services))
         await self._listen(self._cfg.ready_listen, self._handle_ready)
         self._caller_runner = await self._listen(self._cfg.listen, self._gateway.handle)
         if self._cfg.metrics_listen is not None:
@@ -183,6 +190,11 @@
         self._lifecycle.serve()
         log.info("started", extra={"listen": self._cfg.listen, "zone": self._cfg.zone})
 
+    def _start_task(self, name: str, run: Callable[[], Awaitable[None]]) -> None:
+        """Start a background task that lasts as long as the process."""
+        work = supervise(name, run, self._metrics)
+        self._tasks.append(asyncio.create_task(work, name=name))
+
     def _update_metrics(self) -> None:
         table = self.catalogue.table
         self._metrics.config_version.set(self.catalogue.version)
@@ -227,6 +239,8 @@
         for site in list(self._caller_runner.sites):
             await site.stop()
         drain_until = started_at + self._cfg.grace_s - GRACE_MARGIN_S
+        # The first request of a connection that was just accepted is on its way.
+        await asyncio.sleep(ACCEPTED_WAIT_S)
         await self._close_idle_connections()
         while self._gateway.busy_connections and self._clock() < drain_until:
             await asyncio.sleep(_DRAIN_POLL_S)
@@ -307,6 +321,18 @@
         return runner
 
 
-def _log_task_failure(task: asyncio.Task) -> None:
-    if not task.cancelled() and task.exception() is not None:
-        log.error("task_failed", exc_info=task.exception())
+async def supervise(
+    name: str, run: Callable[[], Awaitable[None]], metrics: GatewayMetrics
+) -> None:
+    """Run a background task, and start it again if it fails or ends.
+
+    Without the task, this instance would go on serving with old news, or none.
+    """
+    while True:
+        try:
+            await run()
+            log.error("task_ended", extra={"task": name})
+        except Exception:
+            log.exception("task_failed", extra={"task": name})
+        metrics.task_failures.labels(name).inc()
+        await asyncio.sleep(TASK_RESTART_S)
--- a/packages/gateway/src/slatehoist/gateway/settings.py
+++ b/packages/gateway/src/slatehoist/gateway/settings.py
@@ -31,6 +31,9 @@
         Time between heartbeats of an endpoint to the list.
     drain_s : float
         Time from an endpoint's notice that it leaves until it may get no requests.
+    contact_s : float
+        Time within which an instance in touch with the store must act on what others
+        wrote there, for example on reports of crashes.
     """
 
     instance: str
@@ -47,6 +50,29 @@
     stall_s: float = 1.5
     heartbeat_s: float = 1.2
     drain_s: float = 2.0
+    contact_s: float = 3.0
+
+    @property
+    def endpoint_poll_s(self) -> float:
+        """Return the time between two reads of the endpoint list."""
+        return self.drain_s * ENDPOINT_POLL_RATIO
+
+    @property
+    def endpoint_relist_s(self) -> float:
+        """Return the time after an outage in which expired endpoints are listed again.
+
+        This is the time that the platform names, plus one read.
+        """
+        return ENDPOINT_RELIST_S + self.endpoint_poll_s
+
+    @property
+    def crash_poll_s(self) -> float:
+        """Return the longest time that one poll for crash reports lasts.
+
+        On a connection that has gone silent, reports arrive only after the poll and its
+        time-out.
+        """
+        return self.contact_s * CRASH_POLL_RATIO
 
     @property
     def row_ttl_s(self) -> float:
@@ -75,17 +101,20 @@
 #: configuration is current, so it must be much shorter than the time for which
 #: credentials are trusted.
 CONFIG_LONG_POLL_S = 1.0
-#: Seconds between reads of the endpoint list: less than half the shortest drain time
-#: of a deployment (2 s), so that some reads may get no answer.
-ENDPOINT_POLL_S = 0.8
+#: Time between reads of the endpoint list, as a fraction of `drain_s`: less than half,
+#: so that some reads may get no answer. Each read is a billed call, and returns a row
+#: for each endpoint.
+ENDPOINT_POLL_RATIO = 0.4
 #: Seconds after which a read of the list that has no answer is repeated on another
 #: connection; a slow store answers within 0.25 s.
 ENDPOINT_HEDGE_S = 0.35
+#: Seconds before a background task that has failed is started again.
+TASK_RESTART_S = 0.5
 #: Seconds before a failed call to the store is retried.
 STORE_RETRY_S = 0.3
 #: Seconds after an outage of the store within which expired endpoints list themselves
-#: again: about two according to the platform, plus one poll.
-ENDPOINT_RELIST_S = 2.8
+#: again, according to the platform.
+ENDPOINT_RELIST_S = 2.0
 #: Timeout in seconds of a connect to an endpoint. A healthy one accepts within a few
 #: milliseconds; an instance without power never answers.
 CONNECT_TIMEOUT_S = 0.4
@@ -117,6 +146,9 @@
 #: Seconds after SIGTERM for which new connections are still served: the platform checks
 #: readiness each second and removes an instance after two failed checks.
 LEAVE_ROTATION_S = 3.2
+#: Seconds after the last accepted connection for which idle connections stay open, for
+#: requests that are on their way on it.
+ACCEPTED_WAIT_S = 0.5
 #: Seconds of the grace time that are reserved for the process to exit by itself.
 GRACE_MARGIN_S = 0.7
 #: Seconds between counts of the instances. Counts and renewals are billed calls, and
@@ -146,10 +178,8 @@
 #: Seconds without data from an endpoint after which it is probed when a request ends
 #: without an answer: callers leave after two seconds.
 PROBE_SILENCE_S = 1.0
-#: Seconds that a long poll for the gateways' crash reports lasts. On a connection that
-#: has gone silent, reports arrive only after the poll and its timeout. Each poll is a
-#: billed call.
-CRASH_LONG_POLL_S = 1.5
+#: Length of a long poll for the gateways' crash reports, as a fraction of `contact_s`.
+CRASH_POLL_RATIO = 0.5
 #: Largest body of an endpoint's response that is no stream, and the bytes of all such
 #: bodies that are being read at the same time.
 MAX_REPLY_BYTES = 4 * 1024 * 1024
--- a/packages/gateway/src/slatehoist/gateway/statuses.py
+++ b/packages/gateway/src/slatehoist/gateway/statuses.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import logging
+import math
 from collections.abc import Callable
 
 import msgspec
@@ -91,10 +92,15 @@
     def datagram_received(self, data: bytes, addr: tuple) -> None:
         """Record the status that a datagram carries."""
         try:
-            status = self._decoder.decode(data)
+            self._record_status(self._decoder.decode(data))
         except msgspec.DecodeError as exc:
             log.warning("datagram_unreadable", extra={"from": addr[0], "why": str(exc)})
-            return
+        except Exception:
+            log.exception("datagram_failed", extra={"from": addr[0]})
+
+    def _record_status(self, status: RankStatus) -> None:
+        if not (math.isfinite(status.pace) and status.pace > 0):
+            raise msgspec.ValidationError(f"pace is {status.pace}")
         endpoint = self._directory.at_address(status.address)
         if endpoint is None:
             return
--- a/packages/gateway/src/slatehoist/gateway/sync.py
+++ b/packages/gateway/src/slatehoist/gateway/sync.py
@@ -13,7 +13,6 @@
 from slatehoist.gateway.settings import (
     CONFIG_LONG_POLL_S,
     ENDPOINT_HEDGE_S,
-    ENDPOINT_POLL_S,
     STORE_RETRY_S,
 )
 from slatehoist.storage import HistoryLostError, PlatformError
@@ -117,6 +116,11 @@
     If a read has no answer yet, another one begins soon, so that some silent
     connections do not delay the news of a drain; during an outage reads begin at fixed
     intervals. Of two reads, the result of the one that began later counts.
+
+    Parameters
+    ----------
+    poll_s : float
+        Seconds between two reads.
     """
 
     def __init__(
@@ -125,8 +129,10 @@
         directory: EndpointDirectory,
         health: EndpointHealth,
         crashes: CrashReports,
+        poll_s: float,
         clock: Callable[[], float],
     ) -> None:
+        self._poll_s = poll_s
         self._source = source
         self._directory = directory
         self._health = health
@@ -152,14 +158,14 @@
         started_at = self._clock()
         read = asyncio.create_task(self._read(started_at))
         self._reads.add(read)
-        wait_s = ENDPOINT_POLL_S if self._is_outage else ENDPOINT_HEDGE_S
+        wait_s = self._poll_s if self._is_outage else ENDPOINT_HEDGE_S
         await asyncio.wait({read}, timeout=wait_s)
         for ended in [task for task in self._reads if task.done()]:
             self._reads.discard(ended)
             ended.result()
         if not read.done():
             return
-        due_s = ENDPOINT_POLL_S - (self._clock() - started_at)
+        due_s = self._poll_s - (self._clock() - started_at)
         await asyncio.sleep(max(0.0, due_s) if read.result() else STORE_RETRY_S)
 
     async def _read(self, started_at: float) -> bool:
--- a/packages/gateway/tests/gateway_fleet.py
+++ b/packages/gateway/tests/gateway_fleet.py
@@ -25,12 +25,19 @@
 from slatehoist.gateway.forwarding import Forwarder
 from slatehoist.gateway.health import EndpointHealth
 from slatehoist.gateway.probes import EndpointProbes
-from slatehoist.gateway.settings import ENDPOINT_POLL_S, ENDPOINT_RELIST_S
 from slatehoist.gateway.sync import EndpointSync
 from slatehoist.gateway.upstream import BrokenReplyError, NotSentError, UpstreamRequest
 from slatehoist.observe import GatewayMetrics
-from slatehoist.routing import CrashTally, LoadAwareChooser
-from slatehoist.storage import Check, Feed, HistoryLostError, Row, Write
+from slatehoist.routing import CrashTally, LoadAwareChooser, Membership
+from slatehoist.storage import (
+    ABSENT,
+    Check,
+    ConflictError,
+    Feed,
+    HistoryLostError,
+    Row,
+    Write,
+)
 
 #: Seconds between a server's heartbeats, which keep its row.
 HEARTBEAT_S = 1.2
@@ -86,6 +93,13 @@
         return Feed(sorted(rows, key=lambda row: row.version), self._version)
 
     async def transact(self, checks: list[Check], writes: list[Write]) -> None:
+        failed = [
+            (check.table, check.key)
+            for check in checks
+            if self._row_version(check.table, check.key) != check.version
+        ]
+        if failed:
+            raise ConflictError(failed)
         self._version += 1
         for write in writes:
             row_id = (write.table, write.key)
@@ -93,6 +107,10 @@
             if write.value is not None:
                 self._rows[row_id] = Row(write.key, self._version, dict(write.value))
 
+    def _row_version(self, table: str, key: str) -> int:
+        row = self._rows.get((table, key))
+        return ABSENT if row is None else row.version
+
 
 class Server:
     """Server of the service ``app``, which registers itself by heartbeats.
@@ -249,11 +267,20 @@
         self.upstream = SimulatedUpstream(fleet)
         cfg = GatewaySettings(f"gateway-{number}", "a", "", "", heartbeat_s=HEARTBEAT_S)
         self.crashes = CrashReports(
-            fleet.table, cfg.instance, cfg.row_ttl_s, self.tally, metrics, clock
+            fleet.table,
+            cfg.instance,
+            cfg.row_ttl_s,
+            cfg.crash_poll_s,
+            self.tally,
+            metrics,
+            clock,
         )
-        directory = EndpointDirectory(ENDPOINT_RELIST_S)
+        directory = EndpointDirectory(cfg.endpoint_relist_s)
         health = self.health = EndpointHealth()
-        self._sync = EndpointSync(None, directory, health, self.crashes, clock)
+        self._sync = EndpointSync(
+            None, directory, health, self.crashes, cfg.endpoint_poll_s, clock
+        )
+        self._poll_s = cfg.endpoint_poll_s
         self._forwarder = Forwarder(
             cfg,
             SimulatedCodec(),
@@ -267,18 +294,24 @@
             metrics,
             clock,
         )
-        self._next_read_at = fleet.now + fleet.rng.random() * ENDPOINT_POLL_S
+        self._next_read_at = fleet.now + fleet.rng.random() * self._poll_s
         self._directory = directory
 
     async def start(self) -> None:
+        """Read the list; all gateways were counted long ago."""
         self._sync.apply(self._fleet.listed(), self._fleet.now)
+        long_ago = -1000.0
+        names = tuple(f"gateway-{n}" for n in range(len(self._fleet.gateways)))
+        self._forwarder.record_membership(
+            Membership(len(names), long_ago, long_ago, names)
+        )
 
     async def tick(self) -> None:
         if self.cut_off:
             self._directory.record_outage()
             return
         if self._fleet.now >= self._next_read_at:
-            self._next_read_at += ENDPOINT_POLL_S
+            self._next_read_at += self._poll_s
             self._sync.apply(self._fleet.listed(), self._fleet.now)
         await self.crashes.write_pending()
         await self.crashes.follow_once()
--- a/packages/gateway/tests/reply_world.py
+++ b/packages/gateway/tests/reply_world.py
@@ -28,7 +28,7 @@
 from slatehoist.gateway.probes import EndpointProbes
 from slatehoist.gateway.upstream import UpstreamRequest
 from slatehoist.observe import GatewayMetrics
-from slatehoist.routing import CrashTally, LoadAwareChooser
+from slatehoist.routing import CrashTally, LoadAwareChooser, Membership
 
 EVENT_STREAM = {"Content-Type": "text/event-stream"}
 #: Headers of a reply by what marks its end; `length` is completed by the reply's size.
@@ -161,7 +161,13 @@
         cfg = GatewaySettings("gateway-0", "a", "", "")
         self.codec = ScriptedCodec()
         self.crashes = CrashReports(
-            SharedTable(), cfg.instance, cfg.row_ttl_s, self.tally, metrics, self.clock
+            SharedTable(),
+            cfg.instance,
+            cfg.row_ttl_s,
+            cfg.crash_poll_s,
+            self.tally,
+            metrics,
+            self.clock,
         )
         directory = self.directory = EndpointDirectory(1.0, max_age_s=max_list_age_s)
         endpoints = [make_endpoint("e1"), make_endpoint("e2")]
@@ -180,6 +186,9 @@
             metrics,
             self.clock,
         )
+        # The gateway was counted long ago, so that it has its share of the retries.
+        long_ago = -1000.0
+        forwarder.record_membership(Membership(1, long_ago, long_ago, (cfg.instance,)))
         catalogue = Catalogue(5.0)
         route = make_route(public=True, **route_fields)
         catalogue.offer(make_configuration(1, routes=(route,)))
--- a/packages/gateway/tests/test_gateway_sync.py
+++ b/packages/gateway/tests/test_gateway_sync.py
@@ -11,6 +11,7 @@
 
 from slatehoist.gateway import EndpointDirectory, Kind
 from slatehoist.gateway.health import EndpointHealth
+from slatehoist.gateway.settings import GatewaySettings
 from slatehoist.gateway.sync import EndpointSync
 from slatehoist.storage import StoreDownError
 
@@ -69,7 +70,12 @@
         )
         self.source = ScriptedSource()
         sync = EndpointSync(
-            self.source, self.directory, EndpointHealth(), crashes, time.monotonic
+            self.source,
+            self.directory,
+            EndpointHealth(),
+            crashes,
+            GatewaySettings("", "", "", "", drain_s=DRAIN_S).endpoint_poll_s,
+            time.monotonic,
         )
         task = asyncio.create_task(sync.run())
         self.addAsyncCleanup(asyncio.wait, {task})
--- a/packages/observe/src/slatehoist/observe/metrics.py
+++ b/packages/observe/src/slatehoist/observe/metrics.py
@@ -87,6 +87,12 @@
             "Requests refused because they crashed too many endpoints.",
             **kwargs,
         )
+        self.task_failures = Counter(
+            "slatehoist_task_failures",
+            "Times that a background task failed and was started again, by task.",
+            ["task"],
+            **kwargs,
+        )
         self.config_version = Gauge(
             "slatehoist_configuration_version",
             "Version of the configuration in force.",
--- a/tests/test_platform_crashes.py
+++ b/tests/test_platform_crashes.py
@@ -5,7 +5,7 @@
 
 from gateway_world import GatewayTestCase, GatewayWorld
 from slatehoist.gateway.exchange import request_digest
-from slatehoist.gateway.settings import CONFIG_LONG_POLL_S, CRASH_LONG_POLL_S
+from slatehoist.gateway.settings import CONFIG_LONG_POLL_S, GatewaySettings
 from slatehoist.routing import CRASH_RETENTION_S
 from slatehoist.routing.crashes import MAX_CRASHES
 from slatehoist_standins.deployment_server import CRASH_MARKER
@@ -14,6 +14,8 @@
 #: Seconds after a fault within which a gateway must know of crashes, which is the
 #: shortest time of all deployments.
 NEWS_S = 3.0
+#: Length of a poll for crash reports with the default settings.
+CRASH_POLL_S = GatewaySettings("", "", "", "").crash_poll_s
 
 
 class CrashTests(GatewayTestCase):
@@ -79,7 +81,7 @@
         self.addCleanup(relay.server.close)
         world.table.set_address(f"127.0.0.1:{port}")
         # The polls of all tables have then passed to the relay.
-        await asyncio.sleep(CONFIG_LONG_POLL_S + CRASH_LONG_POLL_S)
+        await asyncio.sleep(CONFIG_LONG_POLL_S + CRASH_POLL_S)
         relay.set_mode("hole", 0.0)
         digest = request_digest("POST", "/safe/", "team-a", CRASH_MARKER)
         for number in range(MAX_CRASHES):
--- a/tests/test_platform_gateway.py
+++ b/tests/test_platform_gateway.py
@@ -7,6 +7,7 @@
 import aiohttp
 
 from gateway_world import GatewayTestCase, make_configuration, make_route
+from slatehoist.gateway.settings import LEAVE_ROTATION_S
 from slatehoist.http import strict_connector
 from slatehoist_standins.deployment_server import (
     CUT_BEHAVIOURS,
@@ -415,6 +416,23 @@
             await self.send_request(world)
         self.assertEqual(world.count_arrivals(), 1)
 
+    # Guards against a planned stop that cuts connections which were just accepted.
+    async def test_request_on_a_connection_accepted_last_is_answered(self):
+        world = await self.start_world()
+        drain_task = asyncio.create_task(world.gateway.drain())
+        await asyncio.sleep(LEAVE_ROTATION_S - 0.1)
+        host, _, port = world.gateway.address.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(b"GET /safe/ HTTP/1.1\r\nHost: h.example\r\n")
+        await asyncio.sleep(0.25)
+        writer.write(b"Request-Id: 0123456789abcdef\r\nCredential: key\r\n\r\n")
+        async with asyncio.timeout(3.0):
+            head = await reader.readuntil(b"\r\n\r\n")
+        self.assertNotEqual(head, b"")
+        self.assertIn(b"connection: close", head.lower())
+        writer.close()
+        await drain_task
+
     async def send_request(self, world):
         async with world.call("/unsafe/", "POST", data=b"x") as resp:
             await resp.read()
