Give no share of an allowance to a gateway that others may not have counted

The old test of a small share for uncounted instances is replaced by one that allows none.

Rows of stale gateways are removed only if they were not renewed since they were read.

--- a/packages/gateway/src/slatehoist/gateway/registry.py
+++ b/packages/gateway/src/slatehoist/gateway/registry.py
@@ -11,7 +11,14 @@
     STORE_RETRY_S,
 )
 from slatehoist.routing import Membership
-from slatehoist.storage import PlatformError, Row, Table, Write
+from slatehoist.storage import (
+    Check,
+    ConflictError,
+    PlatformError,
+    Row,
+    Table,
+    Write,
+)
 
 log = logging.getLogger(__name__)
 
@@ -138,17 +145,28 @@
             if now - since > REGISTRY_RENEWAL_S * STALE_RENEWALS
         ]
         if stale:
-            await self._table.transact(
-                [], [Write(GATEWAYS, key, None) for key in stale]
-            )
-            for key in stale:
-                del self._last_changes[key]
-            log.info("stale_gateways_removed", extra={"instances": stale})
+            await self._remove_stale(stale)
         names = self._last_changes.keys() | self._missing_since.keys()
         names = tuple(sorted(names))
         count = max(1, len(names))
         self._on_count(Membership(count, self._joined_at, self._previous_start, names))
 
+    async def _remove_stale(self, stale: list[str]) -> None:
+        """Remove rows that missed several renewals, unless one was renewed meanwhile.
+
+        This process may have stood still since it read the rows.
+        """
+        checks = [Check(GATEWAYS, key, self._last_changes[key][0]) for key in stale]
+        writes = [Write(GATEWAYS, key, None) for key in stale]
+        try:
+            await self._table.transact(checks, writes)
+        except ConflictError as exc:
+            log.info("stale_gateways_kept", extra={"why": str(exc)})
+            return
+        for key in stale:
+            del self._last_changes[key]
+        log.info("stale_gateways_removed", extra={"instances": stale})
+
     def _note_missing(self, rows: list[Row], now: float) -> None:
         """Note which of the counted instances have no row any more."""
         missing = self._last_changes.keys() | self._missing_since.keys()
--- a/packages/routing/src/slatehoist/routing/rates.py
+++ b/packages/routing/src/slatehoist/routing/rates.py
@@ -18,7 +18,6 @@
 from typing import NamedTuple
 
 from slatehoist.routing.hashing import rendezvous_weight
-from slatehoist.routing.retries import ASSUMED_INSTANCES
 
 #: Seconds over which a rate is kept. A longer window deals low rates more finely.
 WINDOW_S = 4.0
@@ -233,14 +232,17 @@
         The trials of all instances follow each other in turns of a common length, in
         the order of their ranks. An instance that has nothing to send in its turn waits
         for the next one, so that trials do not add up. An answer without a rate may be
-        followed at once by the request that confirms its end.
+        followed at once by the request that confirms its end. An instance that others
+        may not count yet has no turn.
         """
+        if not self._is_counted(now):
+            return max(now, min(self._full_from, now + self._propagation_s))
         sent_at = stated.last_sent_at
         if stated.lacked_at is not None and sent_at < stated.lacked_at + CONFIRM_S:
             return max(now, stated.lacked_at + CONFIRM_S)
         turn_s = 1 / max(stated.rate, _MIN_RATE)
         turn_s = min(max(turn_s, MIN_TRIAL_S), MAX_TRIAL_S)
-        period_s = turn_s * self._assumed_instances()
+        period_s = turn_s * len(self._members)
         first_at = stated.since + turn_s * (self._rank(endpoint) + 1)
         if now < first_at:
             return first_at
@@ -249,24 +251,23 @@
             return now
         return began_at + period_s
 
-    def _assumed_instances(self) -> int:
-        """Return the number of instances, or more if it may not be known yet."""
-        if self._instance in self._members:
-            return len(self._members)
-        return max(ASSUMED_INSTANCES, len(self._members))
+    def _is_counted(self, now: float) -> bool:
+        """Return True if all instances can have counted this one."""
+        return now >= self._full_from and self._instance in self._members
 
     def _rank(self, endpoint: str) -> int:
         """Return the position of this instance among those that share a rate."""
         own = rendezvous_weight(endpoint, self._instance)
-        if self._instance not in self._members:
-            return own % self._assumed_instances()
         return sum(rendezvous_weight(endpoint, m) > own for m in self._members)
 
     def _share(self, endpoint: str, requests: int, now: float) -> int:
-        """Return this instance's share of the requests that a window allows."""
-        if now < self._full_from or self._instance not in self._members:
-            # Other instances may not count this one yet.
-            return requests // max(ASSUMED_INSTANCES, len(self._members))
+        """Return this instance's share of the requests that a window allows.
+
+        It has none until all instances can have counted it: any number of instances may
+        have joined together with it.
+        """
+        if not self._is_counted(now):
+            return 0
         share, rest = divmod(requests, len(self._members))
         return share + (self._rank(endpoint) < rest)
 
--- a/packages/routing/src/slatehoist/routing/retries.py
+++ b/packages/routing/src/slatehoist/routing/retries.py
@@ -99,9 +99,6 @@
 #: restarts. The other half is reserved for restarts: two processes of one instance may
 #: each use a fraction within one window.
 STEADY_RATIO = 0.5
-#: Number of instances to assume while an instance does not know how many share the
-#: allowance. Known deployments have up to 18.
-ASSUMED_INSTANCES = 18
 
 
 class Membership(NamedTuple):
@@ -130,9 +127,20 @@
 class AllowanceShare:
     """Fraction of a shared allowance that this instance may use.
 
-    The fractions of all instances must not add up to more than 1 in any window, even
-    though a restarted process does not know what its predecessor used, and the other
-    instances count a new instance only after a delay.
+    The fractions of all instances must not add up to more than 1 in any window, however
+    many there are, even though a restarted process does not know what its predecessor
+    used, and the other instances count a new instance only after a delay. So an
+    instance has a fraction only while all others can have counted it:
+
+    - Before its first count, which needs the store, and for `count_s` after it joined,
+      an instance has none. Any number of instances may join at once.
+    - A process that is restarted uses the fraction of its instance at once, and the
+      predecessor may have used the same one: `STEADY_RATIO` leaves room for two. A
+      third process within one window has none.
+    - An instance that can no longer count keeps its fraction. New instances use
+      fractions of a larger number meanwhile, for which `STEADY_RATIO` leaves room, too.
+
+    Without a fraction, an instance still retries in proportion to its first attempts.
 
     Parameters
     ----------
@@ -154,21 +162,17 @@
         self._recorded_at = now
 
     def fraction(self, now: float) -> float:
-        """Return the fraction of the allowance, from 0 to 1.
-
-        The fraction is that of `ASSUMED_INSTANCES` while the membership is unknown or
-        outdated, while other instances may not have counted this one yet, and while
-        the window still includes the start of the previous process.
-        """
+        """Return the fraction of the allowance, from 0 to 1."""
         known = self._membership
-        if known is None or now - self._recorded_at > self._count_s:
-            return STEADY_RATIO / ASSUMED_INSTANCES
+        if known is None:
+            return 0.0
+        # A count made just after joining lacks instances that joined together with it.
+        if self._recorded_at - known.joined_at < self._count_s / 2:
+            return 0.0
         counted_at = known.joined_at + self._count_s
-        # Earlier than this, a window could include a third process of this instance,
-        # and STEADY_RATIO covers only two.
         window_clear_at = known.previous_start + self._window_s
         if now < max(counted_at, window_clear_at):
-            return STEADY_RATIO / ASSUMED_INSTANCES
+            return 0.0
         return STEADY_RATIO / known.instances
 
 
--- a/packages/routing/tests/test_routing_rates.py
+++ b/packages/routing/tests/test_routing_rates.py
@@ -66,10 +66,16 @@
                     sent += 1
             self.assertLessEqual(sent, 1 * WINDOW_S + 1)
 
-    def test_instance_that_others_may_not_count_yet_takes_a_small_share(self):
-        (share,) = self.make_shares(1, joined_at=0.0)
-        share.observe("e", 18.0, 0.0, 0.0)
-        self.assertLessEqual(self.count_sent([share], WINDOW_S), 4)
+    # Guards against shares dealt to a number of instances that is assumed: more than
+    # that may start at once.
+    def test_instance_that_others_may_not_count_yet_has_no_share(self):
+        for count in (1, 45, 300):
+            with self.subTest(count=count):
+                shares = self.make_shares(count, joined_at=0.0)
+                for share in shares:
+                    share.observe("e", 18.0, 0.0, 0.0)
+                self.assertEqual(self.count_sent(shares, WINDOW_S), 0)
+                self.assertEqual(shares[0].free_at("e", 0.0), PROPAGATION_S)
 
     def test_endpoint_without_a_rate_is_not_limited(self):
         (share,) = self.make_shares(1)
--- a/tests/gateway_world.py
+++ b/tests/gateway_world.py
@@ -124,8 +124,14 @@
         return self
 
     async def add_gateway(self, **settings) -> GatewayProcess:
-        """Start another gateway; keyword arguments replace its default settings."""
+        """Start another gateway; keyword arguments replace its default settings.
+
+        Its row shows that all gateways have counted it long ago. A gateway has no share
+        of the retry allowance before that.
+        """
         index = len(self.gateways)
+        row = {"renewals": 0, "joined_at": -1000.0, "started_at": -1000.0}
+        self.store.put("gateways", f"gateway-{index}", row)
         values = {
             "instance": f"gateway-{index}",
             "zone": "a",
