Send maps as changes along a tree of agents, and orders through the agents

Counts of all ranks each 0.08 s filled the same link, and heartbeats with all experts went between all pairs of agents.

Now agents apply changes to a map that all know, check a digest, and order their own ranks. Only the three lowest ranks exchange heartbeats with all. Ranks take turns with their counts. Polls are half as frequent outside switches, and the list of peers is read with a growing interval.

--- a/packages/maps/src/slatehoist/maps/agent.py
+++ b/packages/maps/src/slatehoist/maps/agent.py
@@ -4,24 +4,36 @@
 election with consensus: two agents may lead at the same time, for example while
 heartbeats are lost. This is safe, since the engines refuse orders of one switch that
 conflict with the other (see `switch`).
+
+Each agent knows which of the lowest ranks are alive, since these send heartbeats to
+all. They know the states of all ranks, since all send heartbeats to them. An agent that
+hears too few lower ranks sends to all itself, so the candidates follow from what is
+heard.
 """
 
 import asyncio
 import logging
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Sequence
 from typing import NamedTuple, Protocol
 
+import msgspec
+
 from slatehoist.maps.coordinator import Coordinator, PlanSettings
-from slatehoist.maps.demand import DemandWindow, from_pairs, to_pairs
+from slatehoist.maps.demand import DemandWindow, to_pairs
 from slatehoist.maps.grants import Grants
+from slatehoist.maps.known_maps import KnownMaps
+from slatehoist.maps.orders import GroupOrders, OrderRelay
 from slatehoist.maps.peers import (
     Address,
     GrantRequest,
     GrantResponse,
     Group,
+    MapOrder,
     Message,
+    OrderAnswer,
     PeerSocket,
     PeerState,
+    RankOrder,
     agent_address,
     make_state,
 )
@@ -39,25 +51,43 @@
 
 #: HTTP path at which the metrics are served.
 METRICS_PATH = "/metrics"
-#: Seconds between polls of the own rank. A pass takes 50 ms and more, and the end of a
-#: copy should be known well before the next copy ends.
-POLL_INTERVAL_S = 0.04
-#: Polls per reading of the counts: about one pass.
-POLLS_PER_COUNTS = 2
+#: Seconds between polls of the own rank: about one pass.
+POLL_INTERVAL_S = 0.08
+#: Seconds between polls while a switch is in progress, whose steps wait for reports,
+#: and seconds without a change after which none is.
+SWITCH_POLL_INTERVAL_S = 0.04
+SWITCH_TIMEOUT_S = 1.0
+#: Seconds that the counts of a rank cover: about one pass.
+COUNTS_SPAN_S = 0.08
+#: Ranks whose counts the leader gets in a second. In larger groups the ranks send them
+#: less often: they have about 800 bytes, and links of large deployments take 3 Mbit/s.
+COUNTS_PER_S = 300.0
 #: Maximum number of counts that are sent in full: they fit one packet of a usual
 #: network. If a group has more, only the larger ones are sent, since large deployments
 #: have links of low bandwidth.
 MAX_DENSE_COUNTS = 512
-#: Polls per heartbeat to the whole group.
-POLLS_PER_HEARTBEAT = 6
-#: Polls per status to the gateways.
-POLLS_PER_STATUS = 3
+#: Seconds between heartbeats.
+HEARTBEAT_INTERVAL_S = 0.24
+#: Lowest ranks that exchange heartbeats with the whole group: the leader, and those
+#: that lead next. The other ranks send heartbeats only to these, so that the messages
+#: of a group grow with its size, and not with the square of it.
+LEADER_CANDIDATES = 3
+#: Heartbeats per one that contains the experts of the rank, if these do not change.
+HEARTBEATS_PER_EXPERTS = 8
+#: Heartbeats in a row that contain the experts after these or the peers have changed,
+#: since one datagram may be lost.
+HEARTBEATS_AFTER_CHANGE = 2
+#: Seconds between statuses to the gateways, and the subscribers per second above which
+#: they are sent less often.
+STATUS_INTERVAL_S = 0.16
+STATUSES_PER_S = 150.0
 #: Seconds between cycles of the coordinator: about one pass.
 COORDINATE_INTERVAL_S = 0.06
-#: Seconds between reads of the list of peers, while ranks of the group are missing and
-#: when it is complete. Each read is a billed call to the store.
+#: Seconds between reads of the list of peers. The interval is doubled with each read
+#: from the shortest to the longest one: an agent that starts later announces itself to
+#: the peers in its list, and each read of the list is a billed call to the store.
 PEERS_RETRY_INTERVAL_S = 1.0
-PEERS_REFRESH_INTERVAL_S = 15.0
+PEERS_REFRESH_INTERVAL_S = 30.0
 #: Seconds for which a stopping agent lets a coordinator cycle in progress continue.
 STOP_TIMEOUT_S = 2.0
 
@@ -75,12 +105,16 @@
         Limits and minimum gains of plans.
     metrics_listen : tuple of (str, int) or None
         Address at which metrics are served; None to serve none.
+    link_mbps : float
+        Bandwidth of this instance's link in Mbit/s, which the time-outs of large
+        messages depend on.
     """
 
     listen: tuple[str, int]
     rank_address: str
     plan: PlanSettings = PlanSettings()
     metrics_listen: tuple[str, int] | None = None
+    link_mbps: float = 10.0
 
 
 class GroupSource(Protocol):
@@ -129,6 +163,25 @@
         self._demand: DemandWindow | None = None
         #: Times at which the subscriptions of the gateways expire, by address.
         self._subscribers: dict[Address, float] = {}
+        self._known_maps = KnownMaps(self._group)
+        host, port = cfg.listen
+        self._orders = GroupOrders(
+            self._group,
+            self._known_maps,
+            host,
+            port,
+            cfg.link_mbps * 1e6 / 8,
+            self._client,
+            self._send_all,
+            clock,
+        )
+        self._order_relay = OrderRelay(
+            self._own_client,
+            lambda: self._state,
+            self._known_maps,
+            self._send_all,
+            port,
+        )
         self._grants = Grants(self._own_client, self._group, self._send, clock)
         self._coordinator: Coordinator | None = None
         self._leads = False
@@ -136,7 +189,14 @@
         self._metrics = AgentMetrics()
         self._demand_at = clock()
         self._stopping = False
-        self._polls = 0
+        #: Times of the last heartbeat and status, and of the next counts.
+        self._heartbeat_at = self._status_at = self._counts_due_at = clock()
+        self._heartbeats = 0
+        #: Time until which a switch is assumed to be in progress.
+        self._switch_until = float("-inf")
+        #: Number of the next heartbeats that contain the experts.
+        self._heartbeats_with_experts = HEARTBEATS_AFTER_CHANGE
+        self._peers_interval_s = PEERS_RETRY_INTERVAL_S
 
     async def run(self, stopping: asyncio.Event) -> None:
         """Run until `stopping` is set.
@@ -157,15 +217,10 @@
             )
         log.info("started", extra={"rank_address": self._cfg.rank_address})
         pollers = [
-            asyncio.create_task(_repeat(action, interval_s))
-            for action, interval_s in (
-                (self._poll, POLL_INTERVAL_S),
-                (self._follow_peers, 0.0),
-            )
+            asyncio.create_task(_repeat(action))
+            for action in (self._poll_and_sleep, self._follow_peers)
         ]
-        coordinator = asyncio.create_task(
-            _repeat(self._coordinate, COORDINATE_INTERVAL_S)
-        )
+        coordinator = asyncio.create_task(_repeat(self._coordinate_and_sleep))
         await stopping.wait()
         self._stopping = True
         log.info("stopping", extra={"leads": self._leads})
@@ -183,14 +238,17 @@
         self._metrics.peers.set(len(self._group.fresh_states(now)))
         self._metrics.demand_age.set(now - self._demand_at)
 
+    async def _poll_and_sleep(self) -> None:
+        await self._poll()
+        in_switch = self._clock() < self._switch_until
+        await asyncio.sleep(SWITCH_POLL_INTERVAL_S if in_switch else POLL_INTERVAL_S)
+
     async def _poll(self) -> None:
         """Request the state of the own rank, and send it to agents and gateways."""
         try:
             report = await self._own_client.report()
             experts = await self._own_experts(report)
-            counts = []
-            if self._polls % POLLS_PER_COUNTS == 0:
-                counts = await self._new_counts()
+            counts = await self._due_counts(report.size)
         except RankUnreachableError as exc:
             if self._state is not None:
                 log.warning("rank_lost", extra={"why": str(exc)})
@@ -198,52 +256,70 @@
             return
         if self._state is None:
             log.info("rank_found", extra={"group": report.group, "rank": report.rank})
-        self._polls += 1
+            self._peers_interval_s = PEERS_RETRY_INTERVAL_S
         self._state = make_state(self._cfg.rank_address, report, experts)
         now = self._clock()
         known = self._group.report(report.rank)
         self._group.record_heartbeat(self._state, now)
         changed = known is None or _switch_state(known) != _switch_state(report)
         self._publish_state(counts, changed, now)
-        if self._polls % POLLS_PER_STATUS == 0:
+        status_interval_s = max(
+            STATUS_INTERVAL_S, len(self._subscribers) / STATUSES_PER_S
+        )
+        if _is_due(self._status_at, status_interval_s, now):
+            self._status_at = now
             self._publish_status(now)
 
     def _publish_state(self, counts: list[int], changed: bool, now: float) -> None:
-        """Send the own state to the leader and, as a heartbeat, to all other agents.
+        """Send the own state to the leader and, as a heartbeat, to other agents.
 
         The leader gets it at once if there are new counts, or if a field has changed
         for which a coordinator waits. If this agent leads, it adds its counts to
         the estimate instead.
         """
+        brief = msgspec.structs.replace(self._state, experts=[])
+        if changed:
+            self._heartbeats_with_experts = HEARTBEATS_AFTER_CHANGE
+            self._switch_until = now + SWITCH_TIMEOUT_S
         leader = self._group.leader(now)
         if leader == self._state.rank:
             self._add_demand(counts, now)
         elif (counts or changed) and leader is not None:
-            state = _with_counts(self._state, self._encode_counts(counts))
-            self._socket.send(
-                state, self._agent_addresses([self._group.address(leader)])
+            state = msgspec.structs.replace(
+                self._state if changed else brief, counts=self._encode_counts(counts)
             )
-        if self._polls % POLLS_PER_HEARTBEAT == 0:
-            self._socket.send(self._state, self._peer_addresses(now))
-
-    def _peer_addresses(self, now: float) -> list[tuple[str, int]]:
-        """Return the addresses of the other agents of the group.
-
-        While ranks of the group are missing, return those of all hosts of the
-        service.
+            self._send(state, self._agent_address(leader))
+        if not _is_due(self._heartbeat_at, HEARTBEAT_INTERVAL_S, now):
+            return
+        self._heartbeat_at = now
+        self._heartbeats += 1
+        if self._heartbeats % HEARTBEATS_PER_EXPERTS == 0:
+            self._heartbeats_with_experts += 1
+        if self._heartbeats_with_experts > 0:
+            self._heartbeats_with_experts -= 1
+            brief = self._state
+        self._send_all(brief, self._heartbeat_addresses(now))
+
+    def _agent_address(self, rank: int) -> Address:
+        return agent_address(self._group.address(rank), self._cfg.listen[1])
+
+    def _heartbeat_addresses(self, now: float) -> list[Address]:
+        """Return the addresses of the agents that get heartbeats of this one.
+
+        These are the lowest `LEADER_CANDIDATES` ranks below the own one whose agents
+        are alive. Only if there are fewer, this agent is such a candidate itself, or
+        does not know the group yet: then all agents of the group get its heartbeats,
+        and all hosts of the service until a rank was heard of at each of them.
         """
-        states = self._group.fresh_states(now)
-        own_host = self._cfg.listen[0]
-        if states and len(states) == self._group.size:
-            return self._agent_addresses(
-                [s.address for s in states if s.rank != self._state.rank]
-            )
-        port = self._cfg.listen[1]
-        return [(host, port) for host in self._hosts if host != own_host]
-
-    def _agent_addresses(self, addresses: list[str]) -> list[tuple[str, int]]:
-        port = self._cfg.listen[1]
-        return [agent_address(address, port) for address in addresses]
+        own_host, port = self._cfg.listen
+        candidates = self._group.alive_ranks(now, below=self._state.rank)
+        if len(candidates) >= LEADER_CANDIDATES:
+            return [self._agent_address(r) for r in candidates[:LEADER_CANDIDATES]]
+        addresses = self._group.addresses()
+        hosts = {agent_address(address, port)[0] for address in addresses}
+        if len(addresses) != self._group.size:
+            hosts.update(self._hosts)
+        return [(host, port) for host in sorted(hosts) if host != own_host]
 
     def _on_message(self, message: Message, sender: Address) -> None:
         match message:
@@ -251,6 +327,11 @@
                 self._on_state(message)
             case GrantRequest() | GrantResponse():
                 self._grants.handle_message(message, sender)
+            case RankOrder() | MapOrder():
+                self._switch_until = self._clock() + SWITCH_TIMEOUT_S
+                self._order_relay.handle_order(message, sender)
+            case OrderAnswer():
+                self._orders.handle_answer(message)
             case _:
                 self._on_subscription(sender)
 
@@ -259,12 +340,15 @@
         if own is None or state.group != own.group or state.rank == own.rank:
             return
         now = self._clock()
+        if not self._group.is_alive(state.rank, now):
+            self._heartbeats_with_experts = HEARTBEATS_AFTER_CHANGE
         self._group.record_heartbeat(state, now)
         if state.counts and self._demand is not None:
-            counts = state.counts
             if self._demand.size > MAX_DENSE_COUNTS:
-                counts = from_pairs(counts, self._demand.size)
-            self._add_demand(counts, now)
+                self._demand.add_pairs(state.counts, now)
+            else:
+                self._demand.add(state.counts, now)
+            self._demand_at = now
 
     def _on_subscription(self, address: Address) -> None:
         self._subscribers[address] = self._clock() + SUBSCRIPTION_TTL_S
@@ -278,7 +362,7 @@
         status = RankStatus(
             state.address, state.is_open, state.running, state.waiting, state.pace
         )
-        self._socket.send(status, list(self._subscribers))
+        self._send_all(status, list(self._subscribers))
 
     def _encode_counts(self, counts: list[int]) -> list[int]:
         if len(counts) <= MAX_DENSE_COUNTS:
@@ -298,6 +382,22 @@
             known = self._experts = (report.epoch, version, experts)
         return known[2]
 
+    async def _due_counts(self, ranks: int) -> list[int]:
+        """Return the counts of the last `COUNTS_SPAN_S`, if they are due.
+
+        In a large group, the counts before that are left out, so that those that are
+        sent show the present demand.
+        """
+        now = self._clock()
+        margin_s = SWITCH_POLL_INTERVAL_S / 2
+        if now < self._counts_due_at - COUNTS_SPAN_S - margin_s:
+            return []
+        counts = await self._new_counts()
+        if now < self._counts_due_at - margin_s:
+            return []
+        self._counts_due_at = now + max(COUNTS_SPAN_S, ranks / COUNTS_PER_S)
+        return counts
+
     async def _new_counts(self) -> list[int]:
         """Return how often each expert was chosen since the last reading.
 
@@ -325,21 +425,24 @@
             self._hosts = await self._source.peer_hosts()
         except PlatformError as exc:
             log.warning("peers_not_refreshed", extra={"why": str(exc)})
-        complete = self._coordinator is not None and 0 < self._group.size == len(
-            self._group.fresh_states(self._clock())
-        )
-        await asyncio.sleep(
-            PEERS_REFRESH_INTERVAL_S if complete else PEERS_RETRY_INTERVAL_S
+            await asyncio.sleep(PEERS_RETRY_INTERVAL_S)
+            return
+        await asyncio.sleep(self._peers_interval_s)
+        self._peers_interval_s = min(
+            2 * self._peers_interval_s, PEERS_REFRESH_INTERVAL_S
         )
 
     def _create_coordinator(self, spec: GroupSpec | None) -> None:
         if spec is None:
             return
+        self._known_maps.spec = spec
         self._demand = DemandWindow(spec.sets, spec.experts)
         self._coordinator = Coordinator(
             self._cfg.plan,
             spec,
             self._group,
+            self._known_maps,
+            self._orders,
             self._demand,
             self._grants,
             self._cfg.listen[1],
@@ -348,6 +451,10 @@
             self._clock,
         )
 
+    async def _coordinate_and_sleep(self) -> None:
+        await self._coordinate()
+        await asyncio.sleep(COORDINATE_INTERVAL_S)
+
     async def _coordinate(self) -> None:
         """Run a cycle of the coordinator if this agent leads.
 
@@ -371,7 +478,12 @@
             self._in_cycle = False
 
     def _send(self, message: Message, address: Address) -> None:
-        self._socket.send(message, [address])
+        self._send_all(message, [address])
+
+    def _send_all(
+        self, message: Message | RankStatus, addresses: Sequence[Address]
+    ) -> None:
+        self._socket.send(message, addresses)
 
     def _client(self, address: str) -> RankClient:
         if address not in self._clients:
@@ -384,12 +496,12 @@
     return report.epoch, report.map_version, report.prepared, report.armed, report.held
 
 
-def _with_counts(state: PeerState, counts: list[int]) -> PeerState:
-    fields = {name: getattr(state, name) for name in state.__struct_fields__}
-    return PeerState(**{**fields, "counts": counts})
+def _is_due(last_at: float, interval_s: float, now: float) -> bool:
+    """Return True if an interval has passed, or will have before the next poll."""
+    return now - last_at >= interval_s - SWITCH_POLL_INTERVAL_S / 2
 
 
-async def _repeat(action: Callable[[], Awaitable[None]], interval_s: float) -> None:
+async def _repeat(action: Callable[[], Awaitable[None]]) -> None:
     """Call a function repeatedly; log its errors and continue."""
     while True:
         try:
@@ -397,4 +509,3 @@
         except Exception:
             log.exception("task_failed", extra={"task": action.__qualname__})
             await asyncio.sleep(1.0)
-        await asyncio.sleep(interval_s)
--- a/packages/maps/src/slatehoist/maps/coordinator.py
+++ b/packages/maps/src/slatehoist/maps/coordinator.py
@@ -13,6 +13,8 @@
 
 from slatehoist.maps.demand import DemandWindow
 from slatehoist.maps.grants import Grants
+from slatehoist.maps.known_maps import KnownMaps
+from slatehoist.maps.orders import GroupOrders
 from slatehoist.maps.peers import Address, Group, PeerState, agent_address, make_state
 from slatehoist.maps.placement import (
     Demand,
@@ -110,6 +112,8 @@
         cfg: PlanSettings,
         spec: GroupSpec,
         group: Group,
+        known_maps: KnownMaps,
+        orders: GroupOrders,
         demand: DemandWindow,
         grants: Grants,
         port: int,
@@ -120,6 +124,8 @@
         self._cfg = cfg
         self._spec = spec
         self._group = group
+        self._known_maps = known_maps
+        self._orders = orders
         self._demand = demand
         self._grants = grants
         self._port = port
@@ -167,9 +173,11 @@
         reports = {
             state.rank: state.to_report() for state in self._group.fresh_states(now)
         }
-        states = self._group.last_states()
-        sets = len(self._own_state.experts)
-        placement = [[list(s.experts[i]) for s in states] for i in range(sets)]
+        own = self._own_state
+        placement = self._known_maps.get(own.epoch, own.map_version)
+        if placement is None:
+            log.warning("map_unknown", extra={"version": own.map_version})
+            return True
         version = switch_version(reports.values())
         self._grants.settling = True
         try:
@@ -205,7 +213,7 @@
         now = self._clock()
         holder = next((r for r in order if self._group.is_alive(r, now)), own_rank)
         return Switch(
-            self._rank_clients(),
+            self._orders.clients(),
             own_rank,
             holder,
             self._group,
@@ -273,11 +281,12 @@
         versions = {state.map_version for state in states}
         if len(epochs) != 1 or len(versions) != 1:
             return None
-        sets = len(states[0].experts)
-        placement = [[list(s.experts[i]) for s in states] for i in range(sets)]
+        epoch = epochs.pop()
+        placement = self._group.placement(epoch, versions.pop())
+        if placement is None:
+            return None
         reports = [s.to_report() for s in states]
-        last_switch_step = self._group.last_switch_step
-        return GroupView(epochs.pop(), placement, reports, last_switch_step)
+        return GroupView(epoch, placement, reports, self._group.last_switch_step)
 
     async def _plan_and_switch(self, now: float) -> None:
         """Plan for the estimated demand, and switch if the skew falls far enough.
@@ -301,7 +310,7 @@
             spec.places, spec.spare, copies_per_rank, self._cfg.min_gain
         )
         pace = [report.pace for report in view.reports]
-        planned = plan(view.placement, demand, limits, pace)
+        planned = _sorted_experts(plan(view.placement, demand, limits, pace))
         skew_before = skew(view.placement, demand, pace)
         skew_after = skew(planned, demand, pace)
         self._metrics.skew.set(skew_before)
@@ -324,7 +333,8 @@
             },
         )
         self._metrics.copies.inc(sum(copies))
-        copy_s = max(copies) * spec.copy_s
+        send_s = self._orders.offer(self._own_state, planned, version)
+        copy_s = max(copies) * spec.copy_s + send_s
         result = await self._make_switch().run(
             view,
             planned,
@@ -365,7 +375,6 @@
         """Return the address of a rank's agent."""
         return agent_address(self._group.address(rank), self._port)
 
-    def _rank_clients(self) -> list[RankClient]:
-        return [
-            self._connect(self._group.address(rank)) for rank in range(self._group.size)
-        ]
+
+def _sorted_experts(placement: Placement) -> Placement:
+    return [[sorted(held) for held in ranks] for ranks in placement]
--- a/packages/maps/src/slatehoist/maps/demand.py
+++ b/packages/maps/src/slatehoist/maps/demand.py
@@ -8,10 +8,10 @@
 #: Minimum share of a set's tokens for an expert's count to be sent to the coordinator.
 #: The dozen experts above it have four fifths of the tokens.
 MIN_SENT_SHARE = 0.01
-#: Minimum number of buckets of an estimate. One pass of a whole group is enough to show
-#: a change of demand; the delay of waiting for a second pass costs more than its
-#: information is worth.
-MIN_BUCKETS = 1
+#: Fraction of the size of the bucket before it below which the newest bucket counts as
+#: incomplete. One pass of a whole group is enough to show a change of demand, but the
+#: requests of a few ranks are not.
+MIN_BUCKET_RATIO = 0.5
 #: Maximum number of buckets of an estimate. It is reached only while demand is steady.
 MAX_BUCKETS = 12
 #: Fraction of a set's demand that must have moved to other experts for the demand to
@@ -48,6 +48,31 @@
     return counts
 
 
+class _Bucket:
+    """Counts of a short span of time, by index; only those that are not 0."""
+
+    def __init__(self, sets: int) -> None:
+        self.counts: dict[int, float] = {}
+        self.totals = [0.0] * sets
+
+    def add(self, index: int, count: float, experts: int) -> None:
+        self.counts[index] = self.counts.get(index, 0.0) + count
+        self.totals[index // experts] += count
+
+    def merged(self, other: "_Bucket", experts: int) -> "_Bucket":
+        """Return the sum of two buckets."""
+        total = _Bucket(len(self.totals))
+        total.counts = dict(self.counts)
+        total.totals = list(self.totals)
+        for index, count in other.counts.items():
+            total.add(index, count, experts)
+        return total
+
+    @property
+    def size(self) -> float:
+        return sum(self.totals)
+
+
 class DemandWindow:
     """Sliding window that estimates the demand since its last change.
 
@@ -63,22 +88,41 @@
     def __init__(self, sets: int, experts: int) -> None:
         self._sets = sets
         self._experts = experts
-        self._buckets: deque[list[float]] = deque(maxlen=MAX_BUCKETS)
+        self._buckets: deque[_Bucket] = deque(maxlen=MAX_BUCKETS)
         self._bucket_at = float("-inf")
 
     def add(self, delta: Sequence[float], now: float) -> None:
         """Add the counts of one rank since its previous counts."""
-        if len(delta) != self._sets * self._experts:
+        if len(delta) != self.size:
             raise ValueError(
                 f"{len(delta)} counts instead of {self._sets} x {self._experts}"
             )
+        bucket = self._newest_bucket(now)
+        for index, count in enumerate(delta):
+            if count:
+                bucket.add(index, count, self._experts)
+
+    def add_pairs(self, pairs: Sequence[int], now: float) -> None:
+        """Add counts that `to_pairs` encoded.
+
+        Raises
+        ------
+        ValueError
+            If an index is out of range or a count is missing.
+        """
+        entries = list(zip(pairs[::2], pairs[1::2], strict=True))
+        outside = [index for index, _ in entries if not 0 <= index < self.size]
+        if outside:
+            raise ValueError(f"index {outside[0]} is out of range for {self.size}")
+        bucket = self._newest_bucket(now)
+        for index, count in entries:
+            bucket.add(index, count, self._experts)
+
+    def _newest_bucket(self, now: float) -> _Bucket:
         if now - self._bucket_at >= BUCKET_S:
-            self._buckets.append([0.0] * len(delta))
+            self._buckets.append(_Bucket(self._sets))
             self._bucket_at = now
-        bucket = self._buckets[-1]
-        for index, value in enumerate(delta):
-            if value:
-                bucket[index] += value
+        return self._buckets[-1]
 
     @property
     def size(self) -> int:
@@ -91,31 +135,28 @@
         self._bucket_at = float("-inf")
 
     def estimate(self) -> list[list[float]] | None:
-        """Return the share of each expert by set, or None with too few buckets."""
-        nonempty = [bucket for bucket in self._buckets if any(bucket)]
-        if len(nonempty) < MIN_BUCKETS:
+        """Return the share of each expert by set, or None without counts."""
+        buckets = [bucket for bucket in self._buckets if bucket.counts]
+        if not buckets:
             return None
-        total = [sum(values) for values in zip(*nonempty[-MIN_BUCKETS:], strict=True)]
-        end = len(nonempty) - MIN_BUCKETS
-        while end > 0:
-            start = max(0, end - MIN_BUCKETS)
-            older = [sum(values) for values in zip(*nonempty[start:end], strict=True)]
-            if self._differ(older, total):
-                break
-            total = [a + b for a, b in zip(total, older, strict=True)]
-            end = start
-        return [self._shares(total, index) for index in range(self._sets)]
-
-    def _shares(self, counts: Sequence[float], index: int) -> list[float]:
-        set_counts = counts[index * self._experts : (index + 1) * self._experts]
-        total = sum(set_counts)
-        return [value / total for value in set_counts] if total else list(set_counts)
-
-    def _differ(self, older: Sequence[float], newer: Sequence[float]) -> bool:
+        total = buckets.pop()
+        if buckets and total.size < MIN_BUCKET_RATIO * buckets[-1].size:
+            # The newest bucket has the counts of a few ranks only.
+            total = total.merged(buckets.pop(), self._experts)
+        while buckets and not self._differ(buckets[-1], total):
+            total = total.merged(buckets.pop(), self._experts)
+        shares = [[0.0] * self._experts for _ in range(self._sets)]
+        for index, count in total.counts.items():
+            number, expert = divmod(index, self._experts)
+            shares[number][expert] = count / total.totals[number]
+        return shares
+
+    def _differ(self, older: _Bucket, newer: _Bucket) -> bool:
         """Return True if the demand of any set differs by more than `CHANGE_RATIO`."""
-        for index in range(self._sets):
-            before, after = self._shares(older, index), self._shares(newer, index)
-            moved = sum(abs(a - b) for a, b in zip(before, after, strict=True)) / 2
-            if moved > CHANGE_RATIO:
-                return True
-        return False
+        moved = [0.0] * self._sets
+        for index in older.counts.keys() | newer.counts.keys():
+            number = index // self._experts
+            before = older.counts.get(index, 0.0) / (older.totals[number] or 1.0)
+            after = newer.counts.get(index, 0.0) / (newer.totals[number] or 1.0)
+            moved[number] += abs(before - after)
+        return max(moved) / 2 > CHANGE_RATIO
--- /dev/null
+++ b/packages/maps/src/slatehoist/maps/orders.py
@@ -0,0 +1,384 @@
+"""Orders to the ranks of a group, through the agents on their instances.
+
+An order to a rank travels as a datagram to the rank's agent, which passes it on to its
+own rank and sends the answer back. This costs the coordinator's link some 100 bytes
+instead of a connection, and a new map is sent as its changes, along a tree of agents.
+An order without an answer is sent to the rank directly the next time, so no agent has
+to be alive.
+
+For the protocol of `switch` both ways are the same: an order that got no answer may
+have been carried out already, or may still be carried out later.
+"""
+
+import asyncio
+import itertools
+import logging
+import math
+from collections.abc import Callable, Sequence
+
+import msgspec
+
+from slatehoist.maps.known_maps import (
+    KnownMaps,
+    UnknownMapError,
+    apply_changes,
+    map_changes,
+    map_digest,
+)
+from slatehoist.maps.peers import (
+    UNKNOWN_MAP,
+    Address,
+    Group,
+    MapOrder,
+    Message,
+    OrderAnswer,
+    PeerState,
+    RankOrder,
+    agent_address,
+)
+from slatehoist.maps.placement import Placement
+from slatehoist.maps.rank import Answer, RankClient, RankCounts, RankReport
+
+log = logging.getLogger(__name__)
+
+#: Seconds that an agent may take to answer an order. Its rank usually answers within
+#: milliseconds, and a held group waits for the answer.
+AGENT_TIMEOUT_S = 0.06
+#: Seconds that an agent may take to answer a map, beyond the time for its bytes: it
+#: applies the changes and sends the whole map to its rank.
+MAP_TIMEOUT_S = 0.25
+#: Largest number of agents to which a map is sent without a tree.
+MAX_DIRECT_AGENTS = 16
+#: Largest datagram in bytes; larger maps are sent to the ranks directly.
+MAX_ORDER_BYTES = 32 * 1024
+#: Bytes to each agent that may be queued on this instance's link before an order.
+QUEUED_BYTES = 300
+#: Bytes of a host in a message.
+HOST_BYTES = 18
+#: Orders that an agent passes on to its rank, by the name of the client's method.
+_ORDERS = frozenset({"arm", "disarm", "hold", "release"})
+
+
+class OrderRelay:
+    """Pass the orders of coordinators on to the rank on this instance.
+
+    Parameters
+    ----------
+    own_client : RankClient
+        Client of the rank on this instance.
+    own_state : callable
+        Returns the newest state of that rank, or None while it is unreachable.
+    send : callable
+        Sends a message to agents.
+    port : int
+        Port at which all agents receive datagrams.
+    """
+
+    def __init__(
+        self,
+        own_client: RankClient,
+        own_state: Callable[[], PeerState | None],
+        known_maps: KnownMaps,
+        send: Callable[[Message, Sequence[Address]], None],
+        port: int,
+    ) -> None:
+        self._own_client = own_client
+        self._own_state = own_state
+        self._known_maps = known_maps
+        self._send = send
+        self._port = port
+        self._tasks: set[asyncio.Task] = set()
+
+    def handle_order(self, message: RankOrder | MapOrder, sender: Address) -> None:
+        """Forward an order as it asks for, and carry it out in the background.
+
+        An order of another group or for another rank is ignored: it was sent to an
+        address that now belongs to another rank.
+        """
+        if isinstance(message, MapOrder) and message.forward_to:
+            forwarded = msgspec.structs.replace(message, forward_to=[])
+            self._send(forwarded, [(host, self._port) for host in message.forward_to])
+        state = self._own_state()
+        if state is None or state.group != message.group:
+            return
+        if isinstance(message, RankOrder):
+            if state.rank != message.rank or message.order not in _ORDERS:
+                return
+            work = self._carry_out(message, sender)
+        else:
+            work = self._prepare(message, state)
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _carry_out(self, message: RankOrder, sender: Address) -> None:
+        order = getattr(self._own_client, message.order)
+        answer = await order(message.epoch, *message.args)
+        self._send(OrderAnswer(message.order_id, message.rank, answer.value), [sender])
+
+    async def _prepare(self, message: MapOrder, state: PeerState) -> None:
+        reply_to = (message.reply_to, self._port)
+        try:
+            placement = self._read_map(message)
+        except UnknownMapError as exc:
+            log.info("map_unknown", extra={"version": message.version, "why": str(exc)})
+            answer = UNKNOWN_MAP
+        else:
+            result = await self._own_client.prepare(
+                message.epoch, message.version, placement
+            )
+            answer = result.value
+        self._send(OrderAnswer(message.order_id, state.rank, answer), [reply_to])
+
+    def _read_map(self, message: MapOrder) -> Placement:
+        """Return the map that an order describes, and record it as known."""
+        base = self._known_maps.get(message.epoch, message.base_version)
+        if base is None:
+            raise UnknownMapError(f"base version {message.base_version} is not known")
+        placement = apply_changes(base, message.changes)
+        if map_digest(placement) != message.digest:
+            raise UnknownMapError(f"digest differs from base {message.base_version}")
+        self._known_maps.record(message.epoch, message.version, placement)
+        return placement
+
+
+class GroupOrders:
+    """Send the orders of this agent's coordinator to the ranks of the group.
+
+    Parameters
+    ----------
+    own_host : str
+        Host of this agent.
+    link_bytes_per_s : float
+        Bandwidth of this instance's link.
+    """
+
+    def __init__(
+        self,
+        group: Group,
+        known_maps: KnownMaps,
+        own_host: str,
+        port: int,
+        link_bytes_per_s: float,
+        connect: Callable[[str], RankClient],
+        send: Callable[[Message, Sequence[Address]], None],
+        clock: Callable[[], float],
+    ) -> None:
+        self._group = group
+        self._known_maps = known_maps
+        self._own_host = own_host
+        self._port = port
+        self._link_bytes_per_s = link_bytes_per_s
+        self._connect = connect
+        self._send = send
+        self._clock = clock
+        self._ids = itertools.count(1)
+        self._pending: dict[tuple[int, int], asyncio.Future] = {}
+        #: Version that was last offered, and the pending answers of the agents by rank.
+        self._offer: tuple[int, dict[int, asyncio.Future]] = (0, {})
+        self._offer_timeout_s = MAP_TIMEOUT_S
+        #: State of the own rank at the last offer.
+        self._offered_by: PeerState | None = None
+
+    def handle_answer(self, message: OrderAnswer) -> None:
+        """Complete the order that is answered, if it is still pending."""
+        fut = self._pending.get((message.order_id, message.rank))
+        if fut is not None and not fut.done():
+            fut.set_result(message.answer)
+
+    def clients(self) -> list["RelayedRank"]:
+        """Return a client of each rank of the group."""
+        return [
+            RelayedRank(self, rank, self._connect(self._group.address(rank)))
+            for rank in range(self._group.size)
+        ]
+
+    def _send_s(self, order: MapOrder) -> float:
+        """Return the seconds that a map takes to reach all agents."""
+        agents = self._group.size
+        hops = 1 if agents <= MAX_DIRECT_AGENTS else 2
+        fan_out = agents if hops == 1 else math.ceil(math.sqrt(agents))
+        size = len(msgspec.msgpack.encode(order)) + fan_out * HOST_BYTES
+        return hops * fan_out * size / self._link_bytes_per_s
+
+    def _map_order(
+        self, own: PeerState, base_version: int, placement: Placement, version: int
+    ) -> MapOrder:
+        base = self._known_maps.get(own.epoch, base_version)
+        return MapOrder(
+            order_id=next(self._ids),
+            group=own.group,
+            epoch=own.epoch,
+            version=version,
+            base_version=base_version,
+            changes=map_changes(base, placement),
+            digest=map_digest(placement),
+            reply_to=self._own_host,
+        )
+
+    def offer(self, own: PeerState, placement: Placement, version: int) -> float:
+        """Send a map to the agents of all other ranks, along a tree of agents.
+
+        The next *prepare* of that version at a rank waits for its agent's answer.
+        Return the seconds that the map takes to reach all agents.
+
+        Parameters
+        ----------
+        placement : list
+            Map to prepare, with sorted experts.
+        """
+        now = self._clock()
+        self._known_maps.record(own.epoch, version, placement)
+        self._offered_by = own
+        order = self._map_order(own, own.map_version, placement, version)
+        self._offer = (version, {})
+        send_s = self._send_s(order)
+        self._offer_timeout_s = MAP_TIMEOUT_S + send_s
+        if len(msgspec.msgpack.encode(order)) > MAX_ORDER_BYTES:
+            return send_s
+        ranks = [
+            rank
+            for rank in range(self._group.size)
+            if rank != own.rank and self._group.is_alive(rank, now)
+        ]
+        for rank in ranks:
+            self._offer[1][rank] = self._expect(order.order_id, rank)
+        # Another agent comes first each time, so that one that fails is not always
+        # among those that forward.
+        first = order.order_id % max(1, len(ranks))
+        hosts = [self._agent(rank)[0] for rank in ranks[first:] + ranks[:first]]
+        for host, forward_to in make_tree(hosts):
+            message = msgspec.structs.replace(order, forward_to=forward_to)
+            self._send(message, [(host, self._port)])
+        return send_s
+
+    def take_offer(self, rank: int, version: int) -> asyncio.Future | None:
+        """Return the pending answer of a rank's agent to the offer of a version.
+
+        Each answer is returned once; None if there is none.
+        """
+        offered, answers = self._offer
+        return answers.pop(rank, None) if offered == version else None
+
+    async def answer_to_offer(self, fut: asyncio.Future) -> str:
+        """Wait for the answer to an offer; `Answer.UNKNOWN` if it does not come."""
+        return await self._wait(fut, self._offer_timeout_s)
+
+    async def send_map(self, rank: int, version: int, placement: Placement) -> str:
+        """Send a map to one agent, as changes to map 0, and return the answer.
+
+        All agents know map 0, also those that were started after the map in use was
+        prepared.
+        """
+        order = self._map_order(self._offered_by, 0, placement, version)
+        fut = self._expect(order.order_id, rank)
+        self._send(order, [self._agent(rank)])
+        send_s = len(order.changes) * 2 / self._link_bytes_per_s
+        return await self._wait(fut, MAP_TIMEOUT_S + send_s)
+
+    def is_relayed(self, rank: int) -> bool:
+        """Return True if the agent of a rank is alive and on another instance."""
+        address = self._agent(rank)
+        return address[0] != self._own_host and self._group.is_alive(
+            rank, self._clock()
+        )
+
+    async def send_order(
+        self, rank: int, epoch: int, order: str, args: Sequence[int]
+    ) -> str:
+        """Send an order to the agent of a rank, and return the rank's answer."""
+        order_id = next(self._ids)
+        fut = self._expect(order_id, rank)
+        message = RankOrder(order_id, self._group.name, rank, epoch, order, list(args))
+        self._send(message, [self._agent(rank)])
+        # Heartbeats to the whole group, or orders to all ranks, may be sent before it.
+        queued_s = self._group.size * QUEUED_BYTES / self._link_bytes_per_s
+        return await self._wait(fut, AGENT_TIMEOUT_S + queued_s)
+
+    def _agent(self, rank: int) -> Address:
+        return agent_address(self._group.address(rank), self._port)
+
+    def _expect(self, order_id: int, rank: int) -> asyncio.Future:
+        fut = asyncio.get_running_loop().create_future()
+        key = (order_id, rank)
+        self._pending[key] = fut
+        fut.add_done_callback(lambda _: self._pending.pop(key, None))
+        return fut
+
+    async def _wait(self, fut: asyncio.Future, timeout_s: float) -> str:
+        await asyncio.wait([fut], timeout=timeout_s)
+        if not fut.done():
+            fut.cancel()
+            return Answer.UNKNOWN
+        return fut.result()
+
+
+def make_tree(hosts: Sequence[str]) -> list[tuple[str, list[str]]]:
+    """Return the hosts to send to, and those to which each of them forwards.
+
+    There are about as many hosts to send to as each of them forwards to.
+    """
+    if len(hosts) <= MAX_DIRECT_AGENTS:
+        return [(host, []) for host in hosts]
+    relays = math.ceil(math.sqrt(len(hosts)))
+    return [(hosts[i], list(hosts[i + relays :: relays])) for i in range(relays)]
+
+
+class RelayedRank:
+    """Client of one rank whose orders take the way through the rank's agent.
+
+    Every second try of an order is sent to the rank directly; so are queries.
+    """
+
+    def __init__(self, orders: GroupOrders, rank: int, direct: RankClient) -> None:
+        self._orders = orders
+        self._rank = rank
+        self._direct = direct
+        self._failed = False
+
+    async def report(self) -> RankReport:
+        """Return the rank's state; see `RankClient`."""
+        return await self._direct.report()
+
+    async def counts(self) -> RankCounts:
+        """Return the rank's counts; see `RankClient`."""
+        return await self._direct.counts()
+
+    async def experts(self) -> tuple[int, list[list[int]]]:
+        """Return the rank's map version and experts; see `RankClient`."""
+        return await self._direct.experts()
+
+    async def prepare(self, epoch: int, version: int, placement: Placement) -> Answer:
+        """Wait for the answer to the offered map, or send the map to the rank."""
+        offered = self._orders.take_offer(self._rank, version)
+        if offered is not None:
+            answer = await self._orders.answer_to_offer(offered)
+            if answer == UNKNOWN_MAP:
+                answer = await self._orders.send_map(self._rank, version, placement)
+            if answer in set(Answer) and answer != Answer.UNKNOWN:
+                return Answer(answer)
+        return await self._direct.prepare(epoch, version, placement)
+
+    async def arm(self, epoch: int, version: int, step: int) -> Answer:
+        """Arm the rank; see `RankClient`."""
+        return await self._order("arm", epoch, version, step)
+
+    async def disarm(self, epoch: int, version: int) -> Answer:
+        """Cancel an arm order; see `RankClient`."""
+        return await self._order("disarm", epoch, version)
+
+    async def hold(self, epoch: int, step: int) -> Answer:
+        """Hold a pass; see `RankClient`."""
+        return await self._order("hold", epoch, step)
+
+    async def release(self, epoch: int, step: int) -> Answer:
+        """Release a held pass; see `RankClient`."""
+        return await self._order("release", epoch, step)
+
+    async def _order(self, order: str, epoch: int, *args: int) -> Answer:
+        if self._failed or not self._orders.is_relayed(self._rank):
+            self._failed = False
+            return await getattr(self._direct, order)(epoch, *args)
+        answer = await self._orders.send_order(self._rank, epoch, order, args)
+        self._failed = answer not in set(Answer) or answer == Answer.UNKNOWN
+        return Answer.UNKNOWN if self._failed else Answer(answer)
--- a/packages/maps/src/slatehoist/maps/switch.py
+++ b/packages/maps/src/slatehoist/maps/switch.py
@@ -47,7 +47,7 @@
 
 #: A version is a counter times this stride, plus the rank of the coordinator. Groups
 #: have fewer ranks than this.
-VERSION_STRIDE = 128
+VERSION_STRIDE = 4096
 #: Seconds between retries of an order that got no answer.
 RETRY_INTERVAL_S = 0.01
 #: Passes that one switch tries to hold before it fails with `Result.NOT_HELD`. A hold
--- /dev/null
+++ b/packages/maps/tests/group_world.py
@@ -0,0 +1,314 @@
+"""A whole group in virtual time: its agents, its engine, and links of low bandwidth.
+
+The real `Agent` runs on each instance. Datagrams and the orders that are sent to ranks
+on other instances take the time that their bytes need on the links of both instances.
+"""
+
+import asyncio
+import random
+from typing import NamedTuple
+
+import msgspec
+from map_builders import Engine, VirtualLoop
+
+from slatehoist.maps import Agent, AgentSettings, Answer, GroupSpec, RankCounts
+from slatehoist.maps.placement import initial_placement, skew
+
+PORT = 7000
+#: Bytes that a datagram and a request over a new connection need besides their content.
+DATAGRAM_OVERHEAD = 42
+REQUEST_OVERHEAD = 700
+#: Seconds between two instances, and for a request on the same one.
+DELAY_S = 0.001
+LOCAL_DELAY_S = 0.002
+#: Seconds between passes.
+PASS_S = 0.06
+#: Counts that the requests of one rank add to each set in one pass.
+COUNTS_PER_PASS = 600
+
+
+class GroupSize(NamedTuple):
+    """Dimensions of a simulated group, and the bandwidth of each instance's link."""
+
+    ranks: int
+    sets: int
+    experts: int
+    places: int
+    link_mbps: float
+    spare: int = 2
+    copy_s: float = 0.038
+
+
+class _Link:
+    """Link of an instance; messages follow each other in each direction."""
+
+    def __init__(self, mbps: float) -> None:
+        self._bytes_per_s = mbps * 1e6 / 8
+        self.sent_until = 0.0
+        self.received_until = 0.0
+        self.bytes_sent = 0
+
+    def send(self, size: int, now: float) -> float:
+        """Return the time at which a message has left the instance."""
+        self.bytes_sent += size
+        self.sent_until = max(now, self.sent_until) + size / self._bytes_per_s
+        return self.sent_until
+
+    def receive(self, size: int, at: float) -> float:
+        """Return the time at which a message has arrived at the instance."""
+        self.received_until = max(at, self.received_until) + size / self._bytes_per_s
+        return self.received_until
+
+
+class _Transport(asyncio.DatagramTransport):
+    def __init__(self, world: "GroupWorld", host: str) -> None:
+        super().__init__()
+        self._world = world
+        self._host = host
+
+    def sendto(self, data, addr=None) -> None:
+        self._world.send_datagram(self._host, addr[0], data)
+
+    def close(self) -> None:
+        self._world.sockets.pop(self._host, None)
+
+
+class _WorldLoop(VirtualLoop):
+    def __init__(self) -> None:
+        super().__init__()
+        self.world: GroupWorld | None = None
+
+    async def create_datagram_endpoint(self, protocol_factory, local_addr=None, **_):
+        protocol = protocol_factory()
+        transport = _Transport(self.world, local_addr[0])
+        self.world.sockets[local_addr[0]] = protocol
+        protocol.connection_made(transport)
+        return transport, protocol
+
+
+class _Engine(Engine):
+    """Engine whose ranks copy experts, and count those that passes choose."""
+
+    def __init__(self, size: GroupSize) -> None:
+        super().__init__(size.ranks)
+        self._dims = size
+        placement = initial_placement(size.sets, size.ranks, size.experts)
+        #: Map of each version.
+        self.placements = {0: placement}
+        self.counts = [[0] * (size.sets * size.experts) for _ in range(size.ranks)]
+        self.prepares = 0
+        #: Time at which the first rank began to prepare a version.
+        self.prepared_from: dict[int, float] = {}
+
+    def _prepare(self, rank: int, version: int, placement) -> Answer:
+        answer = super()._prepare(rank, version, placement)
+        if answer is not Answer.BEGUN:
+            return answer
+        self.prepares += 1
+        now = asyncio.get_running_loop().time()
+        self.prepared_from.setdefault(version, now)
+        self.placements[version] = placement
+        self.prepared[rank] = None
+        before = self.placements[self.maps[rank]]
+        copies = sum(
+            len(set(new[rank]) - set(old[rank]))
+            for old, new in zip(before, placement, strict=True)
+        )
+        asyncio.get_running_loop().call_later(
+            copies * self._dims.copy_s, self._end_copies, rank, version
+        )
+        return answer
+
+    def _end_copies(self, rank: int, version: int) -> None:
+        if (self.prepared[rank] or 0) < version:
+            self.prepared[rank] = version
+
+
+class _Client:
+    """Client of one rank, used by the agent of a host."""
+
+    def __init__(self, world: "GroupWorld", host: str, rank: int) -> None:
+        self._world = world
+        self._host = host
+        self._rank = rank
+
+    async def _exchange(self, request_bytes: int, answer_bytes: int) -> None:
+        await self._world.exchange(
+            self._host, self._world.host(self._rank), request_bytes, answer_bytes
+        )
+
+    async def report(self):
+        await self._exchange(0, 300)
+        return self._world.engine.reports()[self._rank]
+
+    async def counts(self):
+        await self._exchange(0, 10_000)
+        engine = self._world.engine
+        return RankCounts(engine.epoch, engine.step, list(engine.counts[self._rank]))
+
+    async def experts(self):
+        await self._exchange(0, 400)
+        version = self._world.engine.maps[self._rank]
+        placement = self._world.engine.placements[version]
+        return version, [list(ranks[self._rank]) for ranks in placement]
+
+    async def prepare(self, epoch, version, placement):
+        size = len(msgspec.json.encode(placement))
+        return await self._order("prepare", size, epoch, version, placement)
+
+    async def arm(self, epoch, version, step):
+        return await self._order("arm", 60, epoch, version, step)
+
+    async def disarm(self, epoch, version):
+        return await self._order("disarm", 60, epoch, version)
+
+    async def hold(self, epoch, step):
+        return await self._order("hold", 60, epoch, step)
+
+    async def release(self, epoch, step):
+        return await self._order("release", 60, epoch, step)
+
+    async def _order(self, order, size, epoch, *args):
+        await self._exchange(size, 40)
+        if self._world.host(self._rank) != self._host:
+            self._world.remote_orders += 1
+        return self._world.engine.carry_out(self._rank, order, epoch, args)
+
+
+class GroupWorld:
+    """Agents of one group and its engine, in virtual time.
+
+    Parameters
+    ----------
+    shift_s : float
+        Seconds after which other experts are in demand.
+    """
+
+    def __init__(self, size: GroupSize, shift_s: float, seed: int = 1) -> None:
+        self.size = size
+        self.engine = _Engine(size)
+        self.sockets: dict[str, asyncio.DatagramProtocol] = {}
+        self.links = {
+            self.host(rank): _Link(size.link_mbps) for rank in range(size.ranks)
+        }
+        self.remote_orders = 0
+        self.list_reads = 0
+        #: Hosts that neither send nor receive, and calls at given times, in order.
+        self.stopped_hosts: set[str] = set()
+        self.events: list[tuple[float, object]] = []
+        #: Times and skews of the passes.
+        self.passes: list[tuple[float, float]] = []
+        #: Times from which the group used a version.
+        self.used_from: dict[int, float] = {}
+        self._rng = random.Random(seed)
+        self._shift_s = shift_s
+        self._shifted_at = 0.0
+        self.demand = self._draw_demand()
+
+    def host(self, rank: int) -> str:
+        """Return the host of a rank and its agent."""
+        return f"10.0.{rank // 200}.{rank % 200 + 1}"
+
+    def _draw_demand(self) -> list[list[float]]:
+        shares = [(index + 1) ** -1.3 for index in range(self.size.experts)]
+        total = sum(shares)
+        return [
+            [share / total for share in self._rng.sample(shares, self.size.experts)]
+            for _ in range(self.size.sets)
+        ]
+
+    def run(self, seconds: float) -> None:
+        """Run the group for some seconds of virtual time."""
+        loop = _WorldLoop()
+        loop.world = self
+        try:
+            loop.run_until_complete(self._main(seconds))
+        finally:
+            loop.close()
+
+    async def _main(self, seconds: float) -> None:
+        loop = asyncio.get_running_loop()
+        stopping = asyncio.Event()
+        self.agents = [self._agent(rank, loop.time) for rank in range(self.size.ranks)]
+        tasks = [asyncio.create_task(agent.run(stopping)) for agent in self.agents]
+        for at, event in self.events:
+            loop.call_at(at, event)
+        passes = asyncio.create_task(self._run_passes())
+        await asyncio.sleep(seconds)
+        stopping.set()
+        await asyncio.gather(*tasks)
+        passes.cancel()
+
+    def _agent(self, rank: int, clock) -> Agent:
+        host = self.host(rank)
+        cfg = AgentSettings(
+            listen=(host, PORT),
+            rank_address=f"{host}:8000",
+            link_mbps=self.size.link_mbps,
+        )
+        ranks = {f"{self.host(r)}:8000": r for r in range(self.size.ranks)}
+        return Agent(
+            cfg, self, lambda address: _Client(self, host, ranks[address]), clock
+        )
+
+    async def group_spec(self):
+        """Return the dimensions of the group; see `GroupSource`."""
+        size = self.size
+        return GroupSpec(size.sets, size.experts, size.places, size.spare, size.copy_s)
+
+    async def peer_hosts(self):
+        """Return all hosts; see `GroupSource`."""
+        self.list_reads += 1
+        return list(self.links)
+
+    async def _run_passes(self) -> None:
+        loop = asyncio.get_running_loop()
+        engine = self.engine
+        while True:
+            await asyncio.sleep(PASS_S)
+            now = loop.time()
+            if now - self._shifted_at >= self._shift_s:
+                self.demand = self._draw_demand()
+                self._shifted_at = now
+            step = engine.step
+            engine.begin_pass(now)
+            if engine.step == step:
+                continue
+            counts = [round(d * COUNTS_PER_PASS) for ds in self.demand for d in ds]
+            entries = [(i, count) for i, count in enumerate(counts) if count]
+            for own in engine.counts:
+                for index, count in entries:
+                    own[index] += count
+            version = engine.maps[0]
+            if version and version not in self.used_from:
+                self.used_from[version] = now
+            placement = engine.placements[version]
+            self.passes.append((now, skew(placement, self.demand)))
+
+    def send_datagram(self, source: str, target: str, data: bytes) -> None:
+        """Deliver a datagram after the time that it takes on both links."""
+        if target not in self.links or source in self.stopped_hosts:
+            return
+        loop = asyncio.get_running_loop()
+        size = len(data) + DATAGRAM_OVERHEAD
+        sent_at = self.links[source].send(size, loop.time())
+        arrives_at = self.links[target].receive(size, sent_at + DELAY_S)
+        loop.call_at(arrives_at, self._deliver, source, target, data)
+
+    def _deliver(self, source: str, target: str, data: bytes) -> None:
+        protocol = self.sockets.get(target)
+        if protocol is not None and target not in self.stopped_hosts:
+            protocol.datagram_received(data, (source, PORT))
+
+    async def exchange(
+        self, source: str, target: str, request_bytes: int, answer_bytes: int
+    ) -> None:
+        """Wait for the time that a request and its answer take."""
+        if source == target:
+            await asyncio.sleep(LOCAL_DELAY_S)
+            return
+        loop = asyncio.get_running_loop()
+        size = request_bytes + REQUEST_OVERHEAD
+        sent_at = self.links[source].send(size, loop.time())
+        arrives_at = self.links[target].receive(size, sent_at + DELAY_S)
+        await asyncio.sleep(arrives_at + DELAY_S - loop.time())
--- a/packages/maps/tests/map_builders.py
+++ b/packages/maps/tests/map_builders.py
@@ -214,7 +214,7 @@
             simulation.engine.idle_until = simulation.now() + IDLE_S
         await simulation._wait_while_frozen()
         await asyncio.sleep(0.001)
-        if event == "late":
+        if event in ("late", "doubled"):
             asyncio.get_running_loop().call_later(
                 DELAY_S, simulation.engine.carry_out, self._index, order, epoch, args
             )
--- a/packages/maps/tests/test_maps_switch_exploration.py
+++ b/packages/maps/tests/test_maps_switch_exploration.py
@@ -2,8 +2,9 @@
 
 One coordinator switches a group of three ranks, which runs passes or is idle. Faults
 are injected at its orders: the answer is lost, the order is carried out seconds later,
-the order is lost, the coordinator's instance freezes before or after it, or the group
-becomes idle. The agent of the holder settles interrupted switches. All combinations of
+the order is lost, it is carried out a second time after its answer, as a datagram that
+is doubled, the coordinator's instance freezes before or after it, or the group becomes
+idle. The agent of the holder settles interrupted switches. All combinations of
 up to `MAX_FAULTS` faults are simulated in virtual time, and no pass may begin while
 ranks use different maps.
 """
@@ -38,7 +39,16 @@
 #: cannot be finished or undone.
 ORDERS_AFTER_GRANT = (6, 7, 14, 15)
 #: Events that may happen at an order; the first one is no fault.
-EVENTS = ("ok", "answer_lost", "late", "lost", "freeze_before", "freeze_after", "idle")
+EVENTS = (
+    "ok",
+    "answer_lost",
+    "late",
+    "lost",
+    "doubled",
+    "freeze_before",
+    "freeze_after",
+    "idle",
+)
 #: Seconds without a heartbeat after which the coordinator is considered failed: the
 #: value of `slatehoist.maps.peers.MAX_STATE_AGE_S`.
 HEARTBEAT_TIMEOUT_S = 0.55
@@ -286,7 +296,7 @@
 #: Seconds between the starts of two coordinators. Each order takes 1 ms and passes
 #: begin every 20 ms, so these delays cover all relative positions of their orders.
 COORDINATOR_DELAYS_S = [number * 0.0005 for number in range(60)]
-TWO_COORDINATORS_EVENTS = ("answer_lost", "late", "lost")
+TWO_COORDINATORS_EVENTS = ("answer_lost", "late", "lost", "doubled")
 
 
 def explore_two_coordinators(mutation: str = "") -> tuple[int, list[tuple]]:
