--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -229,6 +229,21 @@
                 self.assertEqual(caught.exception.keys, [("own", "a")])
 
 
+class LateAnswerTests(unittest.IsolatedAsyncioTestCase):
+    # Guards against rows that are taken for those of another table: a second copy of an
+    # earlier answer may arrive where the next one is expected.
+    async def test_late_answer_for_another_table_is_refused(self):
+        row = b'{"table":"servers","key":"i","ver":3,"value":"e30="}'
+        body = b'{"rows":[' + row + b'],"ver":3}'
+        table = PlatformTable("10.0.0.1:80", ScriptedSession(200, body))
+        rows, _ = await table.snapshot("servers")
+        self.assertEqual([row.key for row in rows], ["i"])
+        with self.assertRaises(StoreDownError):
+            await table.snapshot("gateways")
+        with self.assertRaises(StoreDownError):
+            await table.changes("op", 2, 0.0)
+
+
 class StoreTests(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
         self.store = DeploymentStore()
