--- a/packages/cli/src/slatehoist/cli/trace.py
+++ b/packages/cli/src/slatehoist/cli/trace.py
@@ -72,7 +72,12 @@
         and first <= event.time <= last
         and (event.instance in instances or event.name in GROUP_EVENTS)
     ]
-    return sorted([*request_events, *related_events])
+    # The sort is stable, so events of the same time stay in the order of the logs.
+    return sorted([*request_events, *related_events], key=_time_and_instance)
+
+
+def _time_and_instance(event: Event) -> tuple[float, str]:
+    return event.time, event.instance
 
 
 #: Events of agents that affect all requests of their group.
--- a/packages/cli/tests/test_cli_trace.py
+++ b/packages/cli/tests/test_cli_trace.py
@@ -29,6 +29,15 @@
         self.assertEqual(names, ["endpoints_changed", "attempt", "switch_ended"])
         self.assertIn('outcome="broken"', format_events(events)[1])
 
+    # Guards against a TypeError: the fields of events are dictionaries.
+    def test_events_of_the_same_time_and_name_keep_their_order(self):
+        lines = [
+            make_line(1.0, "front-1", "attempt", request="a", attempt=number)
+            for number in (1, 2)
+        ]
+        events = collect_events(lines, "a", 0.5)
+        self.assertEqual([event.fields["attempt"] for event in events], [1, 2])
+
     def test_unknown_request_has_no_events(self):
         self.assertEqual(collect_events(self.LINES, "zzz", 1.0), [])
 
--- a/packages/coord/src/slatehoist/coord/batching.py
+++ b/packages/coord/src/slatehoist/coord/batching.py
@@ -111,8 +111,8 @@
 ) -> list[_PendingWrite]:
     """Fail the writes of the conflicting rows and return the remaining ones.
 
-    Returns an empty list if no key is in the batch, which ends the loop of `_send`:
-    the same batch would conflict again. The futures of its writes stay pending.
+    If no key is in the batch, all its writes fail: the service wrote none of them, and
+    the same batch would conflict again.
     """
     remaining = []
     for pending in batch:
@@ -121,7 +121,11 @@
             _complete([pending], ConflictError([key]))
         else:
             remaining.append(pending)
-    return remaining if len(remaining) < len(batch) else []
+    if len(remaining) < len(batch):
+        return remaining
+    for pending in batch:
+        _complete([pending], ConflictError([(pending.check.table, pending.check.key)]))
+    return []
 
 
 def _complete(batch: list[_PendingWrite], exc: BaseException | None) -> None:
--- a/packages/coord/tests/test_coord_claims.py
+++ b/packages/coord/tests/test_coord_claims.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import unittest
+from types import SimpleNamespace
 
 from slatehoist.coord import Claim, ClaimState, ClaimStore, WriteBatcher
 from slatehoist.storage import (
@@ -93,6 +94,19 @@
 
 
 class WriteBatcherTests(unittest.IsolatedAsyncioTestCase):
+    # Guards against a write that never returns.
+    async def test_conflict_that_names_no_row_of_the_batch_fails_its_writes(self):
+        async def conflict(checks, writes):
+            raise ConflictError([("other", "row")])
+
+        batcher = WriteBatcher(SimpleNamespace(transact=conflict), 0.001)
+        writes = [
+            batcher.write(Check("t", key, 0), Write("t", key, {})) for key in "ab"
+        ]
+        async with asyncio.timeout(2.0):
+            outcomes = await asyncio.gather(*writes, return_exceptions=True)
+        self.assertEqual([exc.keys for exc in outcomes], [[("t", "a")], [("t", "b")]])
+
     async def test_concurrent_writes_share_a_transaction(self):
         table = MemoryTable()
         batcher = WriteBatcher(table)
--- a/packages/storage/src/slatehoist/storage/http.py
+++ b/packages/storage/src/slatehoist/storage/http.py
@@ -137,6 +137,8 @@
         status, body = await self._call("POST", "/v1/transact", data)
         if status == _HTTP_CONFLICT:
             raise ConflictError(_failed_checks(checks, body))
+        if status != _HTTP_OK:
+            raise OutcomeUnknownError(f"/v1/transact: status {status}")
 
 
 class HttpObjectStore(_HttpClient):
@@ -147,8 +149,11 @@
         return await self._read(f"/v1/objects/{name}", whole=True)
 
     async def put(self, name: str, data: bytes) -> None:
-        """Write an object."""
-        await self._call("PUT", f"/v1/objects/{name}", data)
+        """Write an object; raise `OutcomeUnknownError` if that is not confirmed."""
+        path = f"/v1/objects/{name}"
+        status, _ = await self._call("PUT", path, data)
+        if status != _HTTP_OK:
+            raise OutcomeUnknownError(f"{path}: status {status}")
 
 
 class HttpInstanceList(_HttpClient):
--- a/packages/storage/tests/test_storage_http.py
+++ b/packages/storage/tests/test_storage_http.py
@@ -3,7 +3,12 @@
 import unittest
 
 from scripted_session import ScriptedSession
-from slatehoist.storage import Check, ConflictError, StoreDownError
+from slatehoist.storage import (
+    Check,
+    ConflictError,
+    OutcomeUnknownError,
+    StoreDownError,
+)
 from slatehoist.storage.http import HttpInstanceList, HttpObjectStore, HttpTable
 
 CUT_JSON = b'[{"key": "a", "ver'
@@ -33,5 +38,16 @@
         self.assertEqual(caught.exception.keys, [("t", "a"), ("t", "b")])
 
 
+class StatusTests(unittest.IsolatedAsyncioTestCase):
+    # Guards against a write that is taken for done: the service does not know the path.
+    async def test_write_that_is_answered_not_found_is_not_taken_for_done(self):
+        for status in (404, 409):
+            session = ScriptedSession(status, b"")
+            with self.subTest(status=status), self.assertRaises(OutcomeUnknownError):
+                await HttpObjectStore("http://store", session).put("a", b"x")
+        with self.assertRaises(OutcomeUnknownError):
+            await HttpTable("http://store", ScriptedSession(404, b"")).transact([], [])
+
+
 if __name__ == "__main__":
     unittest.main()
