--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 PY := .venv/bin/python
 PACKAGES := http wire storage config coord routing observe gateway maps experts daemon cli
 
-.PHONY: soak mutations demo test lint format matrix bench-path bench-experts bench-routing bench-control bench-rates
+.PHONY: regression soak mutations demo test lint format matrix bench-path bench-experts bench-routing bench-control bench-rates
 
 .venv/installed: requirements.txt requirements-dev.txt
 	python3 -m venv .venv
@@ -37,5 +37,10 @@
 	$(PY) tools/bench_experts.py
 	$(PY) tools/bench_maps.py
 
+# BENCH is the users' program, SITES their site files, OLD the commit to compare with.
+regression: .venv/installed
+	for site in $(SITES); do $(BENCH) score $$site --quick --why "regression run" || exit 1; done
+	$(PY) tools/compare_scores.py $(OLD) $$(git rev-parse --short HEAD)
+
 soak: .venv/installed
 	SEED=$(SEED) MINUTES=$(MINUTES) GATEWAYS=$(GATEWAYS) $(PY) tools/run_soak.py
