Keep the join time of a gateway over a reboot

Cause: the row of a gateway has times of its boot clock, which begins anew after a power failure.

The row has the times of the store's steady clock now.

--- a/packages/gateway/src/slatehoist/gateway/registry.py
+++ b/packages/gateway/src/slatehoist/gateway/registry.py
@@ -3,6 +3,7 @@
 import asyncio
 import logging
 from collections.abc import Callable
+from typing import NamedTuple
 
 from slatehoist.gateway.settings import (
     REGISTRY_POLL_S,
@@ -26,6 +27,21 @@
 GATEWAYS = "gateways"
 
 
+class _StoreTimes(NamedTuple):
+    """Times of the store's clock in seconds: of joining, and of the process's start."""
+
+    joined_s: float
+    started_s: float
+
+
+def _read_store_times(value: dict) -> _StoreTimes | None:
+    """Return the times that a row contains, or None if it has none."""
+    times = value.get("joined_store_s"), value.get("started_store_s")
+    if all(isinstance(time, int | float) for time in times):
+        return _StoreTimes(*times)
+    return None
+
+
 class InstanceRegistry:
     """Keep a row for this instance, and count the rows of all instances.
 
@@ -35,6 +51,9 @@
     still counts until its instance had time to write it again: the store may have come
     back from a copy without the row.
 
+    A store that states its own clock tells also after a reboot, when the clock of this
+    instance has begun anew, for how long the others have known its row.
+
     Parameters
     ----------
     on_count : callable
@@ -58,6 +77,9 @@
         #: Time of the write of this instance's first row; None before that.
         self._joined_at: float | None = None
         self._previous_start = float("-inf")
+        #: Times of the store's clock at which this instance joined and this process
+        #: started; None while they are not known.
+        self._store_times: _StoreTimes | None = None
         #: Time at which this instance's own row was last read.
         self._seen_at = float("-inf")
         self._renewals = 0
@@ -84,12 +106,24 @@
             await self._read_own_row()
         await self._renew_own_row()
         await self._count_instances()
+        await self._write_store_times()
 
     async def _read_own_row(self) -> None:
         """Read when this instance joined and when its previous process started."""
         row = await self._table.get(GATEWAYS, self._instance)
         self._own_row_read = True
         value = {} if row is None else row.value
+        known = _read_store_times(value)
+        store_now = getattr(self._table, "store_time_s", None)
+        if known is not None and store_now is not None and max(known) <= store_now:
+            now = self._clock()
+            self._joined_at = now - (store_now - known.joined_s)
+            self._previous_start = now - (store_now - known.started_s)
+            self._store_times = known._replace(
+                started_s=store_now - (now - self._started_at)
+            )
+            self._seen_at = now
+            return
         started_at = value.get("started_at", float("inf"))
         # The clock restarts at boot: a start time later than that of this process was
         # written before the last boot. In that case, and if there is no row, the
@@ -111,11 +145,29 @@
             "joined_at": joined_at,
             "started_at": self._started_at,
         }
+        if self._store_times is not None:
+            value.update(
+                joined_store_s=self._store_times.joined_s,
+                started_store_s=self._store_times.started_s,
+            )
         row = Write(GATEWAYS, self._instance, value)
         await self._table.transact([], [row])
         self._joined_at = joined_at
         self._renewed_at = now
 
+    async def _write_store_times(self) -> None:
+        """Write when this instance joined by the store's clock, once that is known.
+
+        The rows have been read since the first write, so the time is not too early.
+        """
+        store_now = getattr(self._table, "store_time_s", None)
+        if self._store_times is not None or store_now is None:
+            return
+        now = self._clock()
+        self._store_times = _StoreTimes(store_now, store_now - (now - self._started_at))
+        self._renewed_at = float("-inf")
+        await self._renew_own_row()
+
     async def _count_instances(self) -> None:
         rows = await self._table.scan(GATEWAYS)
         now = self._clock()
@@ -126,7 +178,7 @@
             counted_at = self._joined_at + REGISTRY_PROPAGATION_S
             if is_missing and self._seen_at < counted_at:
                 # An instance that never read the row does not count it while missing.
-                self._joined_at = None
+                self._joined_at = self._store_times = None
             self._renewed_at = float("-inf")
             await self._renew_own_row()
             rows = await self._table.scan(GATEWAYS)
--- a/packages/gateway/tests/test_gateway_fleet_sizes.py
+++ b/packages/gateway/tests/test_gateway_fleet_sizes.py
@@ -173,6 +173,33 @@
         self.assertEqual(set(shares), {0.5 / 45})
 
 
+class RebootTests(unittest.IsolatedAsyncioTestCase):
+    """Pattern: all instances lose power; their clocks begin anew, their rows remain."""
+
+    # Guards against a fleet without retries for 11 s and more after a power failure.
+    async def test_rebooted_gateway_is_known_to_the_others(self):
+        table, counts = SharedTable(), []
+        table.store_time_s = 500.0
+        now = 100.0
+        await InstanceRegistry(table, "a", counts.append, lambda: now).refresh()
+        self.assertEqual(counts[-1].joined_at, 100.0)
+        table.store_time_s, now = 540.0, 5.0
+        rebooted = InstanceRegistry(table, "a", counts.append, lambda: now)
+        await rebooted.refresh()
+        self.assertEqual((counts[-1].joined_at, counts[-1].previous_start), (-35, -35))
+        table.store_time_s, now = 544.0, 2.0
+        await InstanceRegistry(table, "a", counts.append, lambda: now).refresh()
+        self.assertEqual((counts[-1].joined_at, counts[-1].previous_start), (-42, -2))
+
+    async def test_time_that_the_store_has_not_reached_is_not_used(self):
+        table, counts = SharedTable(), []
+        table.store_time_s = 500.0
+        await InstanceRegistry(table, "a", counts.append, lambda: 100.0).refresh()
+        table.store_time_s = 20.0
+        await InstanceRegistry(table, "a", counts.append, lambda: 5.0).refresh()
+        self.assertEqual(counts[-1].joined_at, 5.0)
+
+
 class StaleRowTests(unittest.IsolatedAsyncioTestCase):
     """Pattern: a gateway stands still between reading the rows and acting on them."""
 
