--- a/packages/gateway/tests/test_gateway_fleet_sizes.py
+++ b/packages/gateway/tests/test_gateway_fleet_sizes.py
@@ -174,7 +174,10 @@
 
 
 class RebootTests(unittest.IsolatedAsyncioTestCase):
-    """Pattern: all instances lose power; their clocks begin anew, their rows remain."""
+    """Pattern: all gateways lose power at once.
+
+    The boot clock of each gateway begins anew. The gateway's row remains in the store.
+    """
 
     # Guards against a fleet without retries for 11 s and more after a power failure.
     async def test_rebooted_gateway_is_known_to_the_others(self):
