Read the parts of a prompt, and log them with each attempt

The logs of the incident name digests only, which cannot show what requests that crashed servers had in common. No decision uses the parts yet.

--- a/packages/gateway/src/slatehoist/gateway/gateway.py
+++ b/packages/gateway/src/slatehoist/gateway/gateway.py
@@ -12,7 +12,7 @@
 from slatehoist.gateway.forwarding import Forwarder
 from slatehoist.gateway.holds import Hold
 from slatehoist.gateway.model import Kind, RequestInfo, Route
-from slatehoist.gateway.settings import STALE_LOOKUP_S
+from slatehoist.gateway.settings import MAX_LOGGED_PARTS, STALE_LOOKUP_S
 from slatehoist.observe import GatewayMetrics, milliseconds
 from slatehoist.routing import retry_after_s, retry_delay_s
 
@@ -243,6 +243,7 @@
                 "route": exchange.route.name,
                 "kind": Kind(exchange.route.kind).value,
                 "digest": exchange.digest,
+                "prompt_parts": exchange.info.prompt_parts[:MAX_LOGGED_PARTS],
                 "blocked": exchange.blocked,
                 "tried": sorted(exchange.tried),
                 "config": self._catalogue.version,
--- a/packages/gateway/src/slatehoist/gateway/model.py
+++ b/packages/gateway/src/slatehoist/gateway/model.py
@@ -168,6 +168,8 @@
         Event after which the stream is to continue; empty to start at its beginning.
     prompt_tokens, answer_tokens : int
         Sizes that the caller states; 0 if unknown.
+    prompt_parts : tuple of str
+        Ids of the parts of the prompt that other requests may share, in order.
     """
 
     request_id: str
@@ -176,6 +178,7 @@
     last_event_id: str
     prompt_tokens: int = 0
     answer_tokens: int = 0
+    prompt_parts: tuple[str, ...] = ()
 
 
 class ReplyInfo(NamedTuple):
--- a/packages/gateway/src/slatehoist/gateway/settings.py
+++ b/packages/gateway/src/slatehoist/gateway/settings.py
@@ -184,3 +184,5 @@
 #: bodies that are being read at the same time.
 MAX_REPLY_BYTES = 4 * 1024 * 1024
 MAX_BUFFERED_BYTES = 24 * 1024 * 1024
+#: Parts of a prompt that a log line names.
+MAX_LOGGED_PARTS = 8
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -210,6 +210,26 @@
                 info = codec.read_reply(200, {"Server-Limit": text})
             self.assertEqual((info.rate_limit, info.states_rate_limit), (None, True))
 
+    def test_shared_parts_of_a_prompt_are_all_but_the_last(self):
+        for text, expected in (
+            ("", ()),
+            ("5c1e:800", ()),
+            ("5C1E:800,91bd:410,e440:250", ("5c1e", "91bd")),
+            ("5c1e:800, 5c1e:800 ,,e440:250", ("5c1e",)),
+            ("5c1e,91bd:x:y,", ("5c1e", "91bd")),
+        ):
+            with self.subTest(text=text):
+                info = PlatformHeaderCodec().read_request({"Prompt-Prefix": text})
+                self.assertEqual(info.prompt_parts, expected)
+
+    def test_number_and_length_of_the_parts_that_are_read_are_bounded(self):
+        text = ",".join("f" * 500 + str(number) for number in range(500))
+        parts = PlatformHeaderCodec().read_request({"Prompt-Prefix": text}).prompt_parts
+        self.assertEqual(parts, ("f" * 64,))
+        text = ",".join(str(number) for number in range(500))
+        parts = PlatformHeaderCodec().read_request({"Prompt-Prefix": text}).prompt_parts
+        self.assertEqual(len(parts), 64)
+
     def test_malformed_numbers_are_ignored(self):
         info = PlatformHeaderCodec().read_request(
             {"Deadline-Ms": "soon", "Token-Count": "x,y"}
--- a/tests/test_platform_parsers.py
+++ b/tests/test_platform_parsers.py
@@ -118,6 +118,7 @@
         codec = PlatformHeaderCodec()
         headers = {
             "Token-Count": f"{number},{load}",
+            "Prompt-Prefix": f"{load}:{number},{number},{load}",
             "Deadline-Ms": number,
             "Server-Load": load,
             "Server-Limit": number,
