--- a/packages/gateway/tests/gateway_fleet.py
+++ b/packages/gateway/tests/gateway_fleet.py
@@ -51,6 +51,10 @@
 PATIENCE_S = 1.8
 #: Body of a request that crashes every server which runs it.
 POISON = b"poison"
+#: Part of a prompt that crashes every server which runs a request with it.
+POISON_PART = "bad"
+#: Header of the simulated requests that lists the parts of their prompts.
+_PARTS = "Parts"
 
 
 class SharedTable:
@@ -180,10 +184,10 @@
 class SimulatedReply:
     """Whole response of a server."""
 
-    status = 200
     body = b"whole"
 
-    def __init__(self, framed: bool = True) -> None:
+    def __init__(self, framed: bool = True, status: int = 200) -> None:
+        self.status = status
         self.headers = {"Content-Length": "5"} if framed else {}
         self.content = self
         self._pieces = [self.body]
@@ -215,11 +219,18 @@
         server = self._fleet.at(req.address)
         self._check_connect(server)
         server.arrivals.append(self._fleet.now)
+        parts = req.headers[_PARTS].split(",")
+        if POISON_PART in parts:
+            self._fleet.poison_part_arrivals.append(self._fleet.now)
         if self.resets_left:
             self.resets_left -= 1
             raise BrokenReplyError("reset")
-        if req.body != POISON:
-            return SimulatedReply()
+        if self._fleet.grouped and not all(s.is_up for s in self._fleet.servers):
+            return SimulatedReply(status=503)
+        is_poison_part = self._fleet.part_crashes and POISON_PART in parts
+        if req.body != POISON and not is_poison_part:
+            await self._run(server)
+            return SimulatedReply(framed=self._fleet.framed)
         server.crash(self._fleet.now)
         if server.ending == "reset":
             raise BrokenReplyError("reset")
@@ -228,6 +239,15 @@
             await asyncio.sleep(60)
         return SimulatedReply(framed=False)
 
+    async def _run(self, server: Server) -> None:
+        """Run a sound request, which is lost if its server crashes meanwhile."""
+        ends_at = self._fleet.now + self._fleet.run_s
+        crashes = len(server.crashed_at)
+        while self._fleet.now < ends_at:
+            if len(server.crashed_at) > crashes:
+                raise BrokenReplyError("reset")
+            await asyncio.sleep(0)
+
     async def probe(self, address: str) -> None:
         self._check_connect(self._fleet.at(address))
 
@@ -240,13 +260,15 @@
     """Codec for responses that are always valid."""
 
     def request_headers(self, headers: Any, forwarding: Any) -> dict[str, str]:
-        return {}
+        return dict(headers)
 
     def reply_headers(self, headers: Any) -> dict[str, str]:
         return {}
 
     def read_reply(self, status: int, headers: Any) -> ReplyInfo:
-        return ReplyInfo("id", not_run=False, wrong_instance=False, authentic=True)
+        return ReplyInfo(
+            "id", not_run=status == 503, wrong_instance=False, authentic=True
+        )
 
 
 class SimulatedGateway:
@@ -326,12 +348,21 @@
         body: bytes = POISON,
         caller_leaves: bool = False,
         engine: EngineSpec | None = None,
+        parts: tuple[str, ...] = (),
+        objective_s: float = SILENCE_S,
     ) -> Exchange:
-        """Send a request until the gateway answers it or the caller leaves."""
+        """Send a request until the gateway answers it or the caller leaves.
+
+        Parameters
+        ----------
+        objective_s : float
+            Real seconds after which an attempt at a server ends.
+        """
         now = self._fleet.now
-        req = SimpleNamespace(method="POST", raw_path="/a/x", headers={})
-        info = RequestInfo("id", None, "key", "")
-        route = make_route(objective_s=SILENCE_S)
+        headers = {_PARTS: ",".join(parts)}
+        req = SimpleNamespace(method="POST", raw_path="/a/x", headers=headers)
+        info = RequestInfo("id", None, "key", "", prompt_parts=parts)
+        route = make_route(objective_s=objective_s)
         exchange = Exchange(
             req, body, info, route, Service("app", engine), "t", now, now + 5
         )
@@ -344,10 +375,38 @@
 
 
 class Fleet:
-    """Simulated servers and gateways that share a table and a clock."""
+    """Simulated servers and gateways that share a table and a clock.
 
-    def __init__(self, servers: int, gateways: int, seed: int, **faults) -> None:
+    Attributes
+    ----------
+    grouped : bool
+        True if the servers are ranks of one group: while one is down, all others
+        refuse what they get.
+    framed : bool
+        False if the responses to sound requests have neither a length nor chunks.
+    part_crashes : bool
+        True if `POISON_PART` crashes the servers.
+    run_s : float
+        Seconds for which a sound request runs.
+    poison_part_arrivals : list of float
+        Times at which a request with `POISON_PART` reached a server.
+    """
+
+    def __init__(
+        self,
+        servers: int,
+        gateways: int,
+        seed: int,
+        grouped: bool = False,
+        framed: bool = True,
+        **faults,
+    ) -> None:
         self.now = 100.0
+        self.grouped = grouped
+        self.framed = framed
+        self.part_crashes = True
+        self.run_s = 0.0
+        self.poison_part_arrivals: list[float] = []
         self.rng = random.Random(seed)
         self.table = SharedTable()
         self.servers = [
