Stop requests that crash servers by a part of their prompts

Change: reports of a crash name the parts of the lost requests. PartTally convicts a part after three crashes without a success, unless another convicted part explains them; a part that succeeded before needs five separate crashes that nothing else explains. So the parts that sound requests share with the harmful ones stay free. One row in the store for each part keeps its conviction for gateways that start later, tells the others of a success, and is the claim of a trial: at most three, of all gateways together.

--- a/packages/gateway/src/slatehoist/gateway/crash_reports.py
+++ b/packages/gateway/src/slatehoist/gateway/crash_reports.py
@@ -3,13 +3,14 @@
 import asyncio
 import contextlib
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
-from slatehoist.gateway.losses import Crash, LossLedger
+from slatehoist.gateway.losses import Crash, LossLedger, LostRequest
 from slatehoist.gateway.model import Endpoint
-from slatehoist.gateway.settings import STORE_RETRY_S
+from slatehoist.gateway.part_reports import KEY_PREFIX, PartReports
+from slatehoist.gateway.settings import MAX_LOGGED_PARTS, STORE_RETRY_S
 from slatehoist.observe import GatewayMetrics
-from slatehoist.routing import CRASH_RETENTION_S, CrashTally
+from slatehoist.routing import CRASH_RETENTION_S, CrashTally, PromptPart
 from slatehoist.storage import (
     HistoryLostError,
     PlatformError,
@@ -20,8 +21,8 @@
 
 log = logging.getLogger(__name__)
 
-#: Table with one row per request, crash and gateway that reported it, and one per
-#: request that succeeded after a crash.
+#: Table with one row per request, crash and gateway that reported it, one per request
+#: that succeeded after a crash, and one per prompt part of which something is known.
 CRASHES = "crashes"
 #: Largest number of rows in one transaction; the platform's store accepts 100.
 _MAX_ROWS_PER_WRITE = 100
@@ -41,6 +42,11 @@
         Longest time in seconds for which the list shows an endpoint that has ended.
     poll_s : float
         Seconds that one poll for the reports of other gateways lasts.
+
+    Attributes
+    ----------
+    parts : PartReports
+        What is known of the parts of prompts.
     """
 
     def __init__(
@@ -60,6 +66,7 @@
         self._metrics = metrics
         self._clock = clock
         self._ledger = LossLedger(row_ttl_s)
+        self.parts = PartReports(table, CRASHES, instance, metrics, clock)
         self._unsent: dict[str, Write] = {}
         #: For each row, the time at which this gateway wrote or first read it.
         self._seen_at: dict[str, float] = {}
@@ -72,10 +79,12 @@
         self._write_needed = asyncio.Event()
         self._version: int | None = None
 
-    def record_loss(self, endpoint: Endpoint, digest: str, sent_at: float) -> None:
+    def record_loss(
+        self, endpoint: Endpoint, request: LostRequest, sent_at: float
+    ) -> None:
         """Record a request that was lost at an endpoint."""
         now = self._clock()
-        crash = self._ledger.record_loss(endpoint, digest, sent_at, now)
+        crash = self._ledger.record_loss(endpoint, request, sent_at, now)
         if crash is not None:
             self._report_crash(crash, now)
 
@@ -98,12 +107,18 @@
     ) -> None:
         """Close the losses that their endpoints outlived; see `LossLedger`."""
         closed = self._ledger.observe_list(listed, read_at, reliable_since)
-        if closed:
-            log.info("losses_outlived", extra={"digests": closed})
+        if not closed:
+            return
+        digests = [request.digest for request in closed]
+        log.info("losses_outlived", extra={"digests": digests})
+        for request in closed:
+            if request.is_delivered:
+                self._record_part_success(request.parts)
 
-    def record_success(self, digest: str) -> None:
+    def record_success(self, digest: str, parts: Sequence[PromptPart] = ()) -> None:
         """Record that a request succeeded; report it if it was in a crash before."""
         self._ledger.record_success(digest)
+        self._record_part_success(parts)
         if not self._tally.record_success(digest, self._clock()):
             return
         for stored in [key for key in self._stored if key.startswith(f"{digest}/")]:
@@ -115,18 +130,31 @@
         log.info("request_cleared", extra={"digest": digest})
         self._write_needed.set()
 
+    def _record_part_success(self, parts: Sequence[PromptPart]) -> None:
+        if self.parts.record_success(parts):
+            self._write_needed.set()
+
     def _report_crash(self, crash: Crash, now: float) -> None:
         crash_id = crash.crash_id
-        for digest in crash.digests:
+        self.parts.record_own_crash(crash, now)
+        for digest, parts, _ in crash.requests:
             crashes = self._tally.record_crash(digest, crash_id, now)
             self._stored.pop(self._success_key(digest), None)
             self._metrics.crash_reports.labels("own").inc()
             key = f"{digest}/{crash_id}/{self._instance}"
-            value = {"digest": digest, "crash": crash_id}
+            value: dict[str, object] = {"digest": digest, "crash": crash_id}
+            if parts:
+                value["service"] = parts[0].service
+                value["parts"] = [part.part_id for part in parts]
             self._unsent[key] = Write(CRASHES, key, value)
             log.warning(
                 "request_in_crash",
-                extra={"digest": digest, "crash": crash_id, "crashes": crashes},
+                extra={
+                    "digest": digest,
+                    "prompt_parts": value.get("parts", ())[:MAX_LOGGED_PARTS],
+                    "crash": crash_id,
+                    "crashes": crashes,
+                },
             )
         self._write_needed.set()
 
@@ -134,7 +162,7 @@
         """Write reports and remove expired ones, until cancelled."""
         while True:
             with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(CRASH_RETENTION_S):
+                async with asyncio.timeout(self._max_wait_s()):
                     await self._write_needed.wait()
             self._write_needed.clear()
             try:
@@ -147,6 +175,8 @@
     async def write_pending(self) -> None:
         """Write the reports that are not stored yet, and remove expired ones."""
         now = self._clock()
+        for write in self.parts.take_due_writes(now):
+            self._unsent[write.key] = write
         expired = [
             key for key, at in self._seen_at.items() if self._is_expired(key, now - at)
         ]
@@ -172,12 +202,22 @@
             if now - at <= CRASH_RETENTION_S
         }
 
+    def _max_wait_s(self) -> float:
+        """Return the longest time in seconds until something is to be written."""
+        if self.parts.has_pending:
+            return self.parts.next_write_s(self._clock())
+        return CRASH_RETENTION_S
+
     def _is_expired(self, key: str, age_s: float) -> bool:
         """Return True if a report is to be removed.
 
         Each gateway removes its own reports. Reports of other gateways are kept for
         twice as long, so that they are removed here only if their gateway is gone.
         """
+        if key.startswith(KEY_PREFIX):
+            return age_s > self.parts.lifetime_s(key) * (
+                1 if key in self._stored else 2
+            )
         own = key.endswith(f"/{self._instance}")
         return age_s > CRASH_RETENTION_S * (1 if own else 2)
 
@@ -199,7 +239,8 @@
 
     async def read_reports(self) -> None:
         """Count the reports that are new in the store, or wait for one."""
-        if self._version is None:
+        is_snapshot = self._version is None
+        if is_snapshot:
             rows, self._version = await self._table.snapshot(CRASHES)
             self._write_lost_reports(rows)
         else:
@@ -208,10 +249,19 @@
         now = self._clock()
         # In the order of their writes: a success clears earlier crashes only.
         for row in sorted(rows, key=lambda row: row.version):
+            if row.key.startswith(KEY_PREFIX):
+                self._seen_at[row.key] = now
+                if row.key in self._stored and self._stored[row.key].value != row.value:
+                    # Another gateway knows better.
+                    del self._stored[row.key]
+                self.parts.read_row(row, now, is_snapshot)
+                continue
             if row.key in self._removed_at:
                 continue
             self._seen_at.setdefault(row.key, now)
             self._count_report(row, now)
+        if self.parts.has_pending:
+            self._write_needed.set()
 
     def _success_key(self, digest: str) -> str:
         return f"{digest}/success/{self._instance}"
@@ -237,6 +287,7 @@
             self._tally.record_success(digest, now)
             return
         crashes = self._tally.record_crash(digest, crash_id, now)
+        self.parts.record_crash(crash_id, _read_parts(row), now)
         self._stored.pop(self._success_key(digest), None)
         if row.key.endswith(f"/{self._instance}"):
             return
@@ -250,3 +301,11 @@
                 "version": row.version,
             },
         )
+
+
+def _read_parts(row: Row) -> list[PromptPart]:
+    """Return the prompt parts in a report; none if older instances wrote it."""
+    service, parts = row.value.get("service"), row.value.get("parts")
+    if not isinstance(service, str) or not isinstance(parts, list):
+        return []
+    return [PromptPart(service, part) for part in parts if isinstance(part, str)]
--- a/packages/gateway/src/slatehoist/gateway/exchange.py
+++ b/packages/gateway/src/slatehoist/gateway/exchange.py
@@ -10,6 +10,7 @@
 from slatehoist.gateway.model import Kind, RequestInfo, Route, Service
 from slatehoist.http import Framing, RelayedResponse
 from slatehoist.observe import GatewayMetrics
+from slatehoist.routing import PromptPart
 
 
 class CallerLeftError(Exception):
@@ -100,16 +101,25 @@
         #: Ids of the endpoints that were tried; none is tried twice.
         self.tried: set[str] = set()
         self.may_have_run = False
+        #: Parts of the prompt that other requests may share.
+        self.parts = tuple(PromptPart(service.name, part) for part in info.prompt_parts)
+        #: Convicted parts that block the request, except as their next trial.
+        self.blocking_parts: list[PromptPart] = []
+        #: Parts whose trial the current attempt is.
+        self.trial_parts: list[PromptPart] = []
         #: True if the request was refused because no group of its service is open.
         self.group_closed = False
         #: Hold of all endpoints of the service, if there is one.
         self.hold: Hold | None = None
-        #: Seconds for which the request is refused because it crashed endpoints.
+        #: Seconds for which the request is refused because it, or a part of its prompt,
+        #: crashed endpoints.
         self.blocked_for_s = 0.0
         #: Time at which the current attempt was sent.
         self.sent_at = arrived_at
         #: Time at which the current attempt was sent or its response last had data.
         self.last_data_at = arrived_at
+        #: True if the current attempt's response has a success status.
+        self.succeeded = False
         #: What marks the end of the current attempt's response; None before its head.
         self.framing: Framing | None = None
         #: Bytes of the current attempt's body that were received.
--- a/packages/gateway/src/slatehoist/gateway/forwarding.py
+++ b/packages/gateway/src/slatehoist/gateway/forwarding.py
@@ -24,6 +24,7 @@
 from slatehoist.gateway.exchange import Exchange, Outcome, Reply
 from slatehoist.gateway.health import EndpointHealth, GroupState
 from slatehoist.gateway.holds import EndpointHolds
+from slatehoist.gateway.losses import LostRequest
 from slatehoist.gateway.model import Endpoint
 from slatehoist.gateway.probes import EndpointProbes
 from slatehoist.gateway.settings import (
@@ -110,6 +111,8 @@
         self._holds = EndpointHolds(metrics, self._rates)
         self._buffers = BufferBudget(MAX_BUFFERED_BYTES)
         self._budgets: dict[str, SharedRetryBudget] = {}
+        #: Trials of prompt parts that are being given back.
+        self._releases: set[asyncio.Task] = set()
         self.streams = StreamRelay(
             codec, metrics, cfg.stall_s + STREAM_IDLE_MARGIN_S, clock
         )
@@ -148,13 +151,14 @@
                 return None
             # Reports of crashes may have arrived, and the deadline may have passed,
             # during the wait.
-            if self._is_blocked(exchange):
+            if self._is_blocked(exchange) or not await self._claim_trials(exchange):
                 return None
             now = self._clock()
             if exchange.deadline_at - now < MIN_ATTEMPT_S:
                 return None
             endpoint = self._choose_endpoint(exchange, now)
             if endpoint is None:
+                self._release_trials(exchange)
                 return None
             selection = self._selection_log_fields(endpoint, now)
             outcome, resp = Outcome.ABANDONED, None
@@ -168,8 +172,10 @@
             if outcome is Outcome.DELIVERED:
                 self._record_delivery(exchange, endpoint, now)
                 return resp
-            if outcome.lost and self._tally.is_suspected(exchange.digest, now):
+            if outcome.lost and self._is_suspected(exchange, now):
                 await self._wait_for_probe(endpoint)
+            if not outcome.may_have_run:
+                self._release_trials(exchange)
             exchange.may_have_run |= outcome.may_have_run
             if not self._should_retry(exchange, outcome, budget):
                 return None
@@ -181,12 +187,51 @@
             self._metrics.reply_ends.labels(*labels).inc()
 
     def _is_blocked(self, exchange: Exchange) -> bool:
+        """Return True if a request must not be sent, and record for how long.
+
+        A request that can be the next trial of all its blocked parts is not blocked.
+        """
         now = self._clock()
+        tally = self._crashes.parts.tally
         exchange.blocked_for_s = self._tally.blocked_for_s(exchange.digest, now)
+        exchange.blocking_parts = tally.blocking_parts(exchange.parts, now)
+        if not all(tally.is_trial_due(part, now) for part in exchange.blocking_parts):
+            self._block_by_parts(exchange, now)
         if exchange.blocked:
             self._metrics.blocked_requests.inc()
         return exchange.blocked
 
+    def _block_by_parts(self, exchange: Exchange, now: float) -> None:
+        tally = self._crashes.parts.tally
+        waits = [tally.blocked_for_s(part, now) for part in exchange.blocking_parts]
+        exchange.blocked_for_s = max(exchange.blocked_for_s, *waits)
+
+    async def _claim_trials(self, exchange: Exchange) -> bool:
+        """Return True if no part blocks a request, or if it is their next trial."""
+        if not exchange.blocking_parts:
+            return True
+        parts = exchange.blocking_parts
+        if await self._crashes.parts.claim_trials(parts):
+            exchange.trial_parts = parts
+            return True
+        self._block_by_parts(exchange, self._clock())
+        self._metrics.blocked_requests.inc()
+        return False
+
+    def _release_trials(self, exchange: Exchange) -> None:
+        """Give back the trials that a request has claimed, since it did not run."""
+        parts, exchange.trial_parts = exchange.trial_parts, []
+        if parts:
+            release = asyncio.create_task(self._crashes.parts.release_trials(parts))
+            self._releases.add(release)
+            release.add_done_callback(self._releases.discard)
+
+    def _is_suspected(self, exchange: Exchange, now: float) -> bool:
+        """Return True if one more crash would block a request."""
+        return self._tally.is_suspected(
+            exchange.digest, now
+        ) or self._crashes.parts.tally.is_suspected(exchange.parts)
+
     def _record_loss(
         self, exchange: Exchange, endpoint: Endpoint, outcome: Outcome, sent_at: float
     ) -> None:
@@ -197,7 +242,8 @@
         time.
         """
         self._metrics.lost_requests.labels(outcome.value).inc()
-        self._crashes.record_loss(endpoint, exchange.digest, sent_at)
+        request = LostRequest(exchange.digest, exchange.parts)
+        self._crashes.record_loss(endpoint, request, sent_at)
         silent_s = self._clock() - exchange.last_data_at
         if outcome is Outcome.BROKEN or silent_s >= PROBE_SILENCE_S:
             self._probes.start(endpoint)
@@ -212,12 +258,15 @@
     ) -> None:
         """Record that a request was answered, unless a crash may have ended the body.
 
-        Such a body cannot be told from a whole one, so it is passed on.
+        Such a body cannot be told from a whole one, so it is passed on. An error status
+        does not show that the endpoint can write an answer to the prompt.
         """
+        parts = exchange.parts if exchange.succeeded else ()
         if exchange.framing.proves_end:
-            self._crashes.record_success(exchange.digest)
+            self._crashes.record_success(exchange.digest, parts)
         else:
-            self._crashes.record_loss(endpoint, exchange.digest, sent_at)
+            request = LostRequest(exchange.digest, parts, is_delivered=True)
+            self._crashes.record_loss(endpoint, request, sent_at)
 
     async def _wait_for_list(self) -> None:
         """Wait shortly for the list of endpoints, if it is overdue.
@@ -329,6 +378,7 @@
         exchange.tried.add(endpoint.endpoint_id)
         exchange.sent_at = exchange.last_data_at = self._clock()
         exchange.framing = None
+        exchange.succeeded = False
         exchange.reply_bytes = exchange.partial_event_bytes = 0
         record = self._health.get_record(endpoint.endpoint_id)
         record.inflight += 1
@@ -409,6 +459,7 @@
             return Outcome.WRONG_INSTANCE, None
         self._holds.record_reply(endpoint, info, self._clock(), exchange.sent_at)
         if reply.status in _SUCCESS_STATUSES:
+            exchange.succeeded = True
             if not (info.authentic and info.request_id):
                 raise BrokenReplyError(
                     f"{endpoint.address}: response lacks request id or proof of origin"
--- a/packages/gateway/src/slatehoist/gateway/gateway.py
+++ b/packages/gateway/src/slatehoist/gateway/gateway.py
@@ -218,6 +218,8 @@
         self._log_failed_request(exchange, "not_run", now)
         if exchange.blocked:
             reason = "this request crashes endpoints"
+            if exchange.blocking_parts:
+                reason = "a part of this prompt crashes endpoints"
             raise RefusalError(503, reason, exchange.blocked_for_s, hopeless=True)
         if exchange.group_closed:
             raise RefusalError(503, "the group of endpoints is forming", _GROUP_WAIT_S)
--- a/packages/gateway/src/slatehoist/gateway/losses.py
+++ b/packages/gateway/src/slatehoist/gateway/losses.py
@@ -12,6 +12,7 @@
 from typing import NamedTuple
 
 from slatehoist.gateway.model import Endpoint
+from slatehoist.routing import PromptPart
 
 #: Open losses that are kept for each endpoint; the list may be unreadable for long.
 _MAX_OPEN_LOSSES = 256
@@ -20,17 +21,35 @@
 _END_RETENTION_S = 60.0
 
 
+class LostRequest(NamedTuple):
+    """Request whose response did not end, or whose end may be due to a crash.
+
+    Attributes
+    ----------
+    digest : str
+        See `slatehoist.gateway.exchange.request_digest`.
+    parts : tuple of PromptPart
+        Parts of its prompt that other requests may share.
+    is_delivered : bool
+        True if it has a response that is whole unless its endpoint has crashed.
+    """
+
+    digest: str
+    parts: tuple[PromptPart, ...] = ()
+    is_delivered: bool = False
+
+
 class Crash(NamedTuple):
     """End of an endpoint, and the requests that were lost by it."""
 
     crash_id: str
-    digests: list[str]
+    requests: list[LostRequest]
 
 
 class _Loss(NamedTuple):
     """Lost request, and the time at which it was lost."""
 
-    digest: str
+    request: LostRequest
     at: float
 
 
@@ -63,15 +82,15 @@
         self._ends: dict[str, _End] = {}
 
     def record_loss(
-        self, endpoint: Endpoint, digest: str, sent_at: float, now: float
+        self, endpoint: Endpoint, request: LostRequest, sent_at: float, now: float
     ) -> Crash | None:
         """Record a lost request; return a crash if its endpoint has ended since."""
         run_id = endpoint.run_id
         end = self._ends.get(run_id)
         if end is not None and sent_at <= end.at:
-            return Crash(_crash_id(run_id, end), [digest])
-        self._open_losses(run_id).append(_Loss(digest, now))
-        self._digests.add(digest)
+            return Crash(_crash_id(run_id, end), [request])
+        self._open_losses(run_id).append(_Loss(request, now))
+        self._digests.add(request.digest)
         return None
 
     def record_end(self, endpoint: Endpoint, now: float) -> Crash | None:
@@ -84,7 +103,7 @@
         self._drop_old_ends(now)
         if not losses:
             return None
-        return Crash(_crash_id(run_id, end), [loss.digest for loss in losses])
+        return Crash(_crash_id(run_id, end), [loss.request for loss in losses])
 
     def record_restart(
         self, old: Endpoint, current: Endpoint, now: float
@@ -102,12 +121,12 @@
     def record_success(self, digest: str) -> None:
         """Close the losses of a request that succeeded, which crashes no endpoint."""
         if digest in self._digests:
-            self._keep_losses(lambda run_id, loss: loss.digest != digest)
+            self._keep_losses(lambda run_id, loss: loss.request.digest != digest)
 
     def observe_list(
         self, listed: Iterable[Endpoint], read_at: float, reliable_since: float
-    ) -> list[str]:
-        """Close the losses that their endpoints outlived, and return the digests.
+    ) -> list[LostRequest]:
+        """Close the losses that their endpoints outlived, and return the requests.
 
         Parameters
         ----------
@@ -125,7 +144,7 @@
             return run_id in run_ids and loss.at <= ended_before
 
         closed = [
-            loss.digest
+            loss.request
             for run_id, losses in self._losses.items()
             for loss in losses
             if outlived(run_id, loss)
@@ -149,7 +168,7 @@
             else:
                 del self._losses[run_id]
         self._digests = {
-            loss.digest for losses in self._losses.values() for loss in losses
+            loss.request.digest for losses in self._losses.values() for loss in losses
         }
 
     def _open_losses(self, run_id: str) -> deque[_Loss]:
--- a/packages/gateway/tests/part_traffic.py
+++ b/packages/gateway/tests/part_traffic.py
@@ -66,6 +66,10 @@
         began = [sent.began for sent in self.sent if start <= sent.at < end]
         return sum(began) / len(began)
 
+    def count(self, start: float) -> int:
+        """Return the number of sound requests since some time."""
+        return sum(sent.at >= start for sent in self.sent)
+
     def _draw(self, rate: float) -> bool:
         return self._fleet.rng.random() < rate * STEP_S
 
--- a/packages/routing/src/slatehoist/routing/__init__.py
+++ b/packages/routing/src/slatehoist/routing/__init__.py
@@ -12,6 +12,13 @@
     TokenBucket,
     home_entry,
 )
+from slatehoist.routing.prompt_parts import (
+    CONVICTION_S,
+    PROOF_S,
+    PartConviction,
+    PartTally,
+    PromptPart,
+)
 from slatehoist.routing.rates import RateShares, RateUse
 from slatehoist.routing.retries import (
     AllowanceShare,
@@ -36,8 +43,10 @@
 )
 
 __all__ = [
+    "CONVICTION_S",
     "CRASH_RETENTION_S",
     "HOLD_CRASHES",
+    "PROOF_S",
     "AdaptiveLimit",
     "AllowanceShare",
     "Candidate",
@@ -47,8 +56,11 @@
     "FairQueue",
     "LoadAwareChooser",
     "Membership",
+    "PartConviction",
+    "PartTally",
     "Peer",
     "PrefixIndex",
+    "PromptPart",
     "QuotaHolder",
     "QuotaHome",
     "QuotaShare",
