Let the soak and the stand-ins crash servers by a part of a prompt

A second caller of the soak sends requests, no two alike, with one part that crashes servers; sound callers share their first and second parts. Checked are the users' rules BUDGET (arrivals after the fifth crash) and LOST (sound requests refused because of a part). The check of repeated requests counts arrivals now, not crashes, which is stricter.

PartTally: a convicted part is explained if each of its crashes has some other convicted part, not the same one for all.

--- a/packages/gateway/tests/test_gateway_prompt_parts.py
+++ b/packages/gateway/tests/test_gateway_prompt_parts.py
@@ -1,13 +1,17 @@
 """Tests of requests, no two alike, that crash servers by a part of their prompts."""
 
+import asyncio
 import random
 import unittest
+from unittest import mock
 
 from gateway_fleet import POISON_PART, Fleet, SimulatedGateway
 from part_traffic import FIRST_PART, PartTraffic
 
-from slatehoist.routing import CRASH_RETENTION_S, PromptPart
+from slatehoist.gateway.crash_reports import CRASHES
+from slatehoist.routing import CRASH_RETENTION_S, PartConviction, PromptPart
 from slatehoist.routing.prompt_parts import TRIAL_DELAYS_S
+from slatehoist.storage import StoreDownError, Write
 
 #: Shortest time in seconds, of all deployments, after which all gateways must know of
 #: a crash.
@@ -230,6 +234,48 @@
         await fleet.advance(1.0)
         self.assertEqual(tally.conviction(part).trials, conviction.trials)
 
+    async def test_one_trial_is_claimed_by_one_gateway_only(self):
+        fleet, _ = await self.start(12, 20)
+        part = PromptPart("app", POISON_PART)
+        for gateway in fleet.gateways:
+            gateway.crashes.parts.tally.convict(part, PartConviction(0.0))
+        claims = [g.crashes.parts.claim_trials([part]) for g in fleet.gateways]
+        self.assertEqual(sum(await asyncio.gather(*claims)), 1)
+
+    async def test_no_trial_is_sent_while_the_store_cannot_be_reached(self):
+        fleet, _ = await self.start(12, 2)
+        part = PromptPart("app", POISON_PART)
+        gateway = fleet.gateways[0]
+        gateway.crashes.parts.tally.convict(part, PartConviction(0.0))
+        with mock.patch.object(fleet.table, "transact", side_effect=StoreDownError("")):
+            exchange = await gateway.send(b"x", parts=(FIRST_PART, POISON_PART))
+        self.assertTrue(exchange.blocked)
+        self.assertEqual(fleet.poison_part_arrivals, [])
+
+    # Such a row must not end the task that follows the reports.
+    async def test_rows_that_cannot_be_used_are_skipped(self):
+        fleet, _ = await self.start(12, 1)
+        gateway = fleet.gateways[0]
+        usable = {"service": "app", "part": "p", "state": "convicted", "trials": 0}
+        values = [
+            {},
+            {**usable, "service": 3},
+            {**usable, "part": None},
+            {**usable, "state": "odd"},
+            {**usable, "trials": "many"},
+            {"digest": "d", "crash": "c", "service": "app", "parts": 3},
+            {"digest": "d", "crash": "c", "service": "app", "parts": [3, None]},
+        ]
+        writes = [
+            Write(CRASHES, f"part/{number}", value)
+            for number, value in enumerate(values)
+        ]
+        last = Write(CRASHES, "part/app/p", usable)
+        await fleet.table.transact([], [*writes, last])
+        await gateway.crashes.follow_once()
+        part = PromptPart("app", "p")
+        self.assertIsNotNone(gateway.crashes.parts.tally.conviction(part))
+
     # Guards against an older copy of the store that blocks what was cleared since.
     async def test_conviction_that_an_older_copy_of_the_store_contains_is_not_taken(
         self,
--- a/packages/routing/src/slatehoist/routing/prompt_parts.py
+++ b/packages/routing/src/slatehoist/routing/prompt_parts.py
@@ -7,15 +7,15 @@
 - A part of a request that succeeded is proven. Crashes before that do not count.
 - An unproven part is convicted after `MAX_CRASHES` crashes. A proven part is convicted
   only if no unproven one explains the crashes, and after more of them.
-- A convicted part does not block a request if a convicted part that the request lacks
-  was in all of its crashes, and so explains them.
+- A convicted part does not block a request if each of its crashes had another convicted
+  part, which the request lacks and which explains the crash.
 
 A part is counted for each service by itself: one build of a model may crash by a part
 that another one answers.
 """
 
 from collections import OrderedDict
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable, Sequence, Set
 from typing import NamedTuple
 
 #: Crashes after which an unproven part is convicted. Two may be a coincidence; each
@@ -96,6 +96,9 @@
         self.unproven.discard(part)
         self.proven.discard(part)
 
+    def has_any(self, parts: Set[PromptPart]) -> bool:
+        return not (self.unproven.isdisjoint(parts) and self.proven.isdisjoint(parts))
+
     def __contains__(self, part: PromptPart) -> bool:
         return part in self.unproven or part in self.proven
 
@@ -251,12 +254,10 @@
         return count >= MAX_CRASHES - 1
 
     def _is_explained(self, part: PromptPart, parts: Sequence[PromptPart]) -> bool:
-        """Return True if a convicted part that is not among ``parts`` explains one."""
+        """Return True if each crash of a part has a convicted one not in ``parts``."""
         crashes = [crash for crash in self._crashes.values() if part in crash]
         others = self._convicted.keys() - set(parts)
-        return bool(crashes) and any(
-            all(other in crash for crash in crashes) for other in others
-        )
+        return bool(crashes) and all(crash.has_any(others) for crash in crashes)
 
     def _convict(self, part: PromptPart, now: float) -> None:
         known = self._convicted.get(part)
--- a/standins/src/slatehoist_standins/deployment_server.py
+++ b/standins/src/slatehoist_standins/deployment_server.py
@@ -61,6 +61,8 @@
 _BARE = frozenset({"endless_status", "endless_informational", "endless_upgrade"})
 #: Request body, or part of one, that crashes every server which begins to run it.
 CRASH_MARKER = b"crashes the server"
+#: Part of a prompt that crashes every server which begins to run a request with it.
+CRASH_PART = "bad0bad0"
 
 
 class Arrival(NamedTuple):
@@ -72,6 +74,13 @@
     body: bytes
 
 
+def crashes_servers(arrival: Arrival) -> bool:
+    """Return True if each server that begins to run a request crashes."""
+    parts = arrival.headers.get("Prompt-Prefix", "").split(",")[:-1]
+    ids = [part.partition(":")[0] for part in parts]
+    return CRASH_MARKER in arrival.body or CRASH_PART in ids
+
+
 class DeploymentServer:
     """Server that takes one behaviour from a list for each request.
 
@@ -117,7 +126,7 @@
     cancelled : int
         Connections that the gateway closed, including idle ones.
     crashes : int
-        Crashes caused by `CRASH_MARKER`.
+        Crashes caused by `CRASH_MARKER` and `CRASH_PART`.
     event_pause_s : float
         Seconds between the events of a stream.
     delay_s : float
@@ -241,7 +250,7 @@
                 self.resets += 1
             self.cancelled += 1
             return False
-        if CRASH_MARKER in arrival.body:
+        if crashes_servers(arrival):
             self.crashes += 1
             self._server.close()
             return self._close(writer, True)
--- a/tests/test_platform_crashes.py
+++ b/tests/test_platform_crashes.py
@@ -8,7 +8,7 @@
 from slatehoist.gateway.settings import CONFIG_LONG_POLL_S, GatewaySettings
 from slatehoist.routing import CRASH_RETENTION_S
 from slatehoist.routing.crashes import MAX_CRASHES
-from slatehoist_standins.deployment_server import CRASH_MARKER
+from slatehoist_standins.deployment_server import CRASH_MARKER, CRASH_PART
 from slatehoist_standins.relay import Relay
 
 #: Seconds after a fault within which a gateway must know of crashes, which is the
@@ -60,6 +60,34 @@
         self.assertLessEqual(self.count_crashes(world), MAX_CRASHES + 1)
         self.assertEqual(await self.send(world, 0, CRASH_MARKER), 503)
 
+    # Guards against one server after the other that ends under requests which have a
+    # part of their prompts in common, but are not the same request.
+    async def test_requests_with_a_part_that_crashes_servers_are_refused_by_all(
+        self,
+    ):
+        world = await self.start_world(["ok"], copies=12)
+        await world.add_gateway()
+        for round_number in range(4):
+            for gateway in (0, 1):
+                name = f"{round_number}{gateway}"
+                parts = f"5e5e:90,{CRASH_PART}:40,{name}:20"
+                status = await self.send_prompt(world, gateway, parts)
+                self.assertIn(status, (502, 503), name)
+                await self.remove_crashed_servers(world)
+                sound = await self.send_prompt(world, gateway, f"5e5e:90,{name}:20")
+                self.assertEqual(sound, 200, name)
+        self.assertLessEqual(self.count_crashes(world), MAX_CRASHES + 1)
+        parts = f"5e5e:90,{CRASH_PART}:40,last:20"
+        self.assertEqual(await self.send_prompt(world, 0, parts), 503)
+
+    async def send_prompt(self, world: GatewayWorld, gateway: int, parts: str) -> int:
+        headers = {"Prompt-Prefix": parts}
+        body = parts.encode()
+        async with world.call(
+            "/safe/", "POST", data=body, gateway=gateway, headers=headers
+        ) as resp:
+            return resp.status
+
     # A shorter delay would bring the caller back only to be refused again.
     async def test_blocked_caller_is_told_when_the_block_ends(self):
         world = await self.start_world(["ok"])
--- a/tools/soak/callers.py
+++ b/tools/soak/callers.py
@@ -21,6 +21,15 @@
 #: Kinds of requests, each with a route of its own; ``once`` is a stream that is not
 #: resumed.
 KINDS = ("safe", "unsafe", "stream", "once")
+#: First part of the prompts of all requests, and the number of second parts.
+FIRST_PART = "5e5e5e5e"
+SUBJECTS = 12
+
+
+def prompt_header(request_id: str, subject: str, *others: str) -> str:
+    """Return the header with the parts of a prompt, the last one of which is unique."""
+    parts = (FIRST_PART, *others, subject, request_id)
+    return ",".join(f"{part}:100" for part in parts)
 
 
 class Result(NamedTuple):
@@ -100,6 +109,9 @@
             "Request-Id": request_id,
             "Credential": credential,
             "Deadline-Ms": str(int(DEADLINE_S * 1000)),
+            "Prompt-Prefix": prompt_header(
+                request_id, f"{int(request_id, 16) % SUBJECTS:x}"
+            ),
         }
         if kind in ("stream", "once"):
             headers["Accept"] = "text/event-stream"
--- a/tools/soak/poisons.py
+++ b/tools/soak/poisons.py
@@ -1,27 +1,40 @@
-"""A request that crashes each server that runs it, and the check for its block."""
+"""Requests that crash each server that runs them, and the checks for their block."""
 
 import asyncio
 import random
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 
 import aiohttp
 
-from slatehoist_standins.deployment_server import CRASH_MARKER
-from soak.callers import DEADLINE_S, READ_SLACK_S
+from slatehoist_standins.deployment_server import CRASH_MARKER, CRASH_PART
+from soak.callers import DEADLINE_S, READ_SLACK_S, SUBJECTS, Result, prompt_header
 from soak.world import HOST, SETTLE_S, World
 
-#: Path and credential of the request, the same each time it is sent.
+#: Path and credential of the request that is the same each time it is sent.
 PATH = "/safe/poison"
-#: Crashes after which all gateways must refuse the request.
+#: Crashes after which all gateways must refuse such a request, and such a part.
 MAX_CRASHES = 3
-#: Times that the request may still reach servers later than `SETTLE_S` after that.
+MAX_CRASHES_OF_PART = 5
+#: Times that they may still reach servers later than `SETTLE_S` after that.
 MAX_LATE_RETRIES = 3
 #: Mean pause between two requests, in seconds.
 PAUSE_S = 0.4
+#: Answer of a gateway that refuses a part of a prompt, and the fraction of the sound
+#: requests that may get it while a part crashes servers.
+PART_REFUSAL = b"a part of this prompt crashes endpoints"
+MAX_REFUSED_RATIO = 0.5
+#: Least number of sound requests by which that is judged.
+MIN_REQUESTS = 20
 
 
 class PoisonCaller:
-    """Caller that sends one poison request again and again, through any gateway.
+    """Caller that sends requests that crash servers, through any gateway.
+
+    Parameters
+    ----------
+    shares_part : bool
+        True if no two requests are alike and all have `CRASH_PART` in common; False if
+        the same request is sent again and again.
 
     Attributes
     ----------
@@ -29,9 +42,13 @@
         Gateway to which each request was sent, by request id.
     """
 
-    def __init__(self, world: World, rng: random.Random) -> None:
+    def __init__(
+        self, world: World, rng: random.Random, shares_part: bool = False
+    ) -> None:
         self._world = world
         self._rng = rng
+        self._shares_part = shares_part
+        self._max_crashes = MAX_CRASHES_OF_PART if shares_part else MAX_CRASHES
         self.gateways: dict[str, str] = {}
 
     async def run(self) -> None:
@@ -47,12 +64,18 @@
                 "Credential": credential,
                 "Deadline-Ms": str(int(DEADLINE_S * 1000)),
             }
-            url = f"http://{gateway.address}{PATH}"
+            path, body = PATH, CRASH_MARKER
+            if self._shares_part:
+                path, body = f"/safe/{request_id}", request_id.encode()
+                subject = f"{self._rng.randrange(SUBJECTS):x}"
+                parts = prompt_header(request_id, subject, CRASH_PART)
+                headers["Prompt-Prefix"] = parts
+            url = f"http://{gateway.address}{path}"
             try:
                 async with (
                     asyncio.timeout(DEADLINE_S + READ_SLACK_S),
                     aiohttp.ClientSession() as session,
-                    session.post(url, headers=headers, data=CRASH_MARKER) as resp,
+                    session.post(url, headers=headers, data=body) as resp,
                 ):
                     await resp.read()
             except (TimeoutError, aiohttp.ClientError, OSError):
@@ -66,23 +89,57 @@
                 )
 
     def find_violations(self) -> Iterator[str]:
-        """Yield a line if the request reached servers too often after the limit."""
-        crashes = self._world.poison_crashes
-        if len(crashes) < MAX_CRASHES:
+        """Yield a line if the requests reached servers too often after the limit."""
+        crashes = self._crashes()
+        if len(crashes) < self._max_crashes:
             return
-        blocked_at = crashes[MAX_CRASHES - 1].at + SETTLE_S
+        blocked_at = crashes[self._max_crashes - 1] + SETTLE_S
         late = [
-            crash
-            for crash in crashes
-            if crash.at > blocked_at and self._was_in_touch(crash.request_id, crash.at)
+            at
+            for request_id, at in self._arrivals()
+            if at > blocked_at and self._was_in_touch(request_id, at)
         ]
         if len(late) > MAX_LATE_RETRIES:
-            times = ", ".join(f"{crash.at - crashes[0].at:.1f}" for crash in crashes)
+            times = ", ".join(f"{at - crashes[0]:.1f}" for at in crashes)
+            what = "part" if self._shares_part else "request"
+            yield (
+                f"poison {what}: reached {len(late)} servers later than {SETTLE_S} s"
+                f" after crash {self._max_crashes}; crashes at {times} s"
+            )
+
+    def find_blocked_sound_ones(self, results: Iterable[Result]) -> Iterator[str]:
+        """Yield a line if sound requests were refused because of a part."""
+        crashes = self._crashes()[: self._max_crashes]
+        if not crashes:
+            return
+        judged = [
+            result
+            for result in results
+            if result.began > crashes[-1] + 2 * SETTLE_S
+            and self._world.was_undisturbed(result.gateway, result.began, result.ended)
+        ]
+        refused = sum(PART_REFUSAL in result.body for result in judged)
+        if len(judged) >= MIN_REQUESTS and refused > MAX_REFUSED_RATIO * len(judged):
             yield (
-                f"poison request: reached {len(late)} servers later than {SETTLE_S} s"
-                f" after its third crash; crashes at {times} s"
+                f"poison part: {refused} of {len(judged)} sound requests were refused "
+                f"later than {2 * SETTLE_S} s after the crashes"
             )
 
+    def _crashes(self) -> list[float]:
+        """Return the times of the crashes by this caller's requests."""
+        return [
+            crash.at
+            for crash in self._world.poison_crashes
+            if crash.request_id in self.gateways
+        ]
+
+    def _arrivals(self) -> Iterator[tuple[str, float]]:
+        """Yield the id and time of each of these requests that reached a server."""
+        for server in [*self._world.servers, *self._world.retired]:
+            for request_id, at in server.arrived:
+                if request_id in self.gateways:
+                    yield request_id, at
+
     def _was_in_touch(self, request_id: str, at: float) -> bool:
         name = self.gateways[request_id]
         return self._world.was_undisturbed(name, at, at)
--- a/tools/soak/runner.py
+++ b/tools/soak/runner.py
@@ -74,9 +74,14 @@
         for version in CALLER_VERSIONS
     ]
     tasks = [asyncio.create_task(caller.run()) for caller in callers]
-    poison_caller = PoisonCaller(world, random.Random(rng.getrandbits(32)))
+    # One draw for both, so that older seeds inject the same faults as before.
+    poison_seed = rng.getrandbits(32)
+    poison_callers = [
+        PoisonCaller(world, random.Random(poison_seed + shares_part), shares_part)
+        for shares_part in (False, True)
+    ]
     tasks += [
-        asyncio.create_task(poison_caller.run()),
+        *(asyncio.create_task(caller.run()) for caller in poison_callers),
         asyncio.create_task(world.send_heartbeats()),
     ]
     injector = FaultInjector(world, rng, faults)
@@ -86,7 +91,9 @@
     await asyncio.gather(*tasks, return_exceptions=True)
     results = [result for caller in callers for result in caller.results]
     broken = [*injector.findings, *find_violations(world, results)]
-    broken += poison_caller.find_violations()
+    for caller in poison_callers:
+        broken += caller.find_violations()
+        broken += caller.find_blocked_sound_ones(results)
     broken += [f"{g.name}: not serving" for g in await _find_not_serving(world)]
     for gateway in world.gateways:
         if world.processes[gateway.name].poll() is not None:
--- a/tools/soak/servers.py
+++ b/tools/soak/servers.py
@@ -5,11 +5,11 @@
 from typing import NamedTuple
 
 from slatehoist_standins.deployment_server import (
-    CRASH_MARKER,
     CUT_BEHAVIOURS,
     LAST_CHUNK,
     Arrival,
     DeploymentServer,
+    crashes_servers,
     encode_chunk,
 )
 from slatehoist_standins.sockets import reset_connection
@@ -150,7 +150,7 @@
     ) -> bool:
         self.arrived.append((arrival.headers["Request-Id"], time.monotonic()))
         expected = arrival.headers.get("Expect-Instance")
-        if CRASH_MARKER not in arrival.body or expected != self.server_id:
+        if not crashes_servers(arrival) or expected != self.server_id:
             return await super()._respond(arrival, reader, writer)
         ending = self.draw_ending()
         self.is_up = False
