Test rests that servers ask for, in fleets of all sizes

The users' rule as a check, without a network: at most two requests reach a server from a gateway between half a second after its answer and the end of the time that it asked for. Refusals arrive up to 0.4 s late and overtake each other.

--- a/packages/gateway/tests/gateway_fleet.py
+++ b/packages/gateway/tests/gateway_fleet.py
@@ -59,6 +59,8 @@
 POISON_PART = "bad"
 #: Header of the simulated requests that lists the parts of their prompts.
 _PARTS = "Parts"
+#: Header of the simulated responses that asks for some seconds of rest.
+_REST = "Rest"
 
 
 class SharedTable:
@@ -143,6 +145,15 @@
     in_touch: bool
 
 
+class Rest(NamedTuple):
+    """Answer in which a server asked a gateway for no requests for some seconds."""
+
+    server: str
+    gateway: str
+    at: float
+    for_s: float
+
+
 class Server:
     """Server of the service ``app``, which registers itself by heartbeats.
 
@@ -213,9 +224,13 @@
 
     body = b"whole"
 
-    def __init__(self, framed: bool = True, status: int = 200) -> None:
+    def __init__(
+        self, framed: bool = True, status: int = 200, rest_s: float = 0.0
+    ) -> None:
         self.status = status
         self.headers = {"Content-Length": "5"} if framed else {}
+        if rest_s:
+            self.headers[_REST] = str(rest_s)
         self.content = self
         self._pieces = [self.body]
 
@@ -256,6 +271,17 @@
             raise BrokenReplyError("reset")
         if self._fleet.grouped and not all(s.is_up for s in self._fleet.servers):
             return SimulatedReply(status=503)
+        rest_s = self._fleet.draw_rest_s()
+        arrivals = self._fleet.rest_arrivals
+        arrivals.setdefault((server.name, self._gateway.name), []).append(
+            self._fleet.now
+        )
+        if rest_s:
+            rest = Rest(server.name, self._gateway.name, self._fleet.now, rest_s)
+            self._fleet.rests.append(rest)
+            delay_s = self._fleet.draw_reply_delay_s()
+            await self._run_until(self._fleet.now + delay_s)
+            return SimulatedReply(status=503, rest_s=rest_s)
         is_poison_part = self._fleet.part_crashes and POISON_PART in parts
         if req.body != POISON and not is_poison_part:
             await self._run(server)
@@ -311,7 +337,11 @@
 
     def read_reply(self, status: int, headers: Any) -> ReplyInfo:
         return ReplyInfo(
-            "id", not_run=status == 503, wrong_instance=False, authentic=True
+            "id",
+            not_run=status == 503,
+            wrong_instance=False,
+            authentic=True,
+            retry_after_s=float(headers[_REST]) if _REST in headers else None,
         )
 
 
@@ -445,6 +475,13 @@
         Seconds for which a sound request runs.
     poison_part_arrivals : list of PartArrival
         Arrivals at servers of requests with `POISON_PART`.
+    draw_rest_s, draw_reply_delay_s : callable
+        Return the seconds of rest that a server asks for when it gets a request, 0 if
+        it takes the request, and the seconds until its answer arrives.
+    rests : list of Rest
+        Answers in which a server asked for rest.
+    rest_arrivals : dict of (str, str) to list of float
+        Times of the arrivals by server and gateway.
     """
 
     def __init__(
@@ -462,6 +499,10 @@
         self.part_crashes = True
         self.run_s = 0.0
         self.poison_part_arrivals: list[PartArrival] = []
+        self.draw_rest_s: Callable[[], float] = lambda: 0.0
+        self.draw_reply_delay_s: Callable[[], float] = lambda: 0.0
+        self.rests: list[Rest] = []
+        self.rest_arrivals: dict[tuple[str, str], list[float]] = {}
         self.rng = random.Random(seed)
         self.table = SharedTable()
         self.servers = [
