--- a/packages/routing/src/slatehoist/routing/prompt_parts.py
+++ b/packages/routing/src/slatehoist/routing/prompt_parts.py
@@ -87,10 +87,13 @@
         self.unproven: set[PromptPart] = set()
         self.proven: set[PromptPart] = set()
 
-    def add(self, part: PromptPart, is_proven: bool) -> None:
-        if part in self or len(self.unproven) + len(self.proven) >= _MAX_PARTS_OF_CRASH:
-            return
+    def add(self, part: PromptPart, is_proven: bool) -> bool:
+        """Add a part; return False if it is known, or if there are too many."""
+        known = self.unproven | self.proven
+        if part in known or len(known) >= _MAX_PARTS_OF_CRASH:
+            return False
         (self.proven if is_proven else self.unproven).add(part)
+        return True
 
     def discard(self, part: PromptPart) -> None:
         self.unproven.discard(part)
@@ -99,17 +102,14 @@
     def has_any(self, parts: Set[PromptPart]) -> bool:
         return not (self.unproven.isdisjoint(parts) and self.proven.isdisjoint(parts))
 
-    def __contains__(self, part: PromptPart) -> bool:
-        return part in self.unproven or part in self.proven
-
 
 class PartTally:
     """Count the crashes in which each part of a prompt was involved."""
 
     def __init__(self) -> None:
         self._crashes: OrderedDict[str, _Crash] = OrderedDict()
-        #: Parts in the crashes, so that a success of any other part costs little.
-        self._suspects: set[PromptPart] = set()
+        #: Crashes of each part, in order.
+        self._crashes_of: dict[PromptPart, list[_Crash]] = {}
         self._proofs: OrderedDict[PromptPart, float] = OrderedDict()
         self._convicted: OrderedDict[str, PartConviction] = OrderedDict()
 
@@ -125,11 +125,10 @@
         if crash is None:
             crash = self._crashes[crash_id] = _Crash(now)
         for part in parts:
-            crash.add(part, self._is_proven(part, now))
-            self._suspects.add(part)
+            if crash.add(part, self._is_proven(part, now)):
+                self._crashes_of.setdefault(part, []).append(crash)
         if len(self._crashes) > _MAX_KEPT_CRASHES:
-            self._crashes.popitem(last=False)
-            self._index()
+            self._drop_oldest_crash()
         guilty = [part for part in crash.unproven if self._has_unproven_limit(part)]
         if not guilty:
             guilty = [part for part in crash.proven if self._has_proven_limit(part)]
@@ -151,19 +150,16 @@
                 doubted.append(part)
             self._prove(part, now)
             self._convicted.pop(part, None)
-            if part in self._suspects:
-                for crash in self._crashes.values():
-                    crash.discard(part)
-                self._suspects.discard(part)
+            for crash in self._crashes_of.pop(part, ()):
+                crash.discard(part)
         return doubted
 
     def record_earlier_proof(self, part: PromptPart, now: float) -> None:
         """Record that a part was proven at another instance before recent crashes."""
         self._prove(part, now)
-        for crash in self._crashes.values():
-            if part in crash.unproven:
-                crash.unproven.remove(part)
-                crash.proven.add(part)
+        for crash in self._crashes_of.get(part, ()):
+            crash.unproven.discard(part)
+            crash.proven.add(part)
         if part in self._convicted:
             del self._convicted[part]
             if self._has_proven_limit(part):
@@ -218,14 +214,10 @@
 
     def is_suspected(self, parts: Iterable[PromptPart]) -> bool:
         """Return True if one more crash would convict a part, or has done so."""
-        return any(
-            part in self._convicted
-            or (part in self._suspects and self._is_doubted(part))
-            for part in parts
-        )
+        return any(self._is_doubted(part) for part in parts)
 
     def _has_unproven_limit(self, part: PromptPart) -> bool:
-        count = sum(part in crash.unproven for crash in self._crashes.values())
+        count = sum(part in crash.unproven for crash in self._crashes_of.get(part, ()))
         return part in self._convicted or count >= self._limit(part)
 
     def _limit(self, part: PromptPart) -> int:
@@ -239,23 +231,19 @@
             return True
         unexplained = [
             crash
-            for crash in self._crashes.values()
-            if part in crash and crash.unproven.isdisjoint(self._convicted)
+            for crash in self._crashes_of.get(part, ())
+            if crash.unproven.isdisjoint(self._convicted)
         ]
         return _count_separate(unexplained) >= MAX_CRASHES_OF_PROVEN
 
     def _is_doubted(self, part: PromptPart) -> bool:
         """Return True if an instance without a proof may convict the part soon."""
-        if part in self._convicted:
-            return True
-        if part not in self._suspects:
-            return False
-        count = sum(part in crash for crash in self._crashes.values())
-        return count >= MAX_CRASHES - 1
+        count = len(self._crashes_of.get(part, ()))
+        return part in self._convicted or count >= MAX_CRASHES - 1
 
     def _is_explained(self, part: PromptPart, parts: Sequence[PromptPart]) -> bool:
         """Return True if each crash of a part has a convicted one not in ``parts``."""
-        crashes = [crash for crash in self._crashes.values() if part in crash]
+        crashes = self._crashes_of.get(part, ())
         others = self._convicted.keys() - set(parts)
         return bool(crashes) and all(crash.has_any(others) for crash in crashes)
 
@@ -264,7 +252,7 @@
         if known is not None:
             self.convict(part, known._replace(at=now))
             return
-        crashes = [crash for crash in self._crashes.values() if part in crash]
+        crashes = self._crashes_of.get(part, ())
         is_weak = self._is_proven(part, now) or _count_separate(crashes) == 1
         self.convict(part, PartConviction(now, is_weak=is_weak))
 
@@ -283,8 +271,7 @@
             first = next(iter(self._crashes.values()))
             if now - first.at < CONVICTION_S:
                 break
-            self._crashes.popitem(last=False)
-            self._index()
+            self._drop_oldest_crash()
         expired = [
             part
             for part, conviction in self._convicted.items()
@@ -293,11 +280,14 @@
         for part in expired:
             del self._convicted[part]
 
-    def _index(self) -> None:
-        """Collect the parts in the crashes again after one of them was dropped."""
-        self._suspects = set()
-        for crash in self._crashes.values():
-            self._suspects |= crash.unproven | crash.proven
+    def _drop_oldest_crash(self) -> None:
+        _, oldest = self._crashes.popitem(last=False)
+        for part in oldest.unproven | oldest.proven:
+            kept = [c for c in self._crashes_of[part] if c is not oldest]
+            if kept:
+                self._crashes_of[part] = kept
+            else:
+                del self._crashes_of[part]
 
 
 def _count_separate(crashes: Iterable[_Crash]) -> int:
