--- a/packages/gateway/src/slatehoist/gateway/forwarding.py
+++ b/packages/gateway/src/slatehoist/gateway/forwarding.py
@@ -239,13 +239,17 @@
 
         An endpoint whose connection did not break is probed only if it was silent for
         long: attempts that can be repeated time out early, and callers leave at any
-        time.
+        time. If one more crash would block the request, it is probed in any case.
         """
         self._metrics.lost_requests.labels(outcome.value).inc()
         request = LostRequest(exchange.digest, exchange.parts)
         self._crashes.record_loss(endpoint, request, sent_at)
         silent_s = self._clock() - exchange.last_data_at
-        if outcome is Outcome.BROKEN or silent_s >= PROBE_SILENCE_S:
+        if (
+            outcome is Outcome.BROKEN
+            or silent_s >= PROBE_SILENCE_S
+            or self._is_suspected(exchange, self._clock())
+        ):
             self._probes.start(endpoint)
 
     async def _wait_for_probe(self, endpoint: Endpoint) -> None:
--- a/packages/gateway/src/slatehoist/gateway/part_reports.py
+++ b/packages/gateway/src/slatehoist/gateway/part_reports.py
@@ -91,15 +91,7 @@
         convicted = self.tally.record_crash(crash_id, parts, now)
         for part in convicted:
             conviction = self.tally.conviction(part)
-            log.warning(
-                "part_convicted",
-                extra={
-                    "service": part.service,
-                    "part": part.part_id,
-                    "crash": crash_id,
-                    "weak": conviction.is_weak,
-                },
-            )
+            self._log_event("convicted", part, crash=crash_id, weak=conviction.is_weak)
             # The others count the same reports; those that start later need the row.
             if crash_id in self._reported:
                 self._write(part, _CONVICTED, now, conviction)
@@ -117,9 +109,7 @@
         now = self._clock()
         doubted = self.tally.record_success(parts, now)
         for part in doubted:
-            log.info(
-                "part_cleared", extra={"service": part.service, "part": part.part_id}
-            )
+            self._log_event("cleared", part)
             self._proofs_shared_at[part] = now
             write = self._write(part, _SUCCEEDED, now + self._draw_delay())
             self._cleared[write.key] = write
@@ -190,7 +180,7 @@
             claimed = conviction._replace(
                 at=self._clock(), trials=conviction.trials + 1
             )
-            if not await self._store_trials(part, claimed):
+            if not await self._store_trials(part, claimed, "trial"):
                 return False
         return True
 
@@ -209,9 +199,11 @@
             if row is not None and row.value.get("state") == _CONVICTED:
                 self._versions[key] = row.version
                 released = conviction._replace(trials=conviction.trials - 1)
-                await self._store_trials(part, released)
+                await self._store_trials(part, released, "trial_returned")
 
-    async def _store_trials(self, part: PromptPart, conviction: PartConviction) -> bool:
+    async def _store_trials(
+        self, part: PromptPart, conviction: PartConviction, event: str
+    ) -> bool:
         key = _row_key(part)
         # A second request of this gateway must not claim the trial meanwhile.
         self.tally.convict(part, conviction)
@@ -222,14 +214,7 @@
         except PlatformError as exc:
             log.info("part_trial_unclaimed", extra={"key": key, "why": str(exc)})
             return False
-        log.info(
-            "part_trial",
-            extra={
-                "service": part.service,
-                "part": part.part_id,
-                "trials": conviction.trials,
-            },
-        )
+        self._log_event(event, part, trials=conviction.trials)
         return True
 
     def _write(
@@ -260,6 +245,11 @@
             value |= {"trials": conviction.trials, "weak": conviction.is_weak}
         return Write(self._table_name, key, value)
 
+    def _log_event(self, event: str, part: PromptPart, **fields: object) -> None:
+        self._metrics.part_events.labels(event).inc()
+        names = {"service": part.service, "part": part.part_id}
+        log.warning(f"part_{event}", extra={**names, **fields})
+
     def _draw_delay(self) -> float:
         return self._rng.random() * _MAX_NEWS_DELAY_S
 
--- a/packages/observe/src/slatehoist/observe/metrics.py
+++ b/packages/observe/src/slatehoist/observe/metrics.py
@@ -87,6 +87,12 @@
             "Requests refused because they crashed too many endpoints.",
             **kwargs,
         )
+        self.part_events = Counter(
+            "slatehoist_prompt_part_events",
+            "Prompt parts that were convicted, cleared or tried, at this gateway.",
+            ["event"],
+            **kwargs,
+        )
         self.task_failures = Counter(
             "slatehoist_task_failures",
             "Times that a background task failed and was started again, by task.",
