Keep proofs and trials of prompt parts right when rows are stale or gone

- A gateway that has seen a part succeed took over the conviction of one that had not.
It says so instead.
- A trial could not be claimed any more once the row of its part was gone, or its version was of before a copy of the store.
The row is read again after a conflict.
- An empty success, as of a stream that had all its events before, proved the parts.
- A trial was not given back if the deadline had passed.

The three tests that were added failed before.

--- a/packages/gateway/src/slatehoist/gateway/crash_reports.py
+++ b/packages/gateway/src/slatehoist/gateway/crash_reports.py
@@ -242,6 +242,7 @@
         is_snapshot = self._version is None
         if is_snapshot:
             rows, self._version = await self._table.snapshot(CRASHES)
+            self.parts.begin_snapshot()
             self._write_lost_reports(rows)
         else:
             feed = await self._table.changes(CRASHES, self._version, self._poll_s)
--- a/packages/gateway/src/slatehoist/gateway/forwarding.py
+++ b/packages/gateway/src/slatehoist/gateway/forwarding.py
@@ -154,9 +154,9 @@
             if self._is_blocked(exchange) or not await self._claim_trials(exchange):
                 return None
             now = self._clock()
-            if exchange.deadline_at - now < MIN_ATTEMPT_S:
-                return None
-            endpoint = self._choose_endpoint(exchange, now)
+            endpoint = None
+            if exchange.deadline_at - now >= MIN_ATTEMPT_S:
+                endpoint = self._choose_endpoint(exchange, now)
             if endpoint is None:
                 self._release_trials(exchange)
                 return None
@@ -263,9 +263,10 @@
         """Record that a request was answered, unless a crash may have ended the body.
 
         Such a body cannot be told from a whole one, so it is passed on. An error status
-        does not show that the endpoint can write an answer to the prompt.
+        or an empty body does not show that the endpoint can answer the prompt.
         """
-        parts = exchange.parts if exchange.succeeded else ()
+        has_answer = exchange.succeeded and exchange.reply_bytes > 0
+        parts = exchange.parts if has_answer else ()
         if exchange.framing.proves_end:
             self._crashes.record_success(exchange.digest, parts)
         else:
--- a/packages/gateway/src/slatehoist/gateway/part_reports.py
+++ b/packages/gateway/src/slatehoist/gateway/part_reports.py
@@ -16,6 +16,7 @@
 from slatehoist.storage import (
     ABSENT,
     Check,
+    ConflictError,
     PlatformError,
     Row,
     WatchableTable,
@@ -154,6 +155,10 @@
             if is_snapshot and row.key in self._cleared:
                 self._pending[row.key] = now, self._cleared[row.key]
                 return
+            if self.tally.is_proven(part, now):
+                # The instance that convicted the part has not seen it succeed.
+                self._write(part, _PROVEN, now + self._draw_delay())
+                return
             self._cleared.pop(row.key, None)
             self._convictions[row.key] = None
             _drop_oldest(self._convictions, _MAX_ROWS)
@@ -167,6 +172,10 @@
         else:
             self.tally.record_earlier_proof(part, now)
 
+    def begin_snapshot(self) -> None:
+        """Forget the versions of rows, some of which may be gone."""
+        self._versions.clear()
+
     def lifetime_s(self, key: str) -> float:
         """Return the seconds after which a row is removed."""
         return CONVICTION_S if key in self._convictions else PROOF_S
@@ -205,18 +214,35 @@
         self, part: PromptPart, conviction: PartConviction, event: str
     ) -> bool:
         key = _row_key(part)
+        before = self.tally.conviction(part)
         # A second request of this gateway must not claim the trial meanwhile.
         self.tally.convict(part, conviction)
         check = Check(self._table_name, key, self._versions.get(key, ABSENT))
         write = self._make_write(part, _CONVICTED, conviction)
         try:
             await self._table.transact([check], [write])
+        except ConflictError:
+            self.tally.convict(part, before._replace(at=conviction.at))
+            await self._read_again(key)
+            return False
         except PlatformError as exc:
             log.info("part_trial_unclaimed", extra={"key": key, "why": str(exc)})
             return False
         self._log_event(event, part, trials=conviction.trials)
         return True
 
+    async def _read_again(self, key: str) -> None:
+        """Read a row of which this gateway has an older version."""
+        try:
+            row = await self._table.get(self._table_name, key)
+        except PlatformError as exc:
+            log.info("part_row_unread", extra={"key": key, "why": str(exc)})
+            return
+        if row is None:
+            self._versions.pop(key, None)
+        else:
+            self.read_row(row, self._clock(), is_snapshot=False)
+
     def _write(
         self,
         part: PromptPart,
--- a/packages/gateway/tests/test_gateway_prompt_parts.py
+++ b/packages/gateway/tests/test_gateway_prompt_parts.py
@@ -5,7 +5,7 @@
 import unittest
 from unittest import mock
 
-from gateway_fleet import POISON_PART, Fleet, SimulatedGateway
+from gateway_fleet import POISON_PART, Fleet, SimulatedGateway, SimulatedReply
 from part_traffic import FIRST_PART, PartTraffic
 
 from slatehoist.gateway.crash_reports import CRASHES
@@ -250,6 +250,41 @@
         claims = [g.crashes.parts.claim_trials([part]) for g in fleet.gateways]
         self.assertEqual(sum(await asyncio.gather(*claims)), 1)
 
+    # The row may have been removed when it expired, or with an older copy of the store.
+    async def test_trial_can_be_claimed_after_the_row_of_the_part_is_gone(self):
+        fleet, _ = await self.start(12, 1)
+        part = PromptPart("app", POISON_PART)
+        reports = fleet.gateways[0].crashes.parts
+        reports.tally.convict(part, PartConviction(0.0))
+        reports._versions["part/app/" + POISON_PART] = 7
+        self.assertFalse(await reports.claim_trials([part]))
+        self.assertTrue(await reports.claim_trials([part]))
+
+    # An instance that has not seen the part succeed may convict it.
+    async def test_conviction_of_a_part_that_is_proven_here_is_contradicted(self):
+        fleet, _ = await self.start(12, 2)
+        part = PromptPart("app", FIRST_PART)
+        proven, other = (gateway.crashes.parts for gateway in fleet.gateways)
+        proven.record_success([part])
+        for number in range(3):
+            other.tally.record_crash(f"c{number}", [part], fleet.now + 3.0 * number)
+        other._write(part, "convicted", fleet.now, other.tally.conviction(part))
+        await fleet.advance(1.0)
+        for reports in (proven, other):
+            self.assertIsNone(reports.tally.conviction(part))
+
+    # Such an answer is the end of a stream that had all its events before.
+    async def test_empty_answer_proves_no_part(self):
+        fleet, _ = await self.start(12, 1)
+        gateway = fleet.gateways[0]
+        fleet.part_crashes = False
+        with mock.patch.object(SimulatedReply, "body", b""):
+            await gateway.send(b"x", parts=(FIRST_PART,))
+        tally = gateway.crashes.parts.tally
+        self.assertFalse(tally.is_proven(PromptPart("app", FIRST_PART), fleet.now))
+        await gateway.send(b"x", parts=(FIRST_PART,))
+        self.assertTrue(tally.is_proven(PromptPart("app", FIRST_PART), fleet.now))
+
     async def test_no_trial_is_sent_while_the_store_cannot_be_reached(self):
         fleet, _ = await self.start(12, 2)
         part = PromptPart("app", POISON_PART)
--- a/packages/routing/src/slatehoist/routing/prompt_parts.py
+++ b/packages/routing/src/slatehoist/routing/prompt_parts.py
@@ -178,6 +178,10 @@
             if self._is_proven(part, now) and self._is_doubted(part)
         ]
 
+    def is_proven(self, part: PromptPart, now: float) -> bool:
+        """Return True if a part is proven and was not in too many crashes since."""
+        return self._is_proven(part, now) and not self._has_proven_limit(part)
+
     def convict(self, part: PromptPart, conviction: PartConviction) -> None:
         """Take over a conviction that another instance has stored."""
         self._convicted[part] = conviction
