--- a/packages/gateway/tests/test_gateway_crashes.py
+++ b/packages/gateway/tests/test_gateway_crashes.py
@@ -135,6 +135,17 @@
         self.assertTrue((await gateway.send()).blocked)
 
 
+class RareRequestTests(CrashTestCase):
+    """A request that comes back seldom is blocked like one that comes back at once."""
+
+    async def test_request_that_comes_back_every_half_minute_is_blocked(self):
+        fleet = await self.start_fleet(servers=12, gateways=2)
+        for _ in range(20):
+            await fleet.rng.choice(fleet.gateways).send()
+            await fleet.advance(30.0)
+        self.assertLessEqual(self.count_late_retries(fleet), MAX_LATE_RETRIES)
+
+
 class NewsTests(CrashTestCase):
     """The news of a crash is used as soon as it is there, and does not get lost."""
 
