Answer requests whose part is cleared while they claim its trial

Callers would have got an error 500: after a claim that failed, the wait was looked up for a part that was no longer convicted (KeyError; the new test failed with it). The request is sent now. Giving a trial back checks again, after its read, that the part is still convicted; the test for that also passes on the code before, where the read did not yield.

--- a/packages/gateway/src/slatehoist/gateway/forwarding.py
+++ b/packages/gateway/src/slatehoist/gateway/forwarding.py
@@ -210,11 +210,16 @@
         """Return True if no part blocks a request, or if it is their next trial."""
         if not exchange.blocking_parts:
             return True
-        parts = exchange.blocking_parts
-        if await self._crashes.parts.claim_trials(parts):
-            exchange.trial_parts = parts
+        reports = self._crashes.parts
+        if await reports.claim_trials(exchange.blocking_parts):
+            exchange.trial_parts = exchange.blocking_parts
             return True
-        self._block_by_parts(exchange, self._clock())
+        # Another gateway has the trial, or has cleared the parts.
+        now = self._clock()
+        exchange.blocking_parts = reports.tally.blocking_parts(exchange.parts, now)
+        if not exchange.blocking_parts:
+            return True
+        self._block_by_parts(exchange, now)
         self._metrics.blocked_requests.inc()
         return False
 
--- a/packages/gateway/src/slatehoist/gateway/part_reports.py
+++ b/packages/gateway/src/slatehoist/gateway/part_reports.py
@@ -196,15 +196,16 @@
     async def release_trials(self, parts: Iterable[PromptPart]) -> None:
         """Give back the trials of a request that did not run."""
         for part in parts:
-            conviction = self.tally.conviction(part)
-            if conviction is None or not conviction.trials:
-                continue
             key = _row_key(part)
             try:
                 row = await self._table.get(self._table_name, key)
             except PlatformError as exc:
                 log.info("part_trial_kept", extra={"key": key, "why": str(exc)})
                 continue
+            # It may have been cleared during the call.
+            conviction = self.tally.conviction(part)
+            if conviction is None or not conviction.trials:
+                continue
             if row is not None and row.value.get("state") == _CONVICTED:
                 self._versions[key] = row.version
                 released = conviction._replace(trials=conviction.trials - 1)
@@ -222,7 +223,8 @@
         try:
             await self._table.transact([check], [write])
         except ConflictError:
-            self.tally.convict(part, before._replace(at=conviction.at))
+            if self.tally.conviction(part) == conviction:
+                self.tally.convict(part, before._replace(at=conviction.at))
             await self._read_again(key)
             return False
         except PlatformError as exc:
--- a/packages/gateway/tests/test_gateway_prompt_parts.py
+++ b/packages/gateway/tests/test_gateway_prompt_parts.py
@@ -260,6 +260,31 @@
         self.assertFalse(await reports.claim_trials([part]))
         self.assertTrue(await reports.claim_trials([part]))
 
+    # Guards against an error for a request whose part was cleared while it claimed a
+    # trial.
+    async def test_request_is_sent_if_its_part_was_cleared_meanwhile(self):
+        fleet, _ = await self.start(12, 1)
+        fleet.part_crashes = False
+        gateway = fleet.gateways[0]
+        part = PromptPart("app", POISON_PART)
+        row = gateway.crashes.parts._make_write(part, "succeeded", None)
+        await fleet.table.transact([], [row])
+        gateway.crashes.parts.tally.convict(part, PartConviction(0.0))
+        exchange = await gateway.send(b"x", parts=(FIRST_PART, POISON_PART))
+        self.assertFalse(exchange.blocked)
+        self.assertEqual(len(exchange.tried), 1)
+
+    async def test_trial_that_is_given_back_does_not_block_a_cleared_part(self):
+        fleet, _ = await self.start(12, 1)
+        reports = fleet.gateways[0].crashes.parts
+        part = PromptPart("app", POISON_PART)
+        reports.tally.convict(part, PartConviction(0.0))
+        self.assertTrue(await reports.claim_trials([part]))
+        release = asyncio.create_task(reports.release_trials([part]))
+        reports.record_success([part])
+        await release
+        self.assertIsNone(reports.tally.conviction(part))
+
     # An instance that has not seen the part succeed may convict it.
     async def test_conviction_of_a_part_that_is_proven_here_is_contradicted(self):
         fleet, _ = await self.start(12, 2)
--- a/packages/routing/src/slatehoist/routing/prompt_parts.py
+++ b/packages/routing/src/slatehoist/routing/prompt_parts.py
@@ -111,7 +111,7 @@
         #: Crashes of each part, in order.
         self._crashes_of: dict[PromptPart, list[_Crash]] = {}
         self._proofs: OrderedDict[PromptPart, float] = OrderedDict()
-        self._convicted: OrderedDict[str, PartConviction] = OrderedDict()
+        self._convicted: OrderedDict[PromptPart, PartConviction] = OrderedDict()
 
     def record_crash(
         self, crash_id: str, parts: Iterable[PromptPart], now: float
