Probe the server of an answer that may have been cut by a crash

An answer may have neither a length nor chunks, and a crash then looks like its end. It probes such a server now, unless all parts of the prompt have succeeded before. Requests that name no parts are not probed, as before.

--- a/packages/gateway/src/slatehoist/gateway/forwarding.py
+++ b/packages/gateway/src/slatehoist/gateway/forwarding.py
@@ -267,8 +267,9 @@
     ) -> None:
         """Record that a request was answered, unless a crash may have ended the body.
 
-        Such a body cannot be told from a whole one, so it is passed on. An error status
-        or an empty body does not show that the endpoint can answer the prompt.
+        Such a body cannot be told from a whole one, so it is passed on. The endpoint is
+        probed unless all parts of the prompt have succeeded before. An error status or
+        an empty body does not show that the endpoint can answer the prompt.
         """
         has_answer = exchange.succeeded and exchange.reply_bytes > 0
         parts = exchange.parts if has_answer else ()
@@ -277,6 +278,9 @@
         else:
             request = LostRequest(exchange.digest, parts, is_delivered=True)
             self._crashes.record_loss(endpoint, request, sent_at)
+            tally, now = self._crashes.parts.tally, self._clock()
+            if not all(tally.is_proven(part, now) for part in parts):
+                self._probes.start(endpoint)
 
     async def _wait_for_list(self) -> None:
         """Wait shortly for the list of endpoints, if it is overdue.
--- a/packages/gateway/tests/test_gateway_prompt_parts.py
+++ b/packages/gateway/tests/test_gateway_prompt_parts.py
@@ -122,6 +122,20 @@
     async def test_part_is_found_if_responses_have_neither_length_nor_chunks(self):
         await self.check(ending="unframed", framed=False)
 
+    # Guards against crashes that are known only seconds later, by the list.
+    async def test_crash_is_known_before_the_list_if_it_looks_like_an_end(self):
+        with mock.patch("gateway_fleet.ROW_TTL_S", 60.0):
+            for servers, gateways in SIZES[:2]:
+                with self.subTest(servers=servers, gateways=gateways):
+                    fleet, traffic = await self.start(
+                        servers, gateways, ending="unframed"
+                    )
+                    traffic.poison_per_s = 5.0
+                    calm = fleet.now
+                    await self.play(fleet, traffic)
+                    self.assert_stopped(fleet)
+                    self.assert_sound_ones_served(fleet, traffic, calm)
+
     # Sound requests are then lost too, and their parts are in as many crashes.
     async def test_part_is_found_among_those_of_requests_that_were_lost_beside_it(
         self,
