Use the terms of the field in the simulation of prompt parts

Renames and comments only: a gateway is connected to the store, a server demands a backoff, and the bound on the delay names what sends it.

--- a/packages/gateway/tests/gateway_fleet.py
+++ b/packages/gateway/tests/gateway_fleet.py
@@ -51,7 +51,7 @@
 SILENCE_S = 0.03
 #: Simulated seconds after which a gateway or a caller gives up a silent server.
 PATIENCE_S = 1.8
-#: Seconds without a disturbance after which a gateway is in touch.
+#: Seconds of an unbroken connection to the store after which a gateway is judged.
 CONTACT_S = 3.0
 #: Body of a request that crashes every server which runs it.
 POISON = b"poison"
@@ -59,7 +59,7 @@
 POISON_PART = "bad"
 #: Header of the simulated requests that lists the parts of their prompts.
 _PARTS = "Parts"
-#: Header of the simulated responses that asks for some seconds of rest.
+#: Header of the simulated responses with the seconds of backoff.
 _REST = "Rest"
 
 
@@ -139,10 +139,10 @@
 
 
 class PartArrival(NamedTuple):
-    """Arrival of a request, and whether its gateway was in touch with the store."""
+    """Arrival of a request, and whether its gateway was connected to the store."""
 
     at: float
-    in_touch: bool
+    connected: bool
 
 
 class Rest(NamedTuple):
@@ -264,7 +264,9 @@
         server.arrivals.append(self._fleet.now)
         parts = req.headers[_PARTS].split(",")
         if POISON_PART in parts:
-            arrival = PartArrival(self._fleet.now, self._gateway.is_in_touch(CONTACT_S))
+            arrival = PartArrival(
+                self._fleet.now, self._gateway.was_connected_for(CONTACT_S)
+            )
             self._fleet.poison_part_arrivals.append(arrival)
         if self.resets_left:
             self.resets_left -= 1
@@ -358,7 +360,7 @@
         self._fleet = fleet
         self.name = f"gateway-{number}"
         self.cut_off = False
-        self._in_touch_from = fleet.now
+        self._connected_since = fleet.now
         clock = fleet.clock
         metrics = GatewayMetrics()
         self.tally = CrashTally()
@@ -407,11 +409,11 @@
     def cut(self, is_cut: bool) -> None:
         """Cut the gateway off from the store, or end that."""
         self.cut_off = is_cut
-        self._in_touch_from = float("inf") if is_cut else self._fleet.now
+        self._connected_since = float("inf") if is_cut else self._fleet.now
 
-    def is_in_touch(self, contact_s: float) -> bool:
+    def was_connected_for(self, seconds: float) -> bool:
         """Return True if the gateway has run and reached the store for some time."""
-        return self._fleet.now - self._in_touch_from >= contact_s
+        return self._fleet.now - self._connected_since >= seconds
 
     async def tick(self) -> None:
         if self.cut_off:
@@ -476,10 +478,10 @@
     poison_part_arrivals : list of PartArrival
         Arrivals at servers of requests with `POISON_PART`.
     draw_rest_s, draw_reply_delay_s : callable
-        Return the seconds of rest that a server asks for when it gets a request, 0 if
+        Return the seconds of backoff that a server demands for a request, 0 if
         it takes the request, and the seconds until its answer arrives.
     rests : list of Rest
-        Answers in which a server asked for rest.
+        Responses in which a server demanded a backoff.
     rest_arrivals : dict of (str, str) to list of float
         Times of the arrivals by server and gateway.
     """
--- a/packages/gateway/tests/part_traffic.py
+++ b/packages/gateway/tests/part_traffic.py
@@ -15,7 +15,7 @@
 
 
 class Sent(NamedTuple):
-    """Sound request at a gateway in touch, and whether it reached a server."""
+    """Sound request at a connected gateway, and whether it reached a server."""
 
     at: float
     began: bool
@@ -111,8 +111,8 @@
         self._number += 1
         at = self._fleet.now
         gateway = self._fleet.rng.choice(self._fleet.gateways)
-        in_touch = gateway.is_in_touch(CONTACT_S)
+        connected = gateway.was_connected_for(CONTACT_S)
         body = f"request {self._number}".encode()
         exchange = await gateway.send(body, parts=parts, objective_s=_OBJECTIVE_S)
-        if POISON_PART not in parts and in_touch:
+        if POISON_PART not in parts and connected:
             self.sent.append(Sent(at, bool(exchange.tried)))
--- a/packages/gateway/tests/test_gateway_prompt_parts.py
+++ b/packages/gateway/tests/test_gateway_prompt_parts.py
@@ -60,7 +60,7 @@
         late = [
             arrival
             for arrival in fleet.poison_part_arrivals
-            if arrival.at > late_from and arrival.in_touch
+            if arrival.at > late_from and arrival.connected
         ]
         self.assertLessEqual(
             len(late), MAX_LATE_REQUESTS, f"{len(crashes)} servers crashed"
--- a/packages/routing/src/slatehoist/routing/prompt_parts.py
+++ b/packages/routing/src/slatehoist/routing/prompt_parts.py
@@ -36,7 +36,7 @@
 TRIAL_DELAYS_S = (5.0, 30.0, 120.0, 600.0)
 #: Trials after a conviction; each may cost an endpoint.
 MAX_TRIALS = 3
-#: Least delay in seconds that a blocked caller is told.
+#: Shortest delay in seconds that the refusal of a convicted part names.
 MIN_BLOCK_S = 5.0
 #: Bounds on what is kept: crashes, parts of one crash, proofs and convictions.
 _MAX_KEPT_CRASHES = 256
