--- /dev/null
+++ b/packages/gateway/src/slatehoist/gateway/choice.py
@@ -0,0 +1,126 @@
+"""Choice of the endpoint for an attempt, among those that may get the request."""
+
+import asyncio
+import contextlib
+from collections.abc import Callable
+
+from slatehoist.gateway.directory import EndpointDirectory
+from slatehoist.gateway.exchange import Exchange
+from slatehoist.gateway.health import EndpointHealth, GroupState
+from slatehoist.gateway.holds import EndpointHolds
+from slatehoist.gateway.model import Endpoint
+from slatehoist.gateway.settings import (
+    GROUP_FORMING_POLL_S,
+    GROUP_FORMING_WAIT_S,
+    LIST_WAIT_S,
+)
+from slatehoist.observe import milliseconds
+from slatehoist.routing import Candidate, Chooser, Membership
+
+
+class EndpointChoice:
+    """Choose endpoints by their availability and load.
+
+    Parameters
+    ----------
+    zone : str
+        Availability zone of this instance.
+
+    Attributes
+    ----------
+    holds : EndpointHolds
+    """
+
+    def __init__(
+        self,
+        zone: str,
+        directory: EndpointDirectory,
+        health: EndpointHealth,
+        holds: EndpointHolds,
+        chooser: Chooser,
+        clock: Callable[[], float],
+    ) -> None:
+        self._zone = zone
+        self._directory = directory
+        self._health = health
+        self.holds = holds
+        self._chooser = chooser
+        self._clock = clock
+
+    def record_membership(self, membership: Membership, now: float) -> None:
+        """Record the instances that share the rates that endpoints state."""
+        self.holds.record_membership(membership, now)
+
+    async def wait_for_list(self) -> None:
+        """Wait shortly for the list of endpoints, if it is overdue.
+
+        Otherwise a process that stood still would send the requests that arrived
+        meanwhile to endpoints that have left.
+        """
+        if not self._directory.is_overdue(self._clock()):
+            return
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(LIST_WAIT_S):
+                await self._directory.wait_for_read()
+
+    async def wait_for_open_group(self, exchange: Exchange) -> bool:
+        """Wait while a group of the service forms, and return True if one is open.
+
+        Refusing at once would be worse: a caller makes only a few retries before its
+        deadline, and most of them would arrive while the group still forms.
+        """
+        if exchange.service.engine is None:
+            return True
+        wait_until = min(self._clock() + GROUP_FORMING_WAIT_S, exchange.deadline_at)
+        while True:
+            listed = self._directory.of_service(exchange.service.name)
+            state = self._health.group_state(listed, self._clock())
+            if state is not GroupState.FORMING or self._clock() >= wait_until:
+                return state is GroupState.OPEN
+            await asyncio.sleep(GROUP_FORMING_POLL_S)
+
+    def choose(self, exchange: Exchange, now: float) -> Endpoint | None:
+        """Return the endpoint for the next attempt, or None if none is available.
+
+        If all endpoints are held, `exchange.hold` states until when.
+        """
+        listed = self._directory.of_service(exchange.service.name)
+        untried = [e for e in listed if e.endpoint_id not in exchange.tried]
+        open_endpoints = self.holds.available(untried, now)
+        if not open_endpoints:
+            exchange.hold = self.holds.find_hold(listed, now)
+            return None
+        endpoints = self._health.in_open_groups(open_endpoints, now)
+        endpoints = self._health.available(endpoints, now)
+        candidates = [self._candidate(endpoint, now) for endpoint in endpoints]
+        chosen = self._chooser.choose(candidates, self._zone)
+        if chosen is None:
+            return None
+        endpoint = next(e for e in endpoints if e.endpoint_id == chosen.name)
+        self.holds.record_sent(endpoint, now)
+        return endpoint
+
+    def _candidate(self, endpoint: Endpoint, now: float) -> Candidate:
+        record = self._health.get_record(endpoint.endpoint_id)
+        return Candidate(
+            endpoint.endpoint_id,
+            endpoint.zone,
+            own_inflight=record.inflight,
+            reported_load=record.reported_load,
+            own_at_report=record.inflight_at_report,
+            report_age_s=now - record.reported_at,
+            # A straggler completes fewer requests in the same time.
+            concurrency=max(endpoint.concurrency / record.pace, 1),
+        )
+
+    def log_fields(self, endpoint: Endpoint, now: float) -> dict[str, object]:
+        """Return the values that the selection was based on, as log fields."""
+        record = self._health.get_record(endpoint.endpoint_id)
+        return {
+            "load": record.reported_load,
+            "load_age_ms": milliseconds(now - record.reported_at),
+            "own_inflight": record.inflight,
+            "pace": record.pace,
+            "list_age_ms": milliseconds(now - (self._directory.updated_at or now)),
+            **self.holds.rate_log_fields(endpoint, now),
+        }
--- a/packages/gateway/src/slatehoist/gateway/gateway.py
+++ b/packages/gateway/src/slatehoist/gateway/gateway.py
@@ -99,7 +99,7 @@
     def drain(self) -> None:
         """Announce on each further response that its connection will be closed."""
         self.draining = True
-        self._forwarder.streams.draining = True
+        self._forwarder.attempts.streams.draining = True
 
     async def handle(self, req: web.BaseRequest) -> web.StreamResponse:
         """Return the response to one request."""
@@ -208,7 +208,7 @@
             self._metrics.answers.labels(
                 str(exchange.failure_reply.status), "endpoint"
             ).inc()
-            return self._forwarder.make_response(exchange.failure_reply)
+            return self._forwarder.attempts.make_response(exchange.failure_reply)
         if exchange.deadline_at - now < _TIMEOUT_MARGIN_S and exchange.may_have_run:
             self._log_failed_request(exchange, "timed_out", now)
             raise RefusalError(504, "no answer in time")
--- a/packages/gateway/src/slatehoist/gateway/holds.py
+++ b/packages/gateway/src/slatehoist/gateway/holds.py
@@ -15,7 +15,7 @@
 
 from slatehoist.gateway.model import Endpoint, ReplyInfo
 from slatehoist.observe import GatewayMetrics
-from slatehoist.routing import RateShares
+from slatehoist.routing import Membership, RateShares
 
 log = logging.getLogger(__name__)
 
@@ -60,6 +60,10 @@
         #: Times until which endpoints turn requests away, by id.
         self._held_until: dict[str, float] = {}
 
+    def record_membership(self, membership: Membership, now: float) -> None:
+        """Record the instances that share the stated rates."""
+        self._rates.set_members(membership.names, membership.joined_at, now)
+
     def record_reply(
         self, endpoint: Endpoint, info: ReplyInfo, now: float, sent_at: float
     ) -> None:
--- a/packages/gateway/src/slatehoist/gateway/process.py
+++ b/packages/gateway/src/slatehoist/gateway/process.py
@@ -13,7 +13,7 @@
 from slatehoist.gateway.codec import DeploymentSource, HeaderCodec
 from slatehoist.gateway.crash_reports import CrashReports
 from slatehoist.gateway.directory import EndpointDirectory
-from slatehoist.gateway.forwarding import Forwarder
+from slatehoist.gateway.forwarding import make_forwarder
 from slatehoist.gateway.gateway import Gateway
 from slatehoist.gateway.health import EndpointHealth
 from slatehoist.gateway.model import CallerLimits
@@ -123,7 +123,7 @@
             self._metrics,
             self._clock,
         )
-        forwarder = Forwarder(
+        forwarder = make_forwarder(
             self._cfg,
             self._codec,
             self.directory,
@@ -212,7 +212,7 @@
     def _move_streams_if_slow(self, endpoint_id: str, pace: float) -> None:
         if pace < MOVE_STREAMS_PACE:
             return
-        moved = self._forwarder.streams.move_streams(endpoint_id)
+        moved = self._forwarder.attempts.streams.move_streams(endpoint_id)
         if moved:
             log.warning(
                 "streams_moved",
--- a/packages/gateway/tests/gateway_fleet.py
+++ b/packages/gateway/tests/gateway_fleet.py
@@ -23,7 +23,7 @@
 )
 from slatehoist.gateway.crash_reports import CrashReports
 from slatehoist.gateway.exchange import Exchange
-from slatehoist.gateway.forwarding import Forwarder
+from slatehoist.gateway.forwarding import make_forwarder
 from slatehoist.gateway.health import EndpointHealth
 from slatehoist.gateway.probes import EndpointProbes
 from slatehoist.gateway.sync import EndpointSync
@@ -381,7 +381,7 @@
             None, directory, health, self.crashes, cfg.endpoint_poll_s, clock
         )
         self._poll_s = cfg.endpoint_poll_s
-        self._forwarder = Forwarder(
+        self._forwarder = make_forwarder(
             cfg,
             SimulatedCodec(),
             directory,
--- a/packages/gateway/tests/reply_world.py
+++ b/packages/gateway/tests/reply_world.py
@@ -22,7 +22,7 @@
 )
 from slatehoist.gateway.crash_reports import CrashReports
 from slatehoist.gateway.exchange import request_digest
-from slatehoist.gateway.forwarding import Forwarder
+from slatehoist.gateway.forwarding import make_forwarder
 from slatehoist.gateway.gateway import Gateway
 from slatehoist.gateway.health import EndpointHealth
 from slatehoist.gateway.probes import EndpointProbes
@@ -173,7 +173,7 @@
         endpoints = [make_endpoint("e1"), make_endpoint("e2")]
         directory.update(endpoints, self.now)
         self.health = EndpointHealth()
-        forwarder = self.forwarder = Forwarder(
+        forwarder = self.forwarder = make_forwarder(
             cfg,
             self.codec,
             directory,
--- a/packages/gateway/tests/test_gateway_holds.py
+++ b/packages/gateway/tests/test_gateway_holds.py
@@ -131,7 +131,7 @@
             reply = ScriptedReply(b"", "length", status=503, headers=headers)
             # The second request was in flight when the first was turned away.
             info = world.codec.read_reply(503, reply.headers)
-            world.forwarder._holds.record_reply(first, info, world.now, world.now)
+            world.forwarder.choice.holds.record_reply(first, info, world.now, world.now)
         world.directory.update([first, second], world.now)
         world.now += 2.0
         self.assertNotIn(first.address, await self.call_and_count(world, 8))
