--- a/packages/gateway/src/slatehoist/gateway/codec.py
+++ b/packages/gateway/src/slatehoist/gateway/codec.py
@@ -19,12 +19,15 @@
         Empty if the request needs no credential.
     last_event_id : str
         Event after which the stream continues; empty to start at its beginning.
+    priority : int or None
+        Urgency that the endpoint admits the request with, 0 first; None to state none.
     """
 
     endpoint_id: str
     deadline_s: float
     team: str
     last_event_id: str
+    priority: int | None = None
 
 
 class HeaderCodec(Protocol):
--- a/packages/gateway/src/slatehoist/gateway/model.py
+++ b/packages/gateway/src/slatehoist/gateway/model.py
@@ -45,6 +45,11 @@
         True if no credential is needed.
     resumable : bool
         True if another endpoint can continue a stream.
+    pause_s : float or None
+        Longest pause between two events for which a stream is in time; None if the
+        route states none.
+    regions : tuple of str
+        Regions whose endpoints may run the requests; all if empty.
     """
 
     name: str
@@ -58,6 +63,8 @@
     max_attempts: int
     public: bool = False
     resumable: bool = False
+    pause_s: float | None = None
+    regions: tuple[str, ...] = ()
 
     @property
     def repeatable(self) -> bool:
@@ -88,10 +95,21 @@
 
 
 class Service(NamedTuple):
-    """Set of endpoints that answer the same requests."""
+    """Set of endpoints that answer the same requests.
+
+    Attributes
+    ----------
+    cold_s : float
+        Seconds for which an endpoint is cold after it starts.
+    cold_rate : float
+        Requests per second that a cold endpoint tolerates from all gateways together; 0
+        if it tolerates any number.
+    """
 
     name: str
     engine: EngineSpec | None = None
+    cold_s: float = 0.0
+    cold_rate: float = 0.0
 
 
 class CallerLimits(NamedTuple):
@@ -104,11 +122,20 @@
 
 
 class Team(NamedTuple):
-    """Team and the credentials of its callers."""
+    """Team and the credentials of its callers.
+
+    Attributes
+    ----------
+    priority : int or None
+        Takes precedence over the priority of the route; None if not stated.
+    regions : tuple of str
+        Regions whose endpoints may run the team's requests; all if empty.
+    """
 
     name: str
     credentials: tuple[str, ...]
     priority: int | None = None
+    regions: tuple[str, ...] = ()
 
 
 class Configuration(NamedTuple):
@@ -139,6 +166,8 @@
         Requests that it can run at once.
     started_at_ms : int
         Time of its start, which identifies a restart under the same id; 0 if unknown.
+    cold_s : float
+        Seconds for which it stays cold, as listed.
     """
 
     endpoint_id: str
@@ -148,6 +177,7 @@
     concurrency: int
     draining: bool = False
     started_at_ms: int = 0
+    cold_s: float = 0.0
 
     @property
     def run_id(self) -> str:
@@ -206,6 +236,8 @@
         not stated, or if the stated value cannot be used.
     states_rate_limit : bool
         True if the response states a rate, usable or not.
+    cold_s : float or None
+        Seconds for which the endpoint stays cold; None if not stated.
     """
 
     request_id: str
@@ -218,3 +250,4 @@
     retry_after_s: float | None = None
     rate_limit: float | None = None
     states_rate_limit: bool = False
+    cold_s: float | None = None
--- a/packages/gateway/src/slatehoist/gateway/settings.py
+++ b/packages/gateway/src/slatehoist/gateway/settings.py
@@ -1,5 +1,7 @@
 """Settings and constants of the gateway."""
 
+from collections.abc import Mapping
+from types import MappingProxyType
 from typing import NamedTuple
 
 
@@ -34,6 +36,15 @@
     contact_s : float
         Time within which an instance in touch with the store must act on what others
         wrote there, for example on reports of crashes.
+    evacuation_s : float
+        Time from the evacuation of a zone until its endpoints may get no requests.
+    cold_excess, cold_slack : float
+        Bound on the requests that a cold endpoint may get in one second from all
+        instances together: `cold_excess` times its stated rate plus `cold_slack`.
+    admits_by_urgency : bool
+        True if urgent requests go before others where capacity is short.
+    zone_regions : mapping of str to str
+        Region of each availability zone.
     """
 
     instance: str
@@ -51,6 +62,11 @@
     heartbeat_s: float = 1.2
     drain_s: float = 2.0
     contact_s: float = 3.0
+    evacuation_s: float = 5.0
+    cold_excess: float = 1.0
+    cold_slack: float = 0.0
+    admits_by_urgency: bool = False
+    zone_regions: Mapping[str, str] = MappingProxyType({})
 
     @property
     def endpoint_poll_s(self) -> float:
