Keep requests out of evacuated zones and forbidden regions

ConfigurationSync now reads the rows evacuate/ZONE with the same calls as the configuration, and the choice of each attempt leaves out the endpoints of these zones and those outside the regions of route and team. Without an endpoint the request is refused at once as not run. A process that stood still waits shortly for the read that is due.

--- a/packages/gateway/src/slatehoist/gateway/__init__.py
+++ b/packages/gateway/src/slatehoist/gateway/__init__.py
@@ -1,7 +1,12 @@
 """Gateway: forwards callers' requests directly to the endpoints."""
 
 from slatehoist.gateway.catalogue import Catalogue, RouteTable
-from slatehoist.gateway.codec import DeploymentSource, Forwarding, HeaderCodec
+from slatehoist.gateway.codec import (
+    DeploymentSource,
+    Forwarding,
+    HeaderCodec,
+    OperatorUpdate,
+)
 from slatehoist.gateway.directory import EndpointDirectory
 from slatehoist.gateway.model import (
     CallerLimits,
@@ -32,6 +37,7 @@
     "GatewaySettings",
     "HeaderCodec",
     "Kind",
+    "OperatorUpdate",
     "ReplyInfo",
     "RequestInfo",
     "Route",
--- a/packages/gateway/src/slatehoist/gateway/choice.py
+++ b/packages/gateway/src/slatehoist/gateway/choice.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 
 from slatehoist.gateway.directory import EndpointDirectory
+from slatehoist.gateway.evacuations import EvacuationState
 from slatehoist.gateway.exchange import Exchange
 from slatehoist.gateway.health import EndpointHealth, GroupState
 from slatehoist.gateway.holds import EndpointHolds
@@ -15,7 +16,7 @@
     LIST_WAIT_S,
 )
 from slatehoist.observe import milliseconds
-from slatehoist.routing import Candidate, Chooser, Membership
+from slatehoist.routing import Candidate, Chooser, Membership, Placement
 
 
 class EndpointChoice:
@@ -25,6 +26,8 @@
     ----------
     zone : str
         Availability zone of this instance.
+    placement : Placement
+        Excludes the evacuated zones of `evacuations`.
 
     Attributes
     ----------
@@ -37,6 +40,8 @@
         directory: EndpointDirectory,
         health: EndpointHealth,
         holds: EndpointHolds,
+        placement: Placement,
+        evacuations: EvacuationState,
         chooser: Chooser,
         clock: Callable[[], float],
     ) -> None:
@@ -44,6 +49,8 @@
         self._directory = directory
         self._health = health
         self.holds = holds
+        self._placement = placement
+        self._evacuations = evacuations
         self._chooser = chooser
         self._clock = clock
 
@@ -52,16 +59,36 @@
         self.holds.record_membership(membership, now)
 
     async def wait_for_list(self) -> None:
-        """Wait shortly for the list of endpoints, if it is overdue.
+        """Wait shortly for the endpoints and the evacuated zones, if they are overdue.
 
         Otherwise a process that stood still would send the requests that arrived
-        meanwhile to endpoints that have left.
+        meanwhile to endpoints that have left or are in evacuated zones.
         """
-        if not self._directory.is_overdue(self._clock()):
+        now = self._clock()
+        reads = []
+        if self._directory.is_overdue(now):
+            reads.append(self._directory.wait_for_read())
+        if self._evacuations.is_overdue(now):
+            reads.append(self._evacuations.wait_until_current())
+        if not reads:
             return
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(LIST_WAIT_S):
-                await self._directory.wait_for_read()
+                await asyncio.gather(*reads)
+
+    def is_unplaced(self, exchange: Exchange) -> bool:
+        """Return True if no endpoint may run the request, and set its `unplaced`."""
+        self._placed(exchange)
+        return exchange.unplaced is not None
+
+    def _placed(self, exchange: Exchange) -> list[Endpoint]:
+        """Return the listed endpoints that may run the request by their place."""
+        listed = self._directory.of_service(exchange.service.name)
+        placed = self._placement.allowed(listed, *exchange.regions)
+        exchange.unplaced = None
+        if not placed:
+            exchange.unplaced = self._placement.find_cause(listed, *exchange.regions)
+        return placed
 
     async def wait_for_open_group(self, exchange: Exchange) -> bool:
         """Wait while a group of the service forms, and return True if one is open.
@@ -82,13 +109,14 @@
     def choose(self, exchange: Exchange, now: float) -> Endpoint | None:
         """Return the endpoint for the next attempt, or None if none is available.
 
-        If all endpoints are held, `exchange.hold` states until when.
+        If all endpoints are held, `exchange.hold` states until when. If none may run
+        the request by its place, `exchange.unplaced` states why.
         """
-        listed = self._directory.of_service(exchange.service.name)
-        untried = [e for e in listed if e.endpoint_id not in exchange.tried]
+        placed = self._placed(exchange)
+        untried = [e for e in placed if e.endpoint_id not in exchange.tried]
         open_endpoints = self.holds.available(untried, now)
         if not open_endpoints:
-            exchange.hold = self.holds.find_hold(listed, now)
+            exchange.hold = self.holds.find_hold(placed, now)
             return None
         endpoints = self._health.in_open_groups(open_endpoints, now)
         endpoints = self._health.available(endpoints, now)
@@ -117,6 +145,7 @@
         """Return the values that the selection was based on, as log fields."""
         record = self._health.get_record(endpoint.endpoint_id)
         return {
+            "zone": endpoint.zone,
             "load": record.reported_load,
             "load_age_ms": milliseconds(now - record.reported_at),
             "own_inflight": record.inflight,
--- a/packages/gateway/src/slatehoist/gateway/codec.py
+++ b/packages/gateway/src/slatehoist/gateway/codec.py
@@ -53,18 +53,37 @@
         """Return the headers of a response that the gateway itself creates."""
 
 
+class OperatorUpdate(NamedTuple):
+    """What operators have written to the store.
+
+    Attributes
+    ----------
+    cfg : Configuration or None
+        Newest configuration; None if there is none, or none that is usable.
+    version : int
+        Version of the store up to which all changes are included.
+    evacuated : frozenset of str
+        Zones that are evacuated.
+    restored : frozenset of str
+        Zones that are no longer evacuated.
+    """
+
+    cfg: Configuration | None
+    version: int
+    evacuated: frozenset[str] = frozenset()
+    restored: frozenset[str] = frozenset()
+
+
 class DeploymentSource(Protocol):
     """Read the configuration and the endpoints from the platform's store."""
 
-    async def configuration(self) -> tuple[Configuration | None, int]:
-        """Return the newest configuration, or None, and the store's version."""
+    async def configuration(self) -> OperatorUpdate:
+        """Return the newest configuration and all evacuated zones."""
 
-    async def next_configuration(
-        self, since: int, wait_s: float
-    ) -> tuple[Configuration | None, int]:
-        """Wait for a configuration newer than a version of the store.
+    async def next_configuration(self, since: int, wait_s: float) -> OperatorUpdate:
+        """Wait for changes since a version of the store, and return them.
 
-        Return None for the configuration if there is none when the wait ends.
+        Nothing has changed if the wait ends first.
         """
 
     async def endpoints(self) -> list[Endpoint]:
--- a/packages/gateway/src/slatehoist/gateway/directory.py
+++ b/packages/gateway/src/slatehoist/gateway/directory.py
@@ -175,6 +175,11 @@
         """Return the endpoints of a service that are not draining."""
         return self._by_service.get(service, [])
 
+    @property
+    def zones(self) -> set[str]:
+        """Return the zones of all endpoints, draining ones included."""
+        return {endpoint.zone for endpoint in self._endpoints.values()}
+
     def at_address(self, address: str) -> Endpoint | None:
         """Return the endpoint at an address, or None."""
         return self._by_address.get(address)
--- a/packages/gateway/src/slatehoist/gateway/exchange.py
+++ b/packages/gateway/src/slatehoist/gateway/exchange.py
@@ -10,7 +10,7 @@
 from slatehoist.gateway.model import Kind, RequestInfo, Route, Service
 from slatehoist.http import Framing, RelayedResponse
 from slatehoist.observe import GatewayMetrics
-from slatehoist.routing import PromptPart
+from slatehoist.routing import PromptPart, Unplaced
 
 
 class CallerLeftError(Exception):
@@ -85,6 +85,7 @@
         team: str,
         arrived_at: float,
         deadline_at: float,
+        team_regions: tuple[str, ...] = (),
     ) -> None:
         self.req = req
         self.body = body
@@ -94,6 +95,8 @@
         self.route = route
         self.service = service
         self.team = team
+        #: Restrictions of the regions in which the request may run.
+        self.regions = (route.regions, team_regions)
         self.arrived_at = arrived_at
         self.deadline_at = deadline_at
         #: Attempts that count towards the route's limit.
@@ -109,6 +112,8 @@
         self.trial_parts: list[PromptPart] = []
         #: True if the request was refused because no group of its service is open.
         self.group_closed = False
+        #: Why no endpoint of the service may run the request; None if one may.
+        self.unplaced: Unplaced | None = None
         #: Hold of all endpoints of the service, if there is one.
         self.hold: Hold | None = None
         #: Seconds for which the request is refused because it, or a part of its prompt,
--- a/packages/gateway/src/slatehoist/gateway/forwarding.py
+++ b/packages/gateway/src/slatehoist/gateway/forwarding.py
@@ -21,6 +21,7 @@
 from slatehoist.gateway.crash_guard import CrashGuard
 from slatehoist.gateway.crash_reports import CrashReports
 from slatehoist.gateway.directory import EndpointDirectory
+from slatehoist.gateway.evacuations import EvacuationState
 from slatehoist.gateway.exchange import Exchange, Outcome
 from slatehoist.gateway.health import EndpointHealth
 from slatehoist.gateway.holds import EndpointHolds
@@ -42,6 +43,7 @@
     Chooser,
     CrashTally,
     Membership,
+    Placement,
     RateShares,
     SharedRetryBudget,
 )
@@ -109,6 +111,8 @@
             if self._guard.is_blocked(exchange):
                 return None
             await self.choice.wait_for_list()
+            if self.choice.is_unplaced(exchange):
+                return None
             if not await self.choice.wait_for_open_group(exchange):
                 exchange.group_closed = True
                 return None
@@ -216,6 +220,7 @@
     codec: HeaderCodec,
     directory: EndpointDirectory,
     health: EndpointHealth,
+    evacuations: EvacuationState,
     upstream: Upstream,
     chooser: Chooser,
     tally: CrashTally,
@@ -230,7 +235,16 @@
     idle_timeout_s = cfg.stall_s + STREAM_IDLE_MARGIN_S
     return Forwarder(
         cfg,
-        EndpointChoice(cfg.zone, directory, health, holds, chooser, clock),
+        EndpointChoice(
+            cfg.zone,
+            directory,
+            health,
+            holds,
+            Placement(evacuations.zones, cfg.zone_regions),
+            evacuations,
+            chooser,
+            clock,
+        ),
         AttemptRunner(
             codec,
             directory,
--- a/packages/gateway/src/slatehoist/gateway/gateway.py
+++ b/packages/gateway/src/slatehoist/gateway/gateway.py
@@ -11,10 +11,10 @@
 from slatehoist.gateway.exchange import CallerLeftError, Exchange
 from slatehoist.gateway.forwarding import Forwarder
 from slatehoist.gateway.holds import Hold
-from slatehoist.gateway.model import Kind, RequestInfo, Route
+from slatehoist.gateway.model import Kind, RequestInfo, Route, Team
 from slatehoist.gateway.settings import MAX_LOGGED_PARTS, STALE_LOOKUP_S
 from slatehoist.observe import GatewayMetrics, milliseconds
-from slatehoist.routing import retry_after_s, retry_delay_s
+from slatehoist.routing import Unplaced, retry_after_s, retry_delay_s
 
 log = logging.getLogger(__name__)
 
@@ -27,6 +27,10 @@
 #: Expected seconds until a group that lost a rank is open again: a server restarts
 #: within about a second, and the group forms within 0.6 s after the last restart.
 _GROUP_WAIT_S = 1.2
+#: Shortest seconds until the caller of a request without endpoints outside evacuated
+#: zones is to retry. The end of an evacuation is not known; a retry that is refused
+#: again is worse for callers than none.
+_EVACUATION_WAIT_S = 5.0
 #: Deadline in seconds that is assumed for a refused caller that states none.
 _DEFAULT_DEADLINE_S = 8.0
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
@@ -133,7 +137,15 @@
         if info.deadline_s is not None:
             limit_s = min(limit_s, info.deadline_s)
         exchange = Exchange(
-            req, body, info, route, service, team, arrived_at, arrived_at + limit_s
+            req,
+            body,
+            info,
+            route,
+            service,
+            team.name if team else "",
+            arrived_at,
+            arrived_at + limit_s,
+            team.regions if team else (),
         )
         try:
             resp = await self._forwarder.forward(exchange)
@@ -156,16 +168,19 @@
             raise RefusalError(404, f"no route for {host}{path}")
         return route
 
-    def _authenticate(self, table: RouteTable, route: Route, info: RequestInfo) -> str:
+    def _authenticate(
+        self, table: RouteTable, route: Route, info: RequestInfo
+    ) -> Team | None:
+        """Return the caller's team, or None if the route needs no credential."""
         if route.public or not table.needs_credentials:
-            return ""
+            return None
         if not self._catalogue.credentials_trusted(self._clock()):
             raise _unavailable_here("credentials cannot be checked")
         team = table.team(info.credential)
         if team is None:
             self._raise_if_stale("credential")
             raise RefusalError(401, "unknown credential")
-        return team.name
+        return team
 
     def _raise_if_stale(self, what: str) -> None:
         """Refuse with 503 if the configuration may be out of date.
@@ -221,12 +236,23 @@
             if exchange.blocking_parts:
                 reason = "a part of this prompt crashes endpoints"
             raise RefusalError(503, reason, exchange.blocked_for_s, hopeless=True)
+        if exchange.unplaced is not None:
+            raise self._refuse_unplaced(exchange.unplaced)
         if exchange.group_closed:
             raise RefusalError(503, "the group of endpoints is forming", _GROUP_WAIT_S)
         if exchange.hold is not None:
             raise self._refuse_held(exchange.hold)
         raise RefusalError(503, "no endpoint took the request", _ENDPOINT_WAIT_S)
 
+    def _refuse_unplaced(self, cause: Unplaced) -> RefusalError:
+        """Return the refusal of a request that no endpoint may run by its place."""
+        self._metrics.unplaced_requests.labels(cause.value).inc()
+        if cause is Unplaced.REGIONS:
+            return RefusalError(503, "no endpoint in the regions of route and team")
+        wait_s = retry_after_s(_EVACUATION_WAIT_S, self._rng)
+        reason = "all endpoints are in evacuated zones"
+        return RefusalError(503, reason, wait_s, hopeless=True)
+
     def _refuse_held(self, hold: Hold) -> RefusalError:
         """Return the refusal of a request whose endpoints are all held."""
         if hold.by_share:
--- a/packages/gateway/src/slatehoist/gateway/process.py
+++ b/packages/gateway/src/slatehoist/gateway/process.py
@@ -13,6 +13,7 @@
 from slatehoist.gateway.codec import DeploymentSource, HeaderCodec
 from slatehoist.gateway.crash_reports import CrashReports
 from slatehoist.gateway.directory import EndpointDirectory
+from slatehoist.gateway.evacuations import EvacuationState
 from slatehoist.gateway.forwarding import make_forwarder
 from slatehoist.gateway.gateway import Gateway
 from slatehoist.gateway.health import EndpointHealth
@@ -106,6 +107,9 @@
         )
         self._health = EndpointHealth()
         self._metrics = GatewayMetrics()
+        self.evacuations = EvacuationState(
+            cfg.max_zones_age_s, self.directory, self._metrics, clock
+        )
         self._tasks: list[asyncio.Task] = []
         self._runners: list[web.ServerRunner] = []
 
@@ -128,6 +132,7 @@
             self._codec,
             self.directory,
             self._health,
+            self.evacuations,
             self._upstream,
             chooser,
             tally,
@@ -145,7 +150,9 @@
             self._clock,
         )
         syncs = [
-            ConfigurationSync(self._source, self.catalogue, self._clock),
+            ConfigurationSync(
+                self._source, self.catalogue, self.evacuations, self._clock
+            ),
             EndpointSync(
                 self._source,
                 self.directory,
--- a/packages/gateway/src/slatehoist/gateway/settings.py
+++ b/packages/gateway/src/slatehoist/gateway/settings.py
@@ -105,6 +105,11 @@
         """Return the age from which requests wait for the list that is due."""
         return self.drain_s * MAX_LIST_AGE_RATIO
 
+    @property
+    def max_zones_age_s(self) -> float:
+        """Return the age from which requests wait for the read of the zones."""
+        return self.evacuation_s * MAX_ZONES_AGE_RATIO
+
 
 #: Fraction of `revoke_s` for which credentials are trusted after the last read. The
 #: rest covers change notifications of the store that arrive about a second late.
@@ -117,6 +122,9 @@
 #: configuration is current, so it must be much shorter than the time for which
 #: credentials are trusted.
 CONFIG_LONG_POLL_S = 1.0
+#: Seconds of a read of the configuration from which this process stood still meanwhile:
+#: a long poll that gets no answer fails after 1.9 s.
+CONFIG_MAX_READ_S = 2.5
 #: Time between reads of the endpoint list, as a fraction of `drain_s`: less than half,
 #: so that some reads may get no answer. Each read is a billed call, and returns a row
 #: for each endpoint.
@@ -185,6 +193,10 @@
 #: Age of the list, as a fraction of `drain_s`, above which a request waits for the read
 #: that is due; the rest is left for connecting. One read may fail before.
 MAX_LIST_AGE_RATIO = 0.7
+#: Age of the evacuated zones, as a fraction of `evacuation_s`, above which a request
+#: waits for the read that is due; the rest is left for that wait and for connecting. A
+#: silent store is known as unavailable before, after at most 3.2 s.
+MAX_ZONES_AGE_RATIO = 0.7
 #: Longest wait in seconds for a list that is overdue. Without it the request is sent:
 #: the store may be silent, which must not delay callers further.
 LIST_WAIT_S = 0.3
--- a/packages/gateway/src/slatehoist/gateway/sync.py
+++ b/packages/gateway/src/slatehoist/gateway/sync.py
@@ -8,10 +8,12 @@
 from slatehoist.gateway.codec import DeploymentSource
 from slatehoist.gateway.crash_reports import CrashReports
 from slatehoist.gateway.directory import EndpointDirectory
+from slatehoist.gateway.evacuations import EvacuationState
 from slatehoist.gateway.health import EndpointHealth
 from slatehoist.gateway.model import Endpoint
 from slatehoist.gateway.settings import (
     CONFIG_LONG_POLL_S,
+    CONFIG_MAX_READ_S,
     ENDPOINT_HEDGE_S,
     STORE_RETRY_S,
 )
@@ -46,26 +48,29 @@
 
 
 class ConfigurationSync:
-    """Keep the catalogue at the newest configuration.
+    """Keep the catalogue at the newest configuration, and the zones up to date.
 
-    The configuration is read by long polls. Each poll that ends without an error also
-    confirms that the configuration in force was current when the poll began. This holds
-    even if the configuration read is not adopted: the catalogue passes one over only if
-    it is not newer than the one in force.
+    The configuration and the evacuated zones are read by the same long polls. Each poll
+    that ends without an error also confirms that the configuration in force was current
+    when the poll began. This holds even if the configuration read is not adopted: the
+    catalogue passes one over only if it is not newer than the one in force.
     """
 
     def __init__(
         self,
         source: DeploymentSource,
         catalogue: Catalogue,
+        evacuations: EvacuationState,
         clock: Callable[[], float],
     ) -> None:
         self._source = source
         self._catalogue = catalogue
+        self._evacuations = evacuations
         self._clock = clock
         self._dependency = Dependency("configuration")
         self._version: int | None = None
         self._wait_s = CONFIG_LONG_POLL_S
+        self._read_began_at = 0.0
 
     async def run(self) -> None:
         """Read the configuration until cancelled."""
@@ -73,7 +78,8 @@
             try:
                 await self._read_next()
                 self._dependency.record_success()
-                self._wait_s = CONFIG_LONG_POLL_S
+                # The answer to a read during which this process stood still is old.
+                self._wait_s = 0.0 if self._stood_still() else CONFIG_LONG_POLL_S
             except HistoryLostError:
                 log.info("history_lost", extra={"store_version": self._version})
                 self._version = None
@@ -82,17 +88,26 @@
                 # The next read must not wait for a change: it should confirm at once
                 # that the configuration is current.
                 self._wait_s = 0.0
+                if self._stood_still():
+                    # The time-out passed meanwhile; the store may be available.
+                    continue
+                self._evacuations.record_outage()
                 await asyncio.sleep(STORE_RETRY_S)
 
+    def _stood_still(self) -> bool:
+        """Return True if this process stood still during the latest read."""
+        return self._clock() - self._read_began_at > CONFIG_MAX_READ_S
+
     async def _read_next(self) -> None:
-        started_at = self._clock()
+        started_at = self._read_began_at = self._clock()
         if self._version is None:
-            cfg, version = await self._source.configuration()
+            update = await self._source.configuration()
+            self._evacuations.replace(update.evacuated, started_at)
         else:
-            cfg, version = await self._source.next_configuration(
-                self._version, self._wait_s
-            )
-        self._version = version
+            update = await self._source.next_configuration(self._version, self._wait_s)
+            self._evacuations.update(update.evacuated, update.restored, started_at)
+        self._version = update.version
+        cfg = update.cfg
         if cfg is not None:
             offer = self._catalogue.offer(cfg)
             log.info(
--- a/packages/gateway/tests/gateway_fleet.py
+++ b/packages/gateway/tests/gateway_fleet.py
@@ -22,6 +22,7 @@
     Service,
 )
 from slatehoist.gateway.crash_reports import CrashReports
+from slatehoist.gateway.evacuations import EvacuationState
 from slatehoist.gateway.exchange import Exchange
 from slatehoist.gateway.forwarding import make_forwarder
 from slatehoist.gateway.health import EndpointHealth
@@ -386,6 +387,7 @@
             SimulatedCodec(),
             directory,
             health,
+            EvacuationState(cfg.max_zones_age_s, directory, metrics, clock),
             self.upstream,
             LoadAwareChooser(random.Random(number)),
             self.tally,
--- a/packages/gateway/tests/reply_world.py
+++ b/packages/gateway/tests/reply_world.py
@@ -21,6 +21,7 @@
     RequestInfo,
 )
 from slatehoist.gateway.crash_reports import CrashReports
+from slatehoist.gateway.evacuations import EvacuationState
 from slatehoist.gateway.exchange import request_digest
 from slatehoist.gateway.forwarding import make_forwarder
 from slatehoist.gateway.gateway import Gateway
@@ -145,12 +146,25 @@
 
 
 class ReplyWorld:
-    """One gateway and two endpoints whose replies are scripted."""
+    """One gateway and two endpoints whose replies are scripted.
+
+    Parameters
+    ----------
+    zone : str
+        Zone of the gateway.
+    zone_regions : dict of str to str
+        Region of each zone.
+    configured : bool
+        False if the gateway has not read a configuration.
+    """
 
     def __init__(
         self,
         *replies: ScriptedReply,
         max_list_age_s: float = float("inf"),
+        zone: str = "a",
+        zone_regions: dict[str, str] | None = None,
+        configured: bool = True,
         **route_fields,
     ) -> None:
         self.now = 100.0
@@ -158,7 +172,9 @@
         #: HTTP client, to whose replies a test may add.
         self.upstream = ScriptedUpstream(list(replies))
         metrics = GatewayMetrics()
-        cfg = GatewaySettings("gateway-0", "a", "", "")
+        cfg = GatewaySettings(
+            "gateway-0", zone, "", "", zone_regions=zone_regions or {}
+        )
         self.codec = ScriptedCodec()
         self.crashes = CrashReports(
             SharedTable(),
@@ -173,11 +189,15 @@
         endpoints = [make_endpoint("e1"), make_endpoint("e2")]
         directory.update(endpoints, self.now)
         self.health = EndpointHealth()
+        self.evacuations = EvacuationState(
+            cfg.max_zones_age_s, directory, metrics, self.clock
+        )
         forwarder = self.forwarder = make_forwarder(
             cfg,
             self.codec,
             directory,
             self.health,
+            self.evacuations,
             self.upstream,
             LoadAwareChooser(random.Random(1)),
             self.tally,
@@ -189,9 +209,10 @@
         # The gateway was counted long ago, so that it has its share of the retries.
         long_ago = -1000.0
         forwarder.record_membership(Membership(1, long_ago, long_ago, (cfg.instance,)))
-        catalogue = Catalogue(5.0)
-        route = make_route(public=True, **route_fields)
-        catalogue.offer(make_configuration(1, routes=(route,)))
+        catalogue = self.catalogue = Catalogue(5.0)
+        self.route = make_route(**{"public": True, **route_fields})
+        if configured:
+            catalogue.offer(make_configuration(1, routes=(self.route,)))
         self.gateway = Gateway(
             self.codec,
             catalogue,
--- a/packages/observe/src/slatehoist/observe/metrics.py
+++ b/packages/observe/src/slatehoist/observe/metrics.py
@@ -70,6 +70,23 @@
             ["reason"],
             **kwargs,
         )
+        self.evacuated_zones = Gauge(
+            "slatehoist_evacuated_zones",
+            "Availability zones that are evacuated.",
+            **kwargs,
+        )
+        self.zone_changes = Counter(
+            "slatehoist_zone_changes",
+            "Times that a zone was read as evacuated or restored.",
+            ["change"],
+            **kwargs,
+        )
+        self.unplaced_requests = Counter(
+            "slatehoist_unplaced_requests",
+            "Requests refused without an endpoint, by cause (regions or evacuation).",
+            ["cause"],
+            **kwargs,
+        )
         self.lost_requests = Counter(
             "slatehoist_lost_requests",
             "Attempts that ended without a complete answer, by how they ended.",
--- a/packages/routing/src/slatehoist/routing/__init__.py
+++ b/packages/routing/src/slatehoist/routing/__init__.py
@@ -12,6 +12,12 @@
     TokenBucket,
     home_entry,
 )
+from slatehoist.routing.placement import (
+    Placement,
+    Unplaced,
+    ZoneChanges,
+    ZoneEvacuations,
+)
 from slatehoist.routing.prompt_parts import (
     CONVICTION_S,
     PROOF_S,
@@ -59,6 +65,7 @@
     "PartConviction",
     "PartTally",
     "Peer",
+    "Placement",
     "PrefixIndex",
     "PromptPart",
     "QuotaHolder",
@@ -72,6 +79,9 @@
     "SuspectTracker",
     "Ticket",
     "TokenBucket",
+    "Unplaced",
+    "ZoneChanges",
+    "ZoneEvacuations",
     "choose_subset",
     "home_entry",
     "may_fail_fast",
--- a/packages/storage/src/slatehoist/storage/base.py
+++ b/packages/storage/src/slatehoist/storage/base.py
@@ -38,17 +38,23 @@
 class Feed(NamedTuple):
     """Rows of a table that changed after a given version of the store.
 
-    Rows that were removed are left out.
-
     Attributes
     ----------
+    rows : list of Row
+        Rows that were written, without those that were removed.
     version : int
         Version of the store up to which all changes are included; pass it to the next
         call of `WatchableTable.changes`.
+    removed : tuple of str
+        Keys of the rows that were removed and not written again.
+    unreadable : tuple of str
+        Keys of the rows whose value is not a JSON object; `rows` lacks them.
     """
 
     rows: list[Row]
     version: int
+    removed: tuple[str, ...] = ()
+    unreadable: tuple[str, ...] = ()
 
 
 class Instance(NamedTuple):
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -8,7 +8,12 @@
 from unittest import mock
 
 import aiohttp
-from adapter.documents import MalformedError, read_configuration, read_endpoint
+from adapter.documents import (
+    MalformedError,
+    PlatformSource,
+    read_configuration,
+    read_endpoint,
+)
 from adapter.headers import PlatformHeaderCodec
 from adapter.ranks import read_group_spec, read_report
 from adapter.settings import (
@@ -89,6 +94,13 @@
             self.assertIsNone(self.watch.reload(CAUSE_SIGNAL))
 
 
+def make_restricted(version: int, regions) -> dict:
+    """Build a configuration whose route and tenant have this list of regions."""
+    route = make_route("s", "/s/", "safe", "app", allowedRegions=regions)
+    tenant = {"name": "t", "apiKeys": ["k"], "allowedRegions": regions}
+    return make_configuration(version, routes=[route], tenants=[tenant])
+
+
 class DocumentTests(unittest.TestCase):
     def test_configuration_is_decoded_with_times_in_seconds(self):
         split = [{"service": "app", "weight": 9}, {"service": "other", "weight": 1}]
@@ -103,6 +115,37 @@
             with self.assertRaises(MalformedError):
                 read_configuration(doc)
 
+    def test_regions_of_routes_and_tenants_are_decoded(self):
+        for value, regions in ((None, ()), ([], ()), (["n", "s"], ("n", "s"))):
+            cfg = read_configuration(make_restricted(1, value))
+            self.assertEqual(cfg.routes[0].regions, regions)
+            self.assertEqual(cfg.teams[0].regions, regions)
+        cfg = read_configuration(make_configuration())
+        self.assertEqual((cfg.routes[0].regions, cfg.teams[0].regions), ((), ()))
+
+    # Guards against a restriction that ends, or a configuration that is not adopted,
+    # since a list of regions is invalid.
+    def test_last_valid_regions_stay_in_force_for_an_invalid_list(self):
+        last = read_configuration(make_restricted(1, ["n"]))
+        for value in ("n", 5, True, {"n": 1}, [""], ["s", " "], ["s", 5], ["s", None]):
+            with self.subTest(value=value):
+                invalid = {}
+                doc = make_restricted(2, value)
+                cfg = read_configuration(doc, last, invalid.__setitem__)
+                self.assertEqual(cfg.version, 2)
+                self.assertEqual(cfg.routes[0].regions, ("n",))
+                self.assertEqual(cfg.teams[0].regions, ("n",))
+                self.assertEqual(sorted(invalid), ["route s", "tenant t"])
+
+    # Guards against requests that run in any region after a restart of the gateway.
+    def test_invalid_list_without_a_last_one_allows_its_valid_names_at_most(self):
+        for value, regions in (("n", ("",)), ([""], ("",)), (["s", ""], ("s",))):
+            with self.subTest(value=value):
+                cfg = read_configuration(make_restricted(1, value))
+                self.assertEqual(cfg.routes[0].regions, regions)
+                again = read_configuration(make_restricted(2, value), cfg)
+                self.assertEqual(again.routes[0].regions, regions)
+
     def test_malformed_server_rows_are_refused(self):
         good = {
             "service": "app",
@@ -322,6 +365,38 @@
         with self.assertRaises(HistoryLostError):
             await self.table.changes("own", feed.version, 0.01)
 
+    async def test_feed_reports_removed_rows_but_not_those_written_again(self):
+        for key in ("a", "b", "c"):
+            self.store.put("own", key, {})
+        _, version = await self.table.snapshot("own")
+        self.store.remove("own", "a")
+        self.store.remove("own", "b")
+        self.store.put("own", "b", {"n": 2})
+        self.store.remove("own", "never")
+        feed = await self.table.changes("own", version, 0.01)
+        self.assertEqual([row.key for row in feed.rows], ["b"])
+        self.assertEqual(sorted(feed.removed), ["a", "never"])
+        empty = await self.table.changes("own", feed.version, 0.01)
+        self.assertEqual((empty.rows, empty.removed), ([], ()))
+
+    # Guards against the state of a row that is taken from an older change, where a feed
+    # lists each change of a row.
+    async def test_newest_change_of_a_row_counts_in_any_order(self):
+        removed = b'{"key":"k","ver":%d,"removed":true}'
+        written = b'{"key":"k","ver":%d,"value":"e30="}'
+        cases = [
+            ((removed % 7, written % 9), ()),
+            ((written % 9, removed % 7), ()),
+            ((written % 7, removed % 9), ("k",)),
+            ((removed % 9, written % 7), ("k",)),
+        ]
+        for changes, expected in cases:
+            with self.subTest(changes=changes):
+                body = b'{"rows":[' + b",".join(changes) + b'],"ver":9}'
+                table = PlatformTable("10.0.0.1:80", ScriptedSession(200, body))
+                feed = await table.changes("own", 5, 0.0)
+                self.assertEqual(feed.removed, expected)
+
     # Guards against changes that are missed, since the store that came back from a copy
     # gives out again the versions up to which a feed was read.
     async def test_feed_from_an_older_era_reports_lost_history(self):
@@ -391,5 +466,74 @@
         self.assertEqual(len(logs.records), 2)
 
 
+class OperatorTests(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.store = DeploymentStore()
+        address = await self.store.start()
+        self.addAsyncCleanup(self.store.stop)
+        session = aiohttp.ClientSession()
+        self.addAsyncCleanup(session.close)
+        self.source = PlatformSource(PlatformTable(address, session))
+
+    # Guards against calls to the store that are added, since each one is billed.
+    async def test_one_call_returns_the_configuration_and_the_evacuated_zones(self):
+        self.store.put("op", "config", make_configuration(4))
+        for key in ("a", "evacuate", "evacuate/x", "evacuate/y/z", "evacuater", "z"):
+            self.store.put("op", key, {})
+        update = await self.source.configuration()
+        self.assertEqual(self.store.calls, ["get"])
+        self.assertEqual(update.cfg.version, 4)
+        self.assertEqual(update.evacuated, {"x", "y/z"})
+        self.store.remove("op", "evacuate/x")
+        self.store.put("op", "evacuate/w", {})
+        self.store.put("op", "config", make_configuration(5))
+        update = await self.source.next_configuration(update.version, 0.1)
+        self.assertEqual(self.store.calls, ["get", "feed"])
+        self.assertEqual(update.cfg.version, 5)
+        self.assertEqual((update.evacuated, update.restored), ({"w"}, {"x"}))
+
+    # Guards against a zone that is restored, since its row was overwritten with a value
+    # that cannot be read.
+    async def test_row_evacuates_its_zone_whatever_its_value(self):
+        self.store.put("op", "evacuate/a", {})
+        update = await self.source.configuration()
+        self.store.put("op", "evacuate/b", [1])
+        self.store.put_bytes("op", "evacuate/c", b"\xff")
+        self.store.put("op", "evacuate/d", {"until": 5})
+        with self.assertLogs("adapter.store", "WARNING") as logs:
+            update = await self.source.next_configuration(update.version, 0.1)
+            self.assertEqual(update.evacuated, {"b", "c", "d"})
+            update = await self.source.configuration()
+        self.assertEqual(update.evacuated, {"a", "b", "c", "d"})
+        self.assertEqual([r.key for r in logs.records], ["evacuate/b", "evacuate/c"])
+        self.store.remove("op", "evacuate/c")
+        update = await self.source.next_configuration(update.version, 0.1)
+        self.assertEqual(update.restored, {"c"})
+
+    async def test_row_without_a_zone_is_ignored_and_logged_once(self):
+        self.store.put("op", "evacuate/", {})
+        with self.assertLogs("adapter.documents", "WARNING") as logs:
+            for _ in range(2):
+                update = await self.source.configuration()
+                self.assertEqual(update.evacuated, set())
+        self.assertEqual([r.key for r in logs.records], ["evacuate/"])
+
+    async def test_invalid_list_of_regions_is_logged_once_and_the_last_one_stays(self):
+        self.store.put("op", "config", make_restricted(1, ["n"]))
+        await self.source.configuration()
+        with self.assertLogs("adapter.documents", "WARNING") as logs:
+            for version in (2, 3):
+                self.store.put("op", "config", make_restricted(version, "s"))
+                update = await self.source.configuration()
+                self.assertEqual(update.cfg.routes[0].regions, ("n",))
+            self.store.put("op", "config", make_restricted(4, ["s"]))
+            await self.source.configuration()
+            self.store.put("op", "config", make_restricted(5, "s"))
+            update = await self.source.configuration()
+        self.assertEqual(update.cfg.routes[0].regions, ("s",))
+        entries = [record.entry for record in logs.records]
+        self.assertEqual(entries, ["route s", "tenant t"] * 2)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_platform_boundary.py
+++ b/tests/test_platform_boundary.py
@@ -32,6 +32,8 @@
     "goalMs",
     "maxAttempts",
     "gapAimMs",
+    "allowedRegions",
+    "evacMs",
     "apiKeys",
     "coldLeftMs",
     "expectRev",
--- a/tests/test_platform_parsers.py
+++ b/tests/test_platform_parsers.py
@@ -39,12 +39,21 @@
 
 
 ROUTES = st.lists(
-    documents("name", "host", "prefix", "kind", "service", "timeoutMs", "split")
+    documents(
+        "name",
+        "host",
+        "prefix",
+        "kind",
+        "service",
+        "timeoutMs",
+        "split",
+        "allowedRegions",
+    )
     | VALUES,
     max_size=2,
 )
 SERVICES = st.lists(documents("name", "engine") | VALUES, max_size=2)
-TENANTS = st.lists(documents("name", "apiKeys") | VALUES, max_size=2)
+TENANTS = st.lists(documents("name", "apiKeys", "allowedRegions") | VALUES, max_size=2)
 
 
 def setUpModule():
