Test evacuated zones with the stand-ins of store and servers

The tests of decisions can't show that the adapter and the process pass the rows on. The stand-in servers now register a zone, and the stand-in store evacuates and restores one.

--- a/standins/src/slatehoist_standins/deployment_server.py
+++ b/standins/src/slatehoist_standins/deployment_server.py
@@ -131,6 +131,8 @@
         Seconds between the events of a stream.
     delay_s : float
         Seconds from a request until its response.
+    zone : str
+        Availability zone, which the server registers.
     leaving : bool
         True if each response says that the server is leaving.
     turns_away_for_s : float
@@ -150,6 +152,7 @@
         self.endless_bytes = 0
         self.event_pause_s = 0.0
         self.delay_s = 0.0
+        self.zone = "a"
         self.leaving = False
         self.turns_away_for_s = 0.0
         self.rate_limit: float | None = None
@@ -167,12 +170,12 @@
         """Stop listening; open connections stay."""
         self._server.close()
 
-    def row(self, service: str, zone: str = "a", state: str = "ready") -> dict:
+    def row(self, service: str, state: str = "ready") -> dict:
         """Return the row with which the server registers itself in the store."""
         return {
             "service": service,
             "addr": self.address,
-            "zone": zone,
+            "zone": self.zone,
             "version": "v1",
             "slots": 6,
             "state": state,
--- a/standins/src/slatehoist_standins/deployment_store.py
+++ b/standins/src/slatehoist_standins/deployment_store.py
@@ -90,6 +90,14 @@
         self._rows[table, key] = StoreRow(b"", self._version, True)
         self._notify_feeds()
 
+    def evacuate(self, zone: str) -> None:
+        """Evacuate a zone, as the operator does."""
+        self.put("op", f"evacuate/{zone}", {})
+
+    def restore_zone(self, zone: str) -> None:
+        """End the evacuation of a zone."""
+        self.remove("op", f"evacuate/{zone}")
+
     def rows(self, table: str) -> list[str]:
         """Return the sorted keys of a table."""
         return [key for key, _ in self._live_rows(table)]
--- a/tests/gateway_world.py
+++ b/tests/gateway_world.py
@@ -86,7 +86,7 @@
         self.frozen_s = 0.0
 
     async def start(
-        self, *behaviours: list[str], copies: int = 1, **settings
+        self, *behaviours: list[str], copies: int = 1, zones: str = "", **settings
     ) -> "GatewayWorld":
         """Start the store, the servers and one gateway.
 
@@ -97,6 +97,8 @@
         copies : int
             Number of servers that share each list: each request takes the next
             behaviour, regardless of the server that receives it.
+        zones : str
+            Zone of each server, a letter each; all are in zone ``a`` if empty.
         **settings
             Fields of the gateway's settings.
         """
@@ -111,6 +113,8 @@
                 for _ in range(copies)
             )
         ]
+        for server, zone in zip(self.servers, zones, strict=False):
+            server.zone = zone
         for server in self.servers:
             await server.start()
             self.store.put("servers", server.server_id, server.row("app"))
