Let an operator evacuate zones in the soak

The servers of the soak now run in three zones, and an operator evacuates and restores them during each run. No request may reach a server of an evacuated zone later than the bound from a gateway that was undisturbed within that time. The draws of the other faults are unchanged.

--- a/tests/test_platform_zones.py
+++ b/tests/test_platform_zones.py
@@ -4,6 +4,7 @@
 import logging
 import time
 import unittest
+from unittest import mock
 
 from gateway_world import GatewayTestCase, make_configuration, make_route
 from slatehoist.gateway import GatewaySettings
@@ -134,14 +135,21 @@
     # Guards against requests that a process which stood still for longer than the bound
     # sends by the zones that it knew before.
     async def test_gateway_that_stood_still_reads_the_zones_first(self):
-        for attempt in range(5):
-            with self.subTest(attempt=attempt):
-                world = await self.start_zones("ab")
-                self.assertEqual(await self.used_zones(world), "ab")
-                await asyncio.sleep(0.3 * attempt)
-                world.frozen_s += EVACUATION_S + 1.0
-                world.store.evacuate("b")
-                self.assertEqual(await self.used_zones(world), "a")
+        # No read of the list of endpoints is due, for which requests wait, too.
+        world = await self.start_zones("ab", drain_s=60.0)
+        self.assertEqual(await self.used_zones(world), "ab")
+        read_changes = world.table.changes
+
+        async def read_late(*args):
+            feed = await read_changes(*args)
+            await asyncio.sleep(0.15)
+            return feed
+
+        with mock.patch.object(world.table, "changes", read_late):
+            await asyncio.sleep(CONFIG_LONG_POLL_S + 0.2)
+            world.frozen_s += EVACUATION_S + 1.0
+            world.store.evacuate("b")
+            self.assertEqual(await self.used_zones(world), "a")
 
 
 class RegionTests(ZoneTestCase):
--- a/tools/soak/guarantees.py
+++ b/tools/soak/guarantees.py
@@ -4,13 +4,14 @@
 
 from soak.callers import DEADLINE_S, Result
 from soak.servers import (
+    Evacuation,
     Notice,
     RateLimit,
     SoakServer,
     plain_body,
     stream_body,
 )
-from soak.world import DRAIN_S, REVOKE_S, World
+from soak.world import DRAIN_S, EVACUATION_S, REVOKE_S, World
 
 #: Statuses which guarantee that the request has not run and will not run.
 NOT_RUN = frozenset({408, 421, 429, 503})
@@ -47,6 +48,8 @@
     for server in [*world.servers, *world.retired]:
         yield from _check_notices(world, server, results)
         yield from _check_rates(world, server, results)
+    for evacuation in world.evacuations:
+        yield from _check_zone(world, evacuation, results)
 
 
 def _check_answer(result: Result) -> Iterator[str]:
@@ -167,6 +170,41 @@
                 break
 
 
+def _check_zone(
+    world: World, evacuation: Evacuation, results: list[Result]
+) -> Iterator[str]:
+    """Check that the servers of an evacuated zone get no requests after the bound."""
+    for server, gateway, at in find_evacuated_arrivals(world, evacuation, results):
+        if server.zone == evacuation.zone:
+            yield (
+                f"{gateway}: a request reached {server.server_id} "
+                f"{at - evacuation.start:.1f} s after zone {evacuation.zone} was "
+                "evacuated"
+            )
+
+
+def find_evacuated_arrivals(
+    world: World, evacuation: Evacuation, results: list[Result]
+) -> list[tuple[SoakServer, str, float]]:
+    """Return the arrivals, in any zone, from gateways that an evacuation binds.
+
+    It binds a gateway from `EVACUATION_S` after its start, unless the gateway was
+    disturbed within that time before the arrival.
+    """
+    gateways = {result.request_id: result.gateway for result in results}
+    found = []
+    for server in [*world.servers, *world.retired]:
+        for request_id, at in server.accepted:
+            gateway = gateways.get(request_id)
+            if gateway is None or not (
+                evacuation.start + EVACUATION_S < at < evacuation.end
+            ):
+                continue
+            if world.was_undisturbed(gateway, at - EVACUATION_S, at):
+                found.append((server, gateway, at))
+    return found
+
+
 def find_bound_arrivals(
     world: World, server: SoakServer, limit: RateLimit, results: list[Result]
 ) -> list[float]:
--- a/tools/soak/runner.py
+++ b/tools/soak/runner.py
@@ -11,7 +11,11 @@
 
 from soak.callers import Caller
 from soak.faults import FaultInjector
-from soak.guarantees import find_bound_arrivals, find_violations
+from soak.guarantees import (
+    find_bound_arrivals,
+    find_evacuated_arrivals,
+    find_violations,
+)
 from soak.poisons import PoisonCaller
 from soak.world import GATEWAYS, World
 
@@ -35,6 +39,8 @@
         status 200 that ended early, ``poison_crashes`` the crashes of servers by a
         poison request, ``rates`` the rates that servers stated, and ``rates_in_force``
         those that bound a gateway; ``rate_arrivals`` requests were checked.
+        ``evacuations`` counts the evacuations of zones, and ``evacuated_arrivals`` the
+        requests that were checked in them.
     """
 
     history: list[str]
@@ -83,6 +89,8 @@
     tasks += [
         *(asyncio.create_task(caller.run()) for caller in poison_callers),
         asyncio.create_task(world.send_heartbeats()),
+        # Its draws leave those of the faults as they are, too.
+        asyncio.create_task(world.evacuate_zones(random.Random(poison_seed + 2))),
     ]
     injector = FaultInjector(world, rng, faults)
     await injector.run(time.monotonic() + seconds)
@@ -102,6 +110,11 @@
         **_count_outcomes(results),
         "poison_crashes": len(world.poison_crashes),
         **_count_rate_checks(world, results),
+        "evacuations": len(world.evacuations),
+        "evacuated_arrivals": sum(
+            len(find_evacuated_arrivals(world, evacuation, results))
+            for evacuation in world.evacuations
+        ),
     }
     return Report(injector.history, broken, counts)
 
--- a/tools/soak/servers.py
+++ b/tools/soak/servers.py
@@ -83,6 +83,23 @@
     end: float
 
 
+class Evacuation:
+    """Evacuation of a zone by the operator, in monotonic seconds.
+
+    Attributes
+    ----------
+    start : float
+        Time at which the store accepted the row.
+    end : float
+        Time just before the row was removed; infinite before that.
+    """
+
+    def __init__(self, zone: str, start: float) -> None:
+        self.zone = zone
+        self.start = start
+        self.end = float("inf")
+
+
 class SoakServer(DeploymentServer):
     """Server that can crash and drain, draws its behaviour, and records its runs.
 
@@ -113,6 +130,8 @@
         #: id and time), in order.
         self.notices: list[Notice] = []
         self.arrived: list[tuple[str, float]] = []
+        #: Those arrivals that were meant for this server; it answers others with 421.
+        self.accepted: list[tuple[str, float]] = []
         self.rate_limits: list[RateLimit] = []
         #: Seconds before a plain response and after each event of a stream.
         self.pause_s = 0.02
@@ -150,6 +169,8 @@
     ) -> bool:
         self.arrived.append((arrival.headers["Request-Id"], time.monotonic()))
         expected = arrival.headers.get("Expect-Instance")
+        if expected == self.server_id:
+            self.accepted.append(self.arrived[-1])
         if not crashes_servers(arrival) or expected != self.server_id:
             return await super()._respond(arrival, reader, writer)
         ending = self.draw_ending()
--- a/tools/soak/world.py
+++ b/tools/soak/world.py
@@ -12,18 +12,24 @@
 from slatehoist_standins.deployment_store import DeploymentStore
 from slatehoist_standins.fleet import Fleet, free_port
 from slatehoist_standins.relay import Relay
-from soak.servers import PoisonCrash, Run, SoakServer
+from soak.servers import Evacuation, PoisonCrash, Run, SoakServer
 
 HOST = "api.example"
 LAUNCHER = pathlib.Path(__file__).parents[2] / "platform" / "launch.py"
 #: Default number of gateways.
 GATEWAYS = 3
 SERVERS = 5
+#: Zones of the servers; all gateways are in the first.
+ZONES = ("a", "b", "c")
 TEAMS = 3
 #: Limits in the gateways' configuration, in seconds, similar to those of users' sites.
 REVOKE_S = 5.0
 DRAIN_S = 2.0
 GRACE_S = 8.0
+EVACUATION_S = 5.0
+#: Longest seconds between two evacuations, and by which one outlasts `EVACUATION_S`.
+MAX_EVACUATION_PAUSE_S = 3.0
+MAX_EXTRA_EVACUATION_S = 6.0
 ROUTE_TIMEOUT_S = 3.0
 #: Seconds after a fault or a planned stop for which a gateway counts as disturbed.
 SETTLE_S = 4.0
@@ -109,6 +115,8 @@
         Fraction of the servers' responses that are faulty.
     poison_crashes : list of PoisonCrash
         Crashes of servers by poison requests, in order.
+    evacuations : list of Evacuation
+        Evacuations of zones, in order; at most one lasts at a time.
     """
 
     def __init__(self, rng: random.Random, gateway_count: int = GATEWAYS) -> None:
@@ -124,6 +132,7 @@
         self.credentials = {f"key-{n}-0": f"team-{n}" for n in range(TEAMS)}
         self.bad_ratio = 0.0
         self.poison_crashes: list[PoisonCrash] = []
+        self.evacuations: list[Evacuation] = []
         self._restarts: set[asyncio.Task] = set()
         self.store_fault_spans = TimeSpans()
         self._numbers = iter(range(1, 1_000_000))
@@ -186,6 +195,13 @@
         missing, as usual.
         """
         self.publish()
+        now = time.monotonic()
+        evacuated = {e.zone for e in self.evacuations if e.end > now}
+        for zone in ZONES:
+            if zone in evacuated:
+                self.store.evacuate(zone)
+            else:
+                self.store.restore_zone(zone)
         for server in self.servers:
             if server.is_up:
                 self.store.put("servers", server.server_id, server.row("app"))
@@ -198,6 +214,21 @@
             if not server.is_up and server.server_id in self.store.rows("servers"):
                 self.store.remove("servers", server.server_id)
 
+    async def evacuate_zones(self, rng: random.Random) -> None:
+        """Evacuate and restore zones, as an operator does, until cancelled."""
+        while True:
+            await asyncio.sleep(rng.random() * MAX_EVACUATION_PAUSE_S)
+            zone = rng.choice(ZONES)
+            self.store.evacuate(zone)
+            evacuation = Evacuation(zone, time.monotonic())
+            self.evacuations.append(evacuation)
+            try:
+                extra_s = rng.random() * MAX_EXTRA_EVACUATION_S
+                await asyncio.sleep(EVACUATION_S + extra_s)
+            finally:
+                evacuation.end = time.monotonic()
+                self.store.restore_zone(zone)
+
     def rotate_credential(self) -> None:
         """Revoke a credential and create a new one for its team."""
         old = self.rng.choice(sorted(self.credentials))
@@ -246,6 +277,7 @@
         """Start a server and add it to the store."""
         name = f"i-{next(self._numbers)}"
         server = SoakServer(name, self.runs, self._draw_behaviour)
+        server.zone = min(ZONES, key=[s.zone for s in self.servers].count)
         server.draw_ending = lambda: self.rng.choice(ENDINGS)
         server.on_poison = self._on_poison
         await server.start()
@@ -266,10 +298,11 @@
         first = free_port()
         path = self.folder / f"{name}.conf"
         path.write_text(
-            f"node={name}\nzone=a\nip=127.0.0.1\nlisten.front={gateway.front}\n"
+            f"node={name}\nzone={ZONES[0]}\nip=127.0.0.1\nlisten.front={gateway.front}\n"
             f"listen.ready={gateway.ready}\ninternalPorts={first},{first}\n"
             f"bounds.drainMs={DRAIN_S * 1000:.0f}\nbounds.graceS={GRACE_S}\n"
             f"bounds.revokeMs={REVOKE_S * 1000:.0f}\n"
+            f"bounds.evacMs={EVACUATION_S * 1000:.0f}\n"
             f"provider.addr=127.0.0.1:{store_port}\n"
         )
         self.gateways.append(gateway)
