Limit the requests that cold endpoints get from all gateways together

Cause: an endpoint that has just started looks like the least loaded one to all gateways at the same moment.

Each gateway keeps to its share of what a cold endpoint tolerates, dealt over the registered gateways as stated rates are. What is dealt is at most half of the bound, so that gateways that are cut off and the others, which no longer count them, keep it together. Cold times come from the list, from responses, from new starts and from restored zones. Endpoints not known to be cold are limited in the same way while others have free slots. A request for which only cold endpoints with used up shares are left is refused for another gateway.

--- a/packages/gateway/src/slatehoist/gateway/attempts.py
+++ b/packages/gateway/src/slatehoist/gateway/attempts.py
@@ -8,6 +8,7 @@
 from aiohttp import web
 
 from slatehoist.gateway.codec import Forwarding, HeaderCodec
+from slatehoist.gateway.cold_starts import ColdEndpoints
 from slatehoist.gateway.crash_reports import CrashReports
 from slatehoist.gateway.directory import EndpointDirectory
 from slatehoist.gateway.exchange import Exchange, Outcome, Reply
@@ -57,6 +58,7 @@
         directory: EndpointDirectory,
         health: EndpointHealth,
         holds: EndpointHolds,
+        cold: ColdEndpoints,
         crashes: CrashReports,
         upstream: Upstream,
         streams: StreamRelay,
@@ -67,6 +69,7 @@
         self._directory = directory
         self._health = health
         self._holds = holds
+        self._cold = cold
         self._crashes = crashes
         self._upstream = upstream
         self.streams = streams
@@ -160,7 +163,9 @@
             self._crashes.record_end(endpoint)
             self._directory.remove(endpoint.endpoint_id)
             return Outcome.WRONG_INSTANCE, None
-        self._holds.record_reply(endpoint, info, self._clock(), exchange.sent_at)
+        now = self._clock()
+        self._holds.record_reply(endpoint, info, now, exchange.sent_at)
+        self._cold.record_reply(exchange.service, endpoint, info, now, exchange.sent_at)
         if reply.status in _SUCCESS_STATUSES:
             exchange.succeeded = True
             if not (info.authentic and info.request_id):
--- a/packages/gateway/src/slatehoist/gateway/catalogue.py
+++ b/packages/gateway/src/slatehoist/gateway/catalogue.py
@@ -87,6 +87,10 @@
         if self._confirmed_at is None or read_started_at > self._confirmed_at:
             self._confirmed_at = read_started_at
 
+    def find_service(self, name: str) -> Service | None:
+        """Return the service of a name in the configuration in force, or None."""
+        return self.table.service(name) if self.table else None
+
     @property
     def version(self) -> int:
         """Return the version in force, or -1 if there is none."""
--- a/packages/gateway/src/slatehoist/gateway/choice.py
+++ b/packages/gateway/src/slatehoist/gateway/choice.py
@@ -4,6 +4,7 @@
 import contextlib
 from collections.abc import Callable
 
+from slatehoist.gateway.cold_starts import ColdEndpoints
 from slatehoist.gateway.directory import EndpointDirectory
 from slatehoist.gateway.exchange import Exchange
 from slatehoist.gateway.health import EndpointHealth, GroupState
@@ -29,6 +30,7 @@
     Attributes
     ----------
     holds : EndpointHolds
+    cold : ColdEndpoints
     """
 
     def __init__(
@@ -37,6 +39,7 @@
         directory: EndpointDirectory,
         health: EndpointHealth,
         holds: EndpointHolds,
+        cold: ColdEndpoints,
         chooser: Chooser,
         clock: Callable[[], float],
     ) -> None:
@@ -44,6 +47,7 @@
         self._directory = directory
         self._health = health
         self.holds = holds
+        self.cold = cold
         self._chooser = chooser
         self._clock = clock
 
@@ -82,7 +86,8 @@
     def choose(self, exchange: Exchange, now: float) -> Endpoint | None:
         """Return the endpoint for the next attempt, or None if none is available.
 
-        If all endpoints are held, `exchange.hold` states until when.
+        If all endpoints are held, or cold with used up shares, `exchange.hold` states
+        until when.
         """
         listed = self._directory.of_service(exchange.service.name)
         untried = [e for e in listed if e.endpoint_id not in exchange.tried]
@@ -90,14 +95,20 @@
         if not open_endpoints:
             exchange.hold = self.holds.find_hold(listed, now)
             return None
+        open_endpoints = self.cold.available(exchange.service, open_endpoints, now)
+        if not open_endpoints:
+            exchange.hold = self.cold.make_hold(exchange.service, untried)
+            return None
         endpoints = self._health.in_open_groups(open_endpoints, now)
         endpoints = self._health.available(endpoints, now)
         candidates = [self._candidate(endpoint, now) for endpoint in endpoints]
+        candidates = self.cold.prefer(exchange.service, candidates, now)
         chosen = self._chooser.choose(candidates, self._zone)
         if chosen is None:
             return None
         endpoint = next(e for e in endpoints if e.endpoint_id == chosen.name)
         self.holds.record_sent(endpoint, now)
+        self.cold.record_sent(exchange.service, endpoint, now)
         return endpoint
 
     def _candidate(self, endpoint: Endpoint, now: float) -> Candidate:
@@ -113,7 +124,9 @@
             concurrency=max(endpoint.concurrency / record.pace, 1),
         )
 
-    def log_fields(self, endpoint: Endpoint, now: float) -> dict[str, object]:
+    def log_fields(
+        self, exchange: Exchange, endpoint: Endpoint, now: float
+    ) -> dict[str, object]:
         """Return the values that the selection was based on, as log fields."""
         record = self._health.get_record(endpoint.endpoint_id)
         return {
@@ -123,4 +136,5 @@
             "pace": record.pace,
             "list_age_ms": milliseconds(now - (self._directory.updated_at or now)),
             **self.holds.rate_log_fields(endpoint, now),
+            **self.cold.log_fields(exchange.service, endpoint, now),
         }
--- a/packages/gateway/src/slatehoist/gateway/forwarding.py
+++ b/packages/gateway/src/slatehoist/gateway/forwarding.py
@@ -18,13 +18,14 @@
 from slatehoist.gateway.attempts import AttemptRunner
 from slatehoist.gateway.choice import EndpointChoice
 from slatehoist.gateway.codec import HeaderCodec
+from slatehoist.gateway.cold_starts import ColdEndpoints
 from slatehoist.gateway.crash_guard import CrashGuard
 from slatehoist.gateway.crash_reports import CrashReports
 from slatehoist.gateway.directory import EndpointDirectory
 from slatehoist.gateway.exchange import Exchange, Outcome
 from slatehoist.gateway.health import EndpointHealth
 from slatehoist.gateway.holds import EndpointHolds
-from slatehoist.gateway.model import Endpoint
+from slatehoist.gateway.model import Endpoint, Service
 from slatehoist.gateway.probes import EndpointProbes
 from slatehoist.gateway.settings import (
     MAX_LOGGED_PARTS,
@@ -40,6 +41,7 @@
 from slatehoist.routing import (
     AllowanceShare,
     Chooser,
+    ColdStarts,
     CrashTally,
     Membership,
     RateShares,
@@ -125,7 +127,7 @@
             if endpoint is None:
                 self._guard.release_trials(exchange)
                 return None
-            selection = self.choice.log_fields(endpoint, now)
+            selection = self.choice.log_fields(exchange, endpoint, now)
             outcome, resp = Outcome.ABANDONED, None
             try:
                 outcome, resp = await self.attempts.run(exchange, endpoint)
@@ -221,21 +223,31 @@
     tally: CrashTally,
     crashes: CrashReports,
     probes: EndpointProbes,
+    find_service: Callable[[str], Service | None],
     metrics: GatewayMetrics,
     clock: Callable[[], float],
 ) -> Forwarder:
-    """Build a forwarder and its parts."""
+    """Build a forwarder and its parts.
+
+    Parameters
+    ----------
+    find_service : callable
+        Returns the service of a name, or None.
+    """
     rates = RateShares(cfg.instance, REGISTRY_PROPAGATION_S)
     holds = EndpointHolds(metrics, rates)
+    starts = ColdStarts(rates, clock())
+    cold = ColdEndpoints(starts, cfg.cold_excess, cfg.cold_slack, find_service, metrics)
     idle_timeout_s = cfg.stall_s + STREAM_IDLE_MARGIN_S
     return Forwarder(
         cfg,
-        EndpointChoice(cfg.zone, directory, health, holds, chooser, clock),
+        EndpointChoice(cfg.zone, directory, health, holds, cold, chooser, clock),
         AttemptRunner(
             codec,
             directory,
             health,
             holds,
+            cold,
             crashes,
             upstream,
             StreamRelay(codec, metrics, idle_timeout_s, clock),
--- a/packages/gateway/src/slatehoist/gateway/process.py
+++ b/packages/gateway/src/slatehoist/gateway/process.py
@@ -133,6 +133,7 @@
             tally,
             crashes,
             EndpointProbes(self._upstream.probe, crashes, self._clock),
+            self.catalogue.find_service,
             self._metrics,
             self._clock,
         )
@@ -151,6 +152,7 @@
                 self.directory,
                 self._health,
                 crashes,
+                forwarder.choice.cold,
                 self._cfg.endpoint_poll_s,
                 self._clock,
             ),
--- a/packages/gateway/src/slatehoist/gateway/sync.py
+++ b/packages/gateway/src/slatehoist/gateway/sync.py
@@ -6,6 +6,7 @@
 
 from slatehoist.gateway.catalogue import Catalogue
 from slatehoist.gateway.codec import DeploymentSource
+from slatehoist.gateway.cold_starts import ColdEndpoints
 from slatehoist.gateway.crash_reports import CrashReports
 from slatehoist.gateway.directory import EndpointDirectory
 from slatehoist.gateway.health import EndpointHealth
@@ -129,6 +130,7 @@
         directory: EndpointDirectory,
         health: EndpointHealth,
         crashes: CrashReports,
+        cold: ColdEndpoints,
         poll_s: float,
         clock: Callable[[], float],
     ) -> None:
@@ -137,6 +139,7 @@
         self._directory = directory
         self._health = health
         self._crashes = crashes
+        self._cold = cold
         self._clock = clock
         self._dependency = Dependency("endpoint list")
         #: Begin of the latest read whose result is known.
@@ -196,7 +199,9 @@
         era : int
             Era of the list; see `EndpointDirectory.update`.
         """
-        changes = self._directory.update(listed, self._clock(), era)
+        now = self._clock()
+        is_first = self._directory.updated_at is None
+        changes = self._directory.update(listed, now, era)
         current = {endpoint.endpoint_id: endpoint for endpoint in listed}
         for endpoint in changes.removed:
             self._health.forget(endpoint.endpoint_id)
@@ -204,6 +209,10 @@
         for endpoint in changes.restarted:
             self._health.forget(endpoint.endpoint_id)
             self._crashes.record_restart(endpoint, current[endpoint.endpoint_id])
+        # The endpoints of the first list may have started long ago.
+        started = [] if is_first else list(changes.added)
+        started += [current[endpoint.endpoint_id] for endpoint in changes.restarted]
+        self._cold.record_list(listed, started, now)
         self._crashes.observe_list(listed, read_at, self._directory.reliable_since)
         if changes:
             log.info(
--- a/packages/gateway/tests/gateway_fleet.py
+++ b/packages/gateway/tests/gateway_fleet.py
@@ -377,9 +377,6 @@
         )
         directory = EndpointDirectory(cfg.endpoint_relist_s)
         health = self.health = EndpointHealth()
-        self._sync = EndpointSync(
-            None, directory, health, self.crashes, cfg.endpoint_poll_s, clock
-        )
         self._poll_s = cfg.endpoint_poll_s
         self._forwarder = make_forwarder(
             cfg,
@@ -391,9 +388,19 @@
             self.tally,
             self.crashes,
             EndpointProbes(self.upstream.probe, self.crashes, clock),
+            lambda name: None,
             metrics,
             clock,
         )
+        self._sync = EndpointSync(
+            None,
+            directory,
+            health,
+            self.crashes,
+            self._forwarder.choice.cold,
+            cfg.endpoint_poll_s,
+            clock,
+        )
         self._next_read_at = fleet.now + fleet.rng.random() * self._poll_s
         self._directory = directory
 
--- a/packages/gateway/tests/rate_world.py
+++ b/packages/gateway/tests/rate_world.py
@@ -61,7 +61,7 @@
     info: ReplyInfo
 
 
-class _GatewaysTable:
+class GatewaysTable:
     """Table as a gateway reaches it, or not."""
 
     def __init__(self, table: SharedTable, world: "RateWorld") -> None:
@@ -100,7 +100,7 @@
         self._world = world
         self._shares = RateShares(name, REGISTRY_PROPAGATION_S)
         self.holds = EndpointHolds(GatewayMetrics(), self._shares)
-        self.table = _GatewaysTable(table, world)
+        self.table = GatewaysTable(table, world)
         self._registry = InstanceRegistry(self.table, name, self._count, world.clock)
         self._next_poll = world.now
         self._answers: list[_Answer] = []
--- a/packages/gateway/tests/reply_world.py
+++ b/packages/gateway/tests/reply_world.py
@@ -19,6 +19,7 @@
     GatewaySettings,
     ReplyInfo,
     RequestInfo,
+    Service,
 )
 from slatehoist.gateway.crash_reports import CrashReports
 from slatehoist.gateway.exchange import request_digest
@@ -38,6 +39,7 @@
     "connection": {},
 }
 _ROUTE_PATH = "/a/x"
+_SERVICE = Service("app")
 
 
 def make_event(number: int) -> bytes:
@@ -141,6 +143,7 @@
             retry_after_s=float(headers["Wait"]) if "Wait" in headers else None,
             rate_limit=float(headers["Rate"]) if "Rate" in headers else None,
             states_rate_limit="Rate" in headers,
+            cold_s=float(headers["Cold"]) if "Cold" in headers else None,
         )
 
 
@@ -151,13 +154,14 @@
         self,
         *replies: ScriptedReply,
         max_list_age_s: float = float("inf"),
+        service: Service = _SERVICE,
         **route_fields,
     ) -> None:
         self.now = 100.0
         self.tally = CrashTally()
         #: HTTP client, to whose replies a test may add.
         self.upstream = ScriptedUpstream(list(replies))
-        metrics = GatewayMetrics()
+        metrics = self.metrics = GatewayMetrics()
         cfg = GatewaySettings("gateway-0", "a", "", "")
         self.codec = ScriptedCodec()
         self.crashes = CrashReports(
@@ -173,6 +177,7 @@
         endpoints = [make_endpoint("e1"), make_endpoint("e2")]
         directory.update(endpoints, self.now)
         self.health = EndpointHealth()
+        catalogue = Catalogue(5.0)
         forwarder = self.forwarder = make_forwarder(
             cfg,
             self.codec,
@@ -183,15 +188,15 @@
             self.tally,
             self.crashes,
             EndpointProbes(self.upstream.probe, self.crashes, self.clock),
+            catalogue.find_service,
             metrics,
             self.clock,
         )
         # The gateway was counted long ago, so that it has its share of the retries.
         long_ago = -1000.0
         forwarder.record_membership(Membership(1, long_ago, long_ago, (cfg.instance,)))
-        catalogue = Catalogue(5.0)
         route = make_route(public=True, **route_fields)
-        catalogue.offer(make_configuration(1, routes=(route,)))
+        catalogue.offer(make_configuration(1, routes=(route,), services=(service,)))
         self.gateway = Gateway(
             self.codec,
             catalogue,
--- a/packages/gateway/tests/test_gateway_sync.py
+++ b/packages/gateway/tests/test_gateway_sync.py
@@ -68,12 +68,14 @@
             record_restart=lambda old, current: None,
             observe_list=lambda listed, read_at, reliable_since: None,
         )
+        cold = SimpleNamespace(record_list=lambda listed, started, now: None)
         self.source = ScriptedSource()
         sync = EndpointSync(
             self.source,
             self.directory,
             EndpointHealth(),
             crashes,
+            cold,
             GatewaySettings("", "", "", "", drain_s=DRAIN_S).endpoint_poll_s,
             time.monotonic,
         )
--- a/packages/observe/src/slatehoist/observe/metrics.py
+++ b/packages/observe/src/slatehoist/observe/metrics.py
@@ -70,6 +70,19 @@
             ["reason"],
             **kwargs,
         )
+        self.cold_starts = Counter(
+            "slatehoist_cold_starts",
+            "Times that an endpoint became cold, by what showed it.",
+            ["reason"],
+            **kwargs,
+        )
+        self.cold_limited_requests = Counter(
+            "slatehoist_cold_limited_requests",
+            "Requests to services with a cold rate, by state of the endpoint (cold,"
+            " warm) or as beyond_share, after this gateway used up its share.",
+            ["state"],
+            **kwargs,
+        )
         self.lost_requests = Counter(
             "slatehoist_lost_requests",
             "Attempts that ended without a complete answer, by how they ended.",
@@ -114,6 +127,11 @@
             "Times that the store was seen to come back from an older copy.",
             **kwargs,
         )
+        self.cold_endpoints = Gauge(
+            "slatehoist_cold_endpoints",
+            "Endpoints that are known to be cold.",
+            **kwargs,
+        )
         self.endpoints = Gauge(
             "slatehoist_endpoints",
             "Endpoints that accept new requests, by service.",
--- a/packages/routing/src/slatehoist/routing/__init__.py
+++ b/packages/routing/src/slatehoist/routing/__init__.py
@@ -1,6 +1,12 @@
 """Where, when and how often a request runs; decisions without clocks or I/O."""
 
 from slatehoist.routing.affinity import PrefixIndex, prefix_keys
+from slatehoist.routing.cold_starts import (
+    ColdLimit,
+    ColdStarts,
+    ColdUse,
+    make_cold_limit,
+)
 from slatehoist.routing.crashes import RETENTION_S as CRASH_RETENTION_S
 from slatehoist.routing.crashes import CrashTally
 from slatehoist.routing.fairness import FairQueue, Ticket
@@ -51,6 +57,9 @@
     "AllowanceShare",
     "Candidate",
     "Chooser",
+    "ColdLimit",
+    "ColdStarts",
+    "ColdUse",
     "Crash",
     "CrashTally",
     "FairQueue",
@@ -74,6 +83,7 @@
     "TokenBucket",
     "choose_subset",
     "home_entry",
+    "make_cold_limit",
     "may_fail_fast",
     "prefix_keys",
     "retry_after_s",
--- a/packages/routing/src/slatehoist/routing/rates.py
+++ b/packages/routing/src/slatehoist/routing/rates.py
@@ -40,7 +40,8 @@
 #: Seconds from the begin of an instance's turn in which it may send its trial.
 TRIAL_OPEN_S = 2.0
 _NEVER = float("inf")
-#: Endpoints that are remembered as having stated a rate; only bounds the memory.
+#: Endpoints that are remembered, of those that stated a rate and of those whose rank is
+#: known; only bounds the memory.
 _MAX_ENDPOINTS = 4096
 
 
@@ -136,6 +137,8 @@
         self._full_from = _NEVER
         #: Endpoints that state a rate or did, least recently stated first.
         self._stated: OrderedDict[str, _StatedRate] = OrderedDict()
+        #: Ranks by endpoint, for the current members.
+        self._ranks: dict[str, int] = {}
 
     def set_members(
         self, names: Sequence[str], joined_at: float, counted_at: float
@@ -148,10 +151,18 @@
             Time at which this instance joined them. Those that joined together with it
             may be missing from a count that was made just then.
         """
-        self._members = tuple(names)
+        members = tuple(names)
+        if members != self._members:
+            self._members = members
+            self._ranks.clear()
         is_recent = counted_at - joined_at < self._propagation_s / 2
         self._full_from = _NEVER if is_recent else joined_at + self._propagation_s
 
+    @property
+    def instances(self) -> int:
+        """Return the number of instances that share the rates."""
+        return len(self._members)
+
     @property
     def is_limiting(self) -> bool:
         """Return True if any endpoint states a rate."""
@@ -199,7 +210,7 @@
         stated = self._stated.get(endpoint)
         if stated is None or stated.rate is None:
             return None
-        allowed = self._share(endpoint, max(1, int(stated.rate * WINDOW_S)), now)
+        allowed = self.share(endpoint, max(1, int(stated.rate * WINDOW_S)), now)
         sent = sum(now - at < WINDOW_S for at in stated.sent)
         return RateUse(stated.rate, allowed, sent, len(self._members))
 
@@ -216,7 +227,7 @@
         window_s = WINDOW_S if rate >= _MIN_WINDOW_RATE else 1 / max(rate, _MIN_RATE)
         _drop_before(sent, now - max(window_s, WINDOW_S))
         requests = max(1, int(rate * window_s)) if rate > 0.0 else 0
-        allowed = self._share(endpoint, requests, now)
+        allowed = self.share(endpoint, requests, now)
         if not allowed:
             return self._trial_at(endpoint, stated, now)
         burst = math.ceil(allowed * BURST_RATIO)
@@ -235,7 +246,7 @@
         followed at once by the request that confirms its end. An instance that others
         may not count yet has no turn.
         """
-        if not self._is_counted(now):
+        if not self.is_counted(now):
             return max(now, min(self._full_from, now + self._propagation_s))
         sent_at = stated.last_sent_at
         if stated.lacked_at is not None and sent_at < stated.lacked_at + CONFIRM_S:
@@ -251,22 +262,28 @@
             return now
         return began_at + period_s
 
-    def _is_counted(self, now: float) -> bool:
+    def is_counted(self, now: float) -> bool:
         """Return True if all instances can have counted this one."""
         return now >= self._full_from and self._instance in self._members
 
     def _rank(self, endpoint: str) -> int:
         """Return the position of this instance among those that share a rate."""
-        own = rendezvous_weight(endpoint, self._instance)
-        return sum(rendezvous_weight(endpoint, m) > own for m in self._members)
-
-    def _share(self, endpoint: str, requests: int, now: float) -> int:
-        """Return this instance's share of the requests that a window allows.
+        rank = self._ranks.get(endpoint)
+        if rank is None:
+            if len(self._ranks) >= _MAX_ENDPOINTS:
+                self._ranks.clear()
+            own = rendezvous_weight(endpoint, self._instance)
+            rank = sum(rendezvous_weight(endpoint, m) > own for m in self._members)
+            self._ranks[endpoint] = rank
+        return rank
+
+    def share(self, endpoint: str, requests: int, now: float) -> int:
+        """Return this instance's share of the requests that a window allows in total.
 
         It has none until all instances can have counted it: any number of instances may
         have joined together with it.
         """
-        if not self._is_counted(now):
+        if not self.is_counted(now):
             return 0
         share, rest = divmod(requests, len(self._members))
         return share + (self._rank(endpoint) < rest)
--- a/standins/src/slatehoist_standins/deployment_server.py
+++ b/standins/src/slatehoist_standins/deployment_server.py
@@ -5,10 +5,13 @@
 421 for a request meant for another instance, event streams that resume after
 ``Last-Event-Id``, and keep-alive. It runs in the process of the test. Its faults are
 the behaviours of `DeploymentServer`, late responses (``delay_s``), slow streams
-(``event_pause_s``) and a crash on a request that contains `CRASH_MARKER`.
+(``event_pause_s``), a crash on a request that contains `CRASH_MARKER`, and a cold time
+in which more than `cold_limit` requests in a second crash it.
 """
 
 import asyncio
+import time
+from collections import deque
 from typing import NamedTuple
 
 from slatehoist_standins.sockets import reset_connection
@@ -133,6 +136,11 @@
         Seconds from a request until its response.
     leaving : bool
         True if each response says that the server is leaving.
+    states_cold : bool
+        True if its row and its responses state for how long it stays cold.
+    cold_limit : int or None
+        Requests in one second above which it crashes while it is cold; None if it does
+        not.
     turns_away_for_s : float
         Seconds for which each response asks for no requests, with status 503; 0 if the
         server takes requests.
@@ -153,6 +161,13 @@
         self.leaving = False
         self.turns_away_for_s = 0.0
         self.rate_limit: float | None = None
+        self.states_cold = True
+        self.cold_limit: int | None = None
+        #: Crashes since it got more than `cold_limit`.
+        self.cold_crashes = 0
+        self._cold_until = float("-inf")
+        #: Monotonic times of the requests of the last second.
+        self._recent: deque[float] = deque()
         #: Start time in milliseconds, which the server registers.
         self.born = 1_700_000_000_000
 
@@ -167,6 +182,24 @@
         """Stop listening; open connections stay."""
         self._server.close()
 
+    def become_cold(self, cold_s: float) -> None:
+        """Become cold for some seconds, as after a start or at any moment."""
+        self._cold_until = time.monotonic() + cold_s
+
+    @property
+    def cold_left_ms(self) -> int:
+        """Return the milliseconds for which it stays cold; 0 if it is warm."""
+        return round(max(0.0, self._cold_until - time.monotonic()) * 1000)
+
+    def _exceeds_cold_limit(self) -> bool:
+        """Count a request, and return True if it crashes the cold server."""
+        now = time.monotonic()
+        self._recent.append(now)
+        while now - self._recent[0] >= 1.0:
+            self._recent.popleft()
+        is_over = self.cold_limit is not None and len(self._recent) > self.cold_limit
+        return is_over and self.cold_left_ms > 0
+
     def row(self, service: str, zone: str = "a", state: str = "ready") -> dict:
         """Return the row with which the server registers itself in the store."""
         return {
@@ -176,7 +209,7 @@
             "version": "v1",
             "slots": 6,
             "state": state,
-            "coldLeftMs": 0,
+            "coldLeftMs": self.cold_left_ms if self.states_cold else 0,
             "seq": 1,
             "born": self.born,
         }
@@ -243,6 +276,10 @@
                 b"HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n"
             )
             return True
+        if self._exceeds_cold_limit():
+            self.cold_crashes += 1
+            self._server.close()
+            return self._close(writer, True)
         if behaviour == "hang":
             try:
                 await reader.read(1)
@@ -304,6 +341,8 @@
         lines = ["Server-Leaving: 1"] if self.leaving else []
         if self.rate_limit is not None:
             lines.append(f"Server-Limit: {self.rate_limit:g}")
+        if self.states_cold and self.cold_left_ms:
+            lines.append(f"Cold-Ms: {self.cold_left_ms}")
         return lines
 
     def _make_head(self, arrival: Arrival, behaviour: str, status: int = 200) -> bytes:
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -125,6 +125,47 @@
             with self.subTest(fields=fields), self.assertRaises(MalformedError):
                 read_endpoint("i", {**good, **fields})
 
+    def make_row(self, **fields) -> dict:
+        row = {"service": "app", "addr": "10.0.0.1:80", "zone": "a", "slots": 6}
+        return {**row, "state": "ready", **fields}
+
+    def test_cold_times_are_decoded_and_bounded(self):
+        for value, expected in ((2500, 2.5), (0, 0.0), (1e9, 3600.0), (10**400, 3600)):
+            with self.subTest(value=value):
+                endpoint = read_endpoint("i", self.make_row(coldLeftMs=value))
+                self.assertEqual(endpoint.cold_s, expected)
+        self.assertEqual(read_endpoint("i", self.make_row()).cold_s, 0.0)
+        services = [{"name": "app", "coldS": 3.0, "coldPerS": 26}, {"name": "other"}]
+        cfg = read_configuration(make_configuration(3, services=services))
+        found = [(s.cold_s, s.cold_rate) for s in cfg.services]
+        self.assertEqual(found, [(3.0, 26.0), (0.0, 0.0)])
+
+    # Guards against a server that is lost, or cold for good, because of one field.
+    def test_unusable_cold_time_of_a_server_is_ignored(self):
+        for value in (
+            -1,
+            "2500",
+            True,
+            None,
+            float("nan"),
+            float("inf"),
+            [1],
+            -(10**9),
+        ):
+            with self.subTest(value=value):
+                endpoint = read_endpoint("i", self.make_row(coldLeftMs=value))
+                self.assertEqual(endpoint.cold_s, 0.0)
+
+    def test_unusable_cold_rate_of_a_service_is_refused(self):
+        for key in ("coldS", "coldPerS"):
+            for value in (-1, "3", float("nan"), float("inf"), [1]):
+                doc = make_configuration(3, services=[{"name": "app", key: value}])
+                with (
+                    self.subTest(key=key, value=value),
+                    self.assertRaises(MalformedError),
+                ):
+                    read_configuration(doc)
+
     def test_report_and_group_are_decoded(self):
         doc = {
             "group": {"name": "g", "epoch": 2, "rank": 1, "state": "open"},
@@ -210,6 +251,27 @@
                 info = codec.read_reply(200, {"Server-Limit": text})
             self.assertEqual((info.rate_limit, info.states_rate_limit), (None, True))
 
+    def test_cold_time_of_a_server_is_decoded_and_bounded(self):
+        codec = PlatformHeaderCodec()
+        for text, expected in (("2500", 2.5), ("0", 0.0), ("1e9", 3600.0)):
+            with self.subTest(text=text):
+                info = codec.read_reply(200, {"Cold-Ms": text})
+                self.assertEqual(info.cold_s, expected)
+        self.assertIsNone(codec.read_reply(200, {}).cold_s)
+
+    # Guards against a log that one server fills, which states it in each response.
+    def test_unusable_cold_time_in_responses_is_ignored_and_logged_once(self):
+        codec = PlatformHeaderCodec()
+        for text in ("soon", "-1", "nan", "inf", "", "1" * 400):
+            with (
+                self.subTest(text=text),
+                self.assertLogs("adapter.headers", "WARNING") as logs,
+            ):
+                for _ in range(3):
+                    self.assertIsNone(codec.read_reply(200, {"Cold-Ms": text}).cold_s)
+            self.assertEqual(len(logs.records), 1)
+            self.assertLess(len(logs.records[0].value), 50)
+
     # Guards against requests to a server that asked for more rest than we keep.
     def test_time_of_rest_beyond_the_bound_is_taken_as_the_bound(self):
         codec = PlatformHeaderCodec()
--- a/tests/test_platform_gateway.py
+++ b/tests/test_platform_gateway.py
@@ -6,7 +6,12 @@
 
 import aiohttp
 
-from gateway_world import GatewayTestCase, make_configuration, make_route
+from gateway_world import (
+    GatewayTestCase,
+    GatewayWorld,
+    make_configuration,
+    make_route,
+)
 from slatehoist.gateway.settings import LEAVE_ROTATION_S
 from slatehoist.http import strict_connector
 from slatehoist_standins.deployment_server import (
@@ -393,6 +398,67 @@
                 self.assertEqual(resp.status, 200)
 
 
+class ColdTests(GatewayTestCase):
+    async def start_cold_world(self, **server_fields) -> GatewayWorld:
+        """Start a world with a cold server that crashes at 14 requests in a second."""
+        world = await self.start_world(["ok"], ["ok"], cold_excess=1.5, cold_slack=5.0)
+        services = [{"name": "app", "coldS": 1.0, "coldPerS": 6.0}]
+        world.store.put("op", "config", make_configuration(2, services=services))
+        await self.wait_until(lambda: world.gateway.catalogue.version == 2)
+        server = world.servers[0]
+        for name, value in server_fields.items():
+            setattr(server, name, value)
+        server.cold_limit = 14
+        server.become_cold(5.0)
+        # A gateway has no share in the first second after its start.
+        world.frozen_s += 1.0
+        return world
+
+    async def call_at_once(self, world: GatewayWorld, count: int) -> list[int]:
+        """Send requests at the same time, and return the statuses of the answers."""
+
+        async def call() -> int:
+            async with world.call("/safe/") as resp:
+                return resp.status
+
+        return await asyncio.gather(*(call() for _ in range(count)))
+
+    # Guards against a cold server that crashes under the requests of one moment.
+    async def test_cold_server_is_spared_while_another_one_serves(self):
+        world = await self.start_cold_world()
+        await self.wait_until(lambda: self.is_listed_cold(world))
+        statuses = await self.call_at_once(world, 60)
+        self.assertEqual(set(statuses), {200})
+        self.assertEqual(world.servers[0].cold_crashes, 0)
+        self.assertLessEqual(len(world.servers[0].arrivals), 6)
+
+    # Guards against a cold server that crashes, as no other one is left.
+    async def test_callers_are_refused_if_only_a_cold_server_is_left(self):
+        world = await self.start_cold_world()
+        world.store.remove("servers", world.servers[1].server_id)
+        await self.wait_until(lambda: self.is_listed_cold(world, count=1))
+        statuses = await self.call_at_once(world, 60)
+        self.assertEqual(statuses.count(200), 6)
+        self.assertEqual(statuses.count(503), 54)
+        self.assertEqual(world.servers[0].cold_crashes, 0)
+
+    # Guards against a stand-in that proves nothing: it must crash without the limit.
+    async def test_cold_server_crashes_above_its_rate(self):
+        world = await self.start_cold_world(states_cold=False)
+        services = [{"name": "app"}]
+        world.store.put("op", "config", make_configuration(3, services=services))
+        await self.wait_until(lambda: world.gateway.catalogue.version == 3)
+        await self.call_at_once(world, 60)
+        self.assertGreater(world.servers[0].cold_crashes, 0)
+
+    def is_listed_cold(self, world: GatewayWorld, count: int = 2) -> bool:
+        """Write the cold server's row; return True if the gateway has read it."""
+        server = world.servers[0]
+        world.store.put("servers", server.server_id, server.row("app"))
+        listed = world.gateway.directory.of_service("app")
+        return len(listed) == count and any(e.cold_s for e in listed)
+
+
 class DrainTests(GatewayTestCase):
     async def test_drain_completes_a_request_and_closes_its_connection(self):
         world = await self.start_world()
--- a/tests/test_platform_parsers.py
+++ b/tests/test_platform_parsers.py
@@ -43,7 +43,9 @@
     | VALUES,
     max_size=2,
 )
-SERVICES = st.lists(documents("name", "engine") | VALUES, max_size=2)
+SERVICES = st.lists(
+    documents("name", "engine", "coldS", "coldPerS") | VALUES, max_size=2
+)
 TENANTS = st.lists(documents("name", "apiKeys") | VALUES, max_size=2)
 
 
@@ -123,6 +125,7 @@
             "Server-Load": load,
             "Server-Limit": number,
             "Retry-After": number,
+            "Cold-Ms": number,
         }
         codec.read_request(headers)
         codec.read_reply(status, headers)
