--- a/packages/gateway/src/slatehoist/gateway/choice.py
+++ b/packages/gateway/src/slatehoist/gateway/choice.py
@@ -4,6 +4,7 @@
 import contextlib
 from collections.abc import Callable
 
+from slatehoist.gateway.cold_starts import ColdEndpoints
 from slatehoist.gateway.directory import EndpointDirectory
 from slatehoist.gateway.evacuations import EvacuationState
 from slatehoist.gateway.exchange import Exchange
@@ -32,6 +33,7 @@
     Attributes
     ----------
     holds : EndpointHolds
+    cold : ColdEndpoints
     """
 
     def __init__(
@@ -42,6 +44,7 @@
         holds: EndpointHolds,
         placement: Placement,
         evacuations: EvacuationState,
+        cold: ColdEndpoints,
         chooser: Chooser,
         clock: Callable[[], float],
     ) -> None:
@@ -51,6 +54,7 @@
         self.holds = holds
         self._placement = placement
         self._evacuations = evacuations
+        self.cold = cold
         self._chooser = chooser
         self._clock = clock
 
@@ -109,8 +113,9 @@
     def choose(self, exchange: Exchange, now: float) -> Endpoint | None:
         """Return the endpoint for the next attempt, or None if none is available.
 
-        If all endpoints are held, `exchange.hold` states until when. If none may run
-        the request by its place, `exchange.unplaced` states why.
+        If all endpoints are held, or cold with used up shares, `exchange.hold` states
+        until when. If none may run the request by its place, `exchange.unplaced` states
+        why.
         """
         placed = self._placed(exchange)
         untried = [e for e in placed if e.endpoint_id not in exchange.tried]
@@ -118,14 +123,20 @@
         if not open_endpoints:
             exchange.hold = self.holds.find_hold(placed, now)
             return None
+        open_endpoints = self.cold.available(exchange.service, open_endpoints, now)
+        if not open_endpoints:
+            exchange.hold = self.cold.make_hold(exchange.service, untried)
+            return None
         endpoints = self._health.in_open_groups(open_endpoints, now)
         endpoints = self._health.available(endpoints, now)
         candidates = [self._candidate(endpoint, now) for endpoint in endpoints]
+        candidates = self.cold.prefer(exchange.service, candidates, now)
         chosen = self._chooser.choose(candidates, self._zone)
         if chosen is None:
             return None
         endpoint = next(e for e in endpoints if e.endpoint_id == chosen.name)
         self.holds.record_sent(endpoint, now)
+        self.cold.record_sent(exchange.service, endpoint, now)
         return endpoint
 
     def _candidate(self, endpoint: Endpoint, now: float) -> Candidate:
@@ -141,7 +152,9 @@
             concurrency=max(endpoint.concurrency / record.pace, 1),
         )
 
-    def log_fields(self, endpoint: Endpoint, now: float) -> dict[str, object]:
+    def log_fields(
+        self, exchange: Exchange, endpoint: Endpoint, now: float
+    ) -> dict[str, object]:
         """Return the values that the selection was based on, as log fields."""
         record = self._health.get_record(endpoint.endpoint_id)
         return {
@@ -152,4 +165,5 @@
             "pace": record.pace,
             "list_age_ms": milliseconds(now - (self._directory.updated_at or now)),
             **self.holds.rate_log_fields(endpoint, now),
+            **self.cold.log_fields(exchange.service, endpoint, now),
         }
--- a/packages/gateway/src/slatehoist/gateway/process.py
+++ b/packages/gateway/src/slatehoist/gateway/process.py
@@ -138,9 +138,14 @@
             tally,
             crashes,
             EndpointProbes(self._upstream.probe, crashes, self._clock),
+            self.catalogue.find_service,
             self._metrics,
             self._clock,
         )
+        cold = forwarder.choice.cold
+        self.evacuations.on_restored = lambda zone, now: cold.record_zone_restored(
+            self.directory.in_zone(zone), now
+        )
         self._gateway = Gateway(
             self._codec,
             self.catalogue,
@@ -158,6 +163,7 @@
                 self.directory,
                 self._health,
                 crashes,
+                forwarder.choice.cold,
                 self._cfg.endpoint_poll_s,
                 self._clock,
             ),
--- a/packages/gateway/tests/reply_world.py
+++ b/packages/gateway/tests/reply_world.py
@@ -19,6 +19,7 @@
     GatewaySettings,
     ReplyInfo,
     RequestInfo,
+    Service,
 )
 from slatehoist.gateway.crash_reports import CrashReports
 from slatehoist.gateway.evacuations import EvacuationState
@@ -39,6 +40,7 @@
     "connection": {},
 }
 _ROUTE_PATH = "/a/x"
+_SERVICE = Service("app")
 
 
 def make_event(number: int) -> bytes:
@@ -142,6 +144,7 @@
             retry_after_s=float(headers["Wait"]) if "Wait" in headers else None,
             rate_limit=float(headers["Rate"]) if "Rate" in headers else None,
             states_rate_limit="Rate" in headers,
+            cold_s=float(headers["Cold"]) if "Cold" in headers else None,
         )
 
 
@@ -165,13 +168,14 @@
         zone: str = "a",
         zone_regions: dict[str, str] | None = None,
         configured: bool = True,
+        service: Service = _SERVICE,
         **route_fields,
     ) -> None:
         self.now = 100.0
         self.tally = CrashTally()
         #: HTTP client, to whose replies a test may add.
         self.upstream = ScriptedUpstream(list(replies))
-        metrics = GatewayMetrics()
+        metrics = self.metrics = GatewayMetrics()
         cfg = GatewaySettings(
             "gateway-0", zone, "", "", zone_regions=zone_regions or {}
         )
@@ -192,6 +196,7 @@
         self.evacuations = EvacuationState(
             cfg.max_zones_age_s, directory, metrics, self.clock
         )
+        catalogue = self.catalogue = Catalogue(5.0)
         forwarder = self.forwarder = make_forwarder(
             cfg,
             self.codec,
@@ -203,16 +208,19 @@
             self.tally,
             self.crashes,
             EndpointProbes(self.upstream.probe, self.crashes, self.clock),
+            catalogue.find_service,
             metrics,
             self.clock,
         )
         # The gateway was counted long ago, so that it has its share of the retries.
         long_ago = -1000.0
         forwarder.record_membership(Membership(1, long_ago, long_ago, (cfg.instance,)))
-        catalogue = self.catalogue = Catalogue(5.0)
         self.route = make_route(**{"public": True, **route_fields})
         if configured:
-            catalogue.offer(make_configuration(1, routes=(self.route,)))
+            cfg_in_force = make_configuration(
+                1, routes=(self.route,), services=(service,)
+            )
+            catalogue.offer(cfg_in_force)
         self.gateway = Gateway(
             self.codec,
             catalogue,
--- a/tests/test_platform_parsers.py
+++ b/tests/test_platform_parsers.py
@@ -52,8 +52,10 @@
     | VALUES,
     max_size=2,
 )
-SERVICES = st.lists(documents("name", "engine") | VALUES, max_size=2)
 TENANTS = st.lists(documents("name", "apiKeys", "allowedRegions") | VALUES, max_size=2)
+SERVICES = st.lists(
+    documents("name", "engine", "coldS", "coldPerS") | VALUES, max_size=2
+)
 
 
 def setUpModule():
@@ -132,6 +134,7 @@
             "Server-Load": load,
             "Server-Limit": number,
             "Retry-After": number,
+            "Cold-Ms": number,
         }
         codec.read_request(headers)
         codec.read_reply(status, headers)
