--- a/packages/gateway/tests/cold_world.py
+++ b/packages/gateway/tests/cold_world.py
@@ -259,7 +259,13 @@
             record = self._health.get_record(endpoint.endpoint_id)
             if record.reported_at != report[0]:
                 self._health.observe_load(endpoint.endpoint_id, *report[1:], report[0])
-        exchange = SimpleNamespace(service=self._world.service, tried=set(), hold=None)
+        exchange = SimpleNamespace(
+            service=self._world.service,
+            tried=set(),
+            hold=None,
+            regions=(),
+            unplaced=None,
+        )
         endpoint = self.choice.choose(exchange, now)
         if endpoint is None:
             self._world.holds.append(exchange.hold)
