--- a/packages/gateway/src/slatehoist/gateway/choice.py
+++ b/packages/gateway/src/slatehoist/gateway/choice.py
@@ -15,7 +15,7 @@
     LIST_WAIT_S,
 )
 from slatehoist.observe import milliseconds
-from slatehoist.routing import Candidate, Chooser, Membership
+from slatehoist.routing import Chooser, Membership
 
 
 class EndpointChoice:
@@ -92,7 +92,7 @@
             return None
         endpoints = self._health.in_open_groups(open_endpoints, now)
         endpoints = self._health.available(endpoints, now)
-        candidates = [self._candidate(endpoint, now) for endpoint in endpoints]
+        candidates = [self._health.candidate(e, now) for e in endpoints]
         chosen = self._chooser.choose(candidates, self._zone)
         if chosen is None:
             return None
@@ -100,19 +100,6 @@
         self.holds.record_sent(endpoint, now)
         return endpoint
 
-    def _candidate(self, endpoint: Endpoint, now: float) -> Candidate:
-        record = self._health.get_record(endpoint.endpoint_id)
-        return Candidate(
-            endpoint.endpoint_id,
-            endpoint.zone,
-            own_inflight=record.inflight,
-            reported_load=record.reported_load,
-            own_at_report=record.inflight_at_report,
-            report_age_s=now - record.reported_at,
-            # A straggler completes fewer requests in the same time.
-            concurrency=max(endpoint.concurrency / record.pace, 1),
-        )
-
     def log_fields(self, endpoint: Endpoint, now: float) -> dict[str, object]:
         """Return the values that the selection was based on, as log fields."""
         record = self._health.get_record(endpoint.endpoint_id)
--- a/packages/gateway/src/slatehoist/gateway/health.py
+++ b/packages/gateway/src/slatehoist/gateway/health.py
@@ -9,6 +9,7 @@
 from enum import StrEnum
 
 from slatehoist.gateway.model import Endpoint
+from slatehoist.routing import Candidate
 
 #: Consecutive failures after which an endpoint is ejected; a single failure may be
 #: caused by the request.
@@ -126,6 +127,20 @@
         record.reported_at = now
         record.inflight_at_report = record.inflight
 
+    def candidate(self, endpoint: Endpoint, now: float) -> Candidate:
+        """Return what this instance knows of an endpoint, for the chooser."""
+        record = self.get_record(endpoint.endpoint_id)
+        return Candidate(
+            endpoint.endpoint_id,
+            endpoint.zone,
+            own_inflight=record.inflight,
+            reported_load=record.reported_load,
+            own_at_report=record.inflight_at_report,
+            report_age_s=now - record.reported_at,
+            # A straggler completes fewer requests in the same time.
+            concurrency=max(endpoint.concurrency / record.pace, 1),
+        )
+
     def observe_status(
         self, endpoint_id: str, is_open: bool, pace: float, now: float
     ) -> None:
