Choose endpoints by allocated and estimated free slots

Gateways that read the same statuses choose the same endpoints at the same moment. Agents now state to each gateway how many free slots this one may fill until the next status, in turns by the demand that gateways state when they renew their subscription. A gateway chooses the least loaded endpoint with such slots in its zone, and otherwise one at random by the estimated free slots; it leaves its zone only if that is full. This is used with at least 6 registered gateways, for services whose engine states report_lag_ms or that have no engine.

EndpointHealth.observe_load no longer counts requests that were sent in the last 10 ms as included in a report, and statuses that may have waited in the receive buffer of a process that stood still allocate nothing.

--- a/packages/gateway/src/slatehoist/gateway/choice.py
+++ b/packages/gateway/src/slatehoist/gateway/choice.py
@@ -8,14 +8,15 @@
 from slatehoist.gateway.exchange import Exchange
 from slatehoist.gateway.health import EndpointHealth, GroupState
 from slatehoist.gateway.holds import EndpointHolds
-from slatehoist.gateway.model import Endpoint
+from slatehoist.gateway.model import Endpoint, Service
 from slatehoist.gateway.settings import (
+    EVEN_CHOICE_INSTANCES,
     GROUP_FORMING_POLL_S,
     GROUP_FORMING_WAIT_S,
     LIST_WAIT_S,
 )
-from slatehoist.observe import milliseconds
-from slatehoist.routing import Chooser, Membership
+from slatehoist.observe import GatewayMetrics, milliseconds
+from slatehoist.routing import Chooser, Membership, ZoneDemand
 
 
 class EndpointChoice:
@@ -25,6 +26,10 @@
     ----------
     zone : str
         Availability zone of this instance.
+    chooser : Chooser
+    even_chooser : Chooser or None
+        Used instead for services whose endpoints several gateways choose by reports of
+        some age.
 
     Attributes
     ----------
@@ -39,6 +44,8 @@
         holds: EndpointHolds,
         chooser: Chooser,
         clock: Callable[[], float],
+        even_chooser: Chooser | None = None,
+        metrics: GatewayMetrics | None = None,
     ) -> None:
         self._zone = zone
         self._directory = directory
@@ -46,11 +53,36 @@
         self.holds = holds
         self._chooser = chooser
         self._clock = clock
+        self._even_chooser = even_chooser
+        self._metrics = metrics
+        self._instances = 0
+        #: Demand by service, for the services that `_even_chooser` is used for.
+        self._demands: dict[str, ZoneDemand] = {}
 
     def record_membership(self, membership: Membership, now: float) -> None:
         """Record the instances that share the rates that endpoints state."""
+        self._instances = membership.instances
         self.holds.record_membership(membership, now)
 
+    def spreads_evenly(self, service: Service) -> bool:
+        """Return True if several gateways choose by reports of a stated age.
+
+        Without an engine, the loads in responses are the only reports.
+        """
+        if self._even_chooser is None or self._instances < EVEN_CHOICE_INSTANCES:
+            return False
+        return service.engine is None or service.engine.report_lag_ms is not None
+
+    def demand(self, service: Service, endpoint: Endpoint, now: float) -> float:
+        """Return the requests per second to state to the agent of an endpoint.
+
+        The result is 0 if allocated slots are not used.
+        """
+        if not self.spreads_evenly(service):
+            return 0.0
+        demand = self._demands.setdefault(service.name, ZoneDemand())
+        return demand.per_second(endpoint.zone == self._zone, now)
+
     async def wait_for_list(self) -> None:
         """Wait shortly for the list of endpoints, if it is overdue.
 
@@ -93,11 +125,20 @@
         endpoints = self._health.in_open_groups(open_endpoints, now)
         endpoints = self._health.available(endpoints, now)
         candidates = [self._health.candidate(e, now) for e in endpoints]
-        chosen = self._chooser.choose(candidates, self._zone)
+        is_even = self.spreads_evenly(exchange.service)
+        chooser = self._even_chooser if is_even else self._chooser
+        chosen = chooser.choose(candidates, self._zone)
+        exchange.chosen_by = ""
         if chosen is None:
             return None
         endpoint = next(e for e in endpoints if e.endpoint_id == chosen.name)
         self.holds.record_sent(endpoint, now)
+        self._health.record_sent(chosen.name, now)
+        if is_even:
+            exchange.chosen_by = "allocated" if chosen.allocated else "estimated"
+            self._metrics.endpoint_choices.labels(exchange.chosen_by).inc()
+            demand = self._demands.setdefault(exchange.service.name, ZoneDemand())
+            demand.record(chosen.zone != self._zone, now)
         return endpoint
 
     def log_fields(self, endpoint: Endpoint, now: float) -> dict[str, object]:
@@ -107,6 +148,7 @@
             "load": record.reported_load,
             "load_age_ms": milliseconds(now - record.reported_at),
             "own_inflight": record.inflight,
+            "allocated": record.allocated,
             "pace": record.pace,
             "list_age_ms": milliseconds(now - (self._directory.updated_at or now)),
             **self.holds.rate_log_fields(endpoint, now),
--- a/packages/gateway/src/slatehoist/gateway/exchange.py
+++ b/packages/gateway/src/slatehoist/gateway/exchange.py
@@ -114,6 +114,8 @@
         #: Seconds for which the request is refused because it, or a part of its prompt,
         #: crashed endpoints.
         self.blocked_for_s = 0.0
+        #: Rule that chose the endpoint of the current attempt; empty for the default.
+        self.chosen_by = ""
         #: Time at which the current attempt was sent.
         self.sent_at = arrived_at
         #: Time at which the current attempt was sent or its response last had data.
--- a/packages/gateway/src/slatehoist/gateway/forwarding.py
+++ b/packages/gateway/src/slatehoist/gateway/forwarding.py
@@ -200,6 +200,7 @@
                 "digest": exchange.digest,
                 "prompt_parts": exchange.info.prompt_parts[:MAX_LOGGED_PARTS],
                 "outcome": outcome.value,
+                "chosen_by": exchange.chosen_by or None,
                 "attempt": len(exchange.tried),
                 "framing": exchange.framing,
                 "reply_bytes": exchange.reply_bytes,
@@ -223,6 +224,7 @@
     probes: EndpointProbes,
     metrics: GatewayMetrics,
     clock: Callable[[], float],
+    even_chooser: Chooser | None = None,
 ) -> Forwarder:
     """Build a forwarder and its parts."""
     rates = RateShares(cfg.instance, REGISTRY_PROPAGATION_S)
@@ -230,7 +232,16 @@
     idle_timeout_s = cfg.stall_s + STREAM_IDLE_MARGIN_S
     return Forwarder(
         cfg,
-        EndpointChoice(cfg.zone, directory, health, holds, chooser, clock),
+        EndpointChoice(
+            cfg.zone,
+            directory,
+            health,
+            holds,
+            chooser,
+            clock,
+            even_chooser,
+            metrics,
+        ),
         AttemptRunner(
             codec,
             directory,
--- a/packages/gateway/src/slatehoist/gateway/health.py
+++ b/packages/gateway/src/slatehoist/gateway/health.py
@@ -5,6 +5,7 @@
 left out.
 """
 
+from collections import deque
 from collections.abc import Sequence
 from enum import StrEnum
 
@@ -27,6 +28,15 @@
 SLOW_PACE = 1.4
 #: Seconds for which a status is valid: somewhat longer than the status interval.
 STATUS_FRESH_S = 0.5
+#: Seconds for which an allocation is valid if no further status arrives: the status
+#: interval with some delay, after which the slots may be allocated to another instance.
+ALLOCATION_S = 0.2
+#: Seconds from the sending of a request until a report that includes it can arrive: the
+#: request travels to the endpoint, and the report back.
+REPORT_TRAVEL_S = 0.01
+#: Requests per endpoint whose sending times are kept. More are not sent to an endpoint
+#: in `REPORT_TRAVEL_S`; the number only bounds the memory.
+_MAX_RECENT = 32
 
 
 class GroupState(StrEnum):
@@ -50,9 +60,12 @@
         "ejection_s",
         "failures",
         "inflight",
+        "sent_at",
         "reported_load",
         "reported_at",
         "inflight_at_report",
+        "allocated",
+        "allocated_at",
         "pace",
         "status_at",
         "group_open",
@@ -60,6 +73,8 @@
 
     def __init__(self) -> None:
         self.inflight = 0
+        #: Times at which the latest requests were sent, the newest last.
+        self.sent_at: deque[float] = deque(maxlen=_MAX_RECENT)
         self.clear()
 
     def clear(self) -> None:
@@ -70,6 +85,8 @@
         self.reported_load = 0.0
         self.reported_at = float("-inf")
         self.inflight_at_report = 0
+        self.allocated = 0
+        self.allocated_at = float("-inf")
         self.pace = 1.0
         self.status_at = float("-inf")
         self.group_open = True
@@ -121,11 +138,40 @@
     def observe_load(
         self, endpoint_id: str, running: int, waiting: int, now: float
     ) -> None:
-        """Record the load that an endpoint reports."""
+        """Record the load that an endpoint reports.
+
+        Requests that were sent just before the report arrived are not part of it.
+        """
         record = self.get_record(endpoint_id)
         record.reported_load = running + waiting
         record.reported_at = now
-        record.inflight_at_report = record.inflight
+        missing = 0
+        for sent_at in reversed(record.sent_at):
+            if now - sent_at >= REPORT_TRAVEL_S:
+                break
+            missing += 1
+        record.inflight_at_report = max(0, record.inflight - missing)
+
+    def observe_allocation(self, endpoint_id: str, slots: int, now: float) -> None:
+        """Record the free slots that this instance may fill until the next status."""
+        record = self.get_record(endpoint_id)
+        record.allocated = slots
+        record.allocated_at = now
+
+    def allocated(self, endpoints: Sequence[Endpoint], now: float) -> int:
+        """Return the allocated slots that are still unused."""
+        records = (self.get_record(e.endpoint_id) for e in endpoints)
+        return sum(r.allocated for r in records if now - r.allocated_at <= ALLOCATION_S)
+
+    def record_sent(self, endpoint_id: str, now: float) -> None:
+        """Record that a request is sent, which uses an allocated slot if there is one.
+
+        The attempt itself is counted in `inflight` while it lasts.
+        """
+        record = self.get_record(endpoint_id)
+        record.sent_at.append(now)
+        if record.allocated > 0:
+            record.allocated -= 1
 
     def candidate(self, endpoint: Endpoint, now: float) -> Candidate:
         """Return what this instance knows of an endpoint, for the chooser."""
@@ -139,6 +185,9 @@
             report_age_s=now - record.reported_at,
             # A straggler completes fewer requests in the same time.
             concurrency=max(endpoint.concurrency / record.pace, 1),
+            allocated=(
+                record.allocated if now - record.allocated_at <= ALLOCATION_S else 0
+            ),
         )
 
     def observe_status(
--- a/packages/gateway/src/slatehoist/gateway/model.py
+++ b/packages/gateway/src/slatehoist/gateway/model.py
@@ -81,6 +81,9 @@
         Prompt tokens processed in a second.
     steps_per_pass : int
         Token steps in one pass.
+    report_lag_ms : float or None
+        Age of an endpoint's report when it is read from another machine; None if not
+        stated.
     """
 
     concurrency: int
@@ -92,6 +95,7 @@
     steps_per_pass: int
     mean_prompt_tokens: float
     mean_answer_tokens: float
+    report_lag_ms: float | None = None
 
 
 class Service(NamedTuple):
--- a/packages/gateway/src/slatehoist/gateway/process.py
+++ b/packages/gateway/src/slatehoist/gateway/process.py
@@ -16,7 +16,7 @@
 from slatehoist.gateway.forwarding import make_forwarder
 from slatehoist.gateway.gateway import Gateway
 from slatehoist.gateway.health import EndpointHealth
-from slatehoist.gateway.model import CallerLimits
+from slatehoist.gateway.model import CallerLimits, Service
 from slatehoist.gateway.probes import EndpointProbes
 from slatehoist.gateway.registry import InstanceRegistry
 from slatehoist.gateway.settings import (
@@ -33,7 +33,7 @@
 from slatehoist.gateway.sync import ConfigurationSync, EndpointSync
 from slatehoist.gateway.upstream import Upstream
 from slatehoist.observe import GatewayMetrics, serve_metrics
-from slatehoist.routing import CrashTally, LoadAwareChooser
+from slatehoist.routing import CrashTally, EvenChooser, LoadAwareChooser
 from slatehoist.storage import WatchableTable
 
 log = logging.getLogger(__name__)
@@ -135,6 +135,7 @@
             EndpointProbes(self._upstream.probe, crashes, self._clock),
             self._metrics,
             self._clock,
+            EvenChooser(self._rng),
         )
         self._gateway = Gateway(
             self._codec,
@@ -174,6 +175,7 @@
                 self._health,
                 self._move_streams_if_slow,
                 self._clock,
+                forwarder.choice.demand,
             )
             self._start_task("StatusFeed", lambda: feed.run(self._engine_services))
         await self._listen(self._cfg.ready_listen, self._handle_ready)
@@ -201,13 +203,15 @@
         self._metrics.store_eras.set(self._source.era)
         self._metrics.config_age.set(self.catalogue.age_s(self._clock()))
         for service in table.cfg.services if table else ():
-            count = len(self.directory.of_service(service.name))
-            self._metrics.endpoints.labels(service.name).set(count)
+            endpoints = self.directory.of_service(service.name)
+            self._metrics.endpoints.labels(service.name).set(len(endpoints))
+            slots = self._health.allocated(endpoints, self._clock())
+            self._metrics.allocated_slots.labels(service.name).set(slots)
 
-    def _engine_services(self) -> list[str]:
+    def _engine_services(self) -> list[Service]:
         table = self.catalogue.table
         services = table.cfg.services if table else ()
-        return [service.name for service in services if service.engine]
+        return [service for service in services if service.engine]
 
     def _move_streams_if_slow(self, endpoint_id: str, pace: float) -> None:
         if pace < MOVE_STREAMS_PACE:
--- a/packages/gateway/src/slatehoist/gateway/settings.py
+++ b/packages/gateway/src/slatehoist/gateway/settings.py
@@ -175,6 +175,9 @@
 REGISTRY_PROPAGATION_S = REGISTRY_POLL_S + 1.0
 #: Seconds between renewals of an instance's own row.
 REGISTRY_RENEWAL_S = 60.0
+#: Registered gateways from which endpoints are chosen by allocated and estimated free
+#: slots. With fewer, few requests are sent by the same reports.
+EVEN_CHOICE_INSTANCES = 6
 #: Fraction of `retry_ratio` that each instance uses. The windows of the instances do
 #: not coincide; with the whole ratio, the retries of all instances together could
 #: exceed it in some windows.
--- a/packages/gateway/src/slatehoist/gateway/statuses.py
+++ b/packages/gateway/src/slatehoist/gateway/statuses.py
@@ -13,6 +13,7 @@
 
 from slatehoist.gateway.directory import EndpointDirectory
 from slatehoist.gateway.health import EndpointHealth
+from slatehoist.gateway.model import Endpoint, Service
 from slatehoist.maps import SUBSCRIPTION_RENEWAL_S, RankStatus, Subscription
 
 log = logging.getLogger(__name__)
@@ -20,6 +21,11 @@
 
 #: Seconds between checks for hosts of new endpoints.
 HOST_POLL_S = 0.1
+#: Seconds without a check after which this process is taken to have stood still, and
+#: seconds after that for which statuses may have waited in the receive buffer. The
+#: slots that they allocate may have been allocated to another gateway since.
+STANDSTILL_S = 0.3
+BUFFERED_S = 0.2
 
 
 class StatusFeed(asyncio.DatagramProtocol):
@@ -31,6 +37,8 @@
         Address of this gateway; agents listen on the same port.
     on_status : callable
         Called with the endpoint's id and pace for each status.
+    demand : callable or None
+        Returns the demand to state to the agent of an endpoint of a service.
     """
 
     def __init__(
@@ -41,17 +49,22 @@
         health: EndpointHealth,
         on_status: Callable[[str, float], None],
         clock: Callable[[], float],
+        demand: Callable[[Service, Endpoint, float], float] | None = None,
     ) -> None:
         self._listen = listen
         self._directory = directory
         self._health = health
         self._on_status = on_status
         self._clock = clock
-        self._subscription = msgspec.msgpack.encode(Subscription(instance))
+        self._instance = instance
+        self._demand = demand
+        #: Time of the last check, and time until which statuses may be old.
+        self._checked_at = float("inf")
+        self._buffered_until = float("-inf")
         self._decoder = msgspec.msgpack.Decoder(RankStatus)
         self._transport: asyncio.DatagramTransport | None = None
 
-    async def run(self, services: Callable[[], list[str]]) -> None:
+    async def run(self, services: Callable[[], list[Service]]) -> None:
         """Renew the subscriptions until cancelled.
 
         Parameters
@@ -66,28 +79,39 @@
         try:
             renewed_at, subscribed = float("-inf"), set()
             while True:
-                hosts = self._hosts(services())
                 now = self._clock()
+                self._check_standstill(now)
+                self._checked_at = now
+                endpoints = self._endpoints_by_host(services())
+                hosts = endpoints.keys()
                 if now - renewed_at >= SUBSCRIPTION_RENEWAL_S:
-                    self._subscribe(hosts)
-                    renewed_at = now
-                else:
-                    self._subscribe(hosts - subscribed)
-                subscribed = hosts
+                    renewed_at, subscribed = now, set()
+                for host in hosts - subscribed:
+                    self._subscribe(host, *endpoints[host], now)
+                subscribed = set(hosts)
                 await asyncio.sleep(HOST_POLL_S)
         finally:
             self._transport.close()
 
-    def _hosts(self, services: list[str]) -> set[str]:
+    def _endpoints_by_host(
+        self, services: list[Service]
+    ) -> dict[str, tuple[Service, Endpoint]]:
         return {
-            endpoint.address.rpartition(":")[0]
+            endpoint.address.rpartition(":")[0]: (service, endpoint)
             for service in services
-            for endpoint in self._directory.of_service(service)
+            for endpoint in self._directory.of_service(service.name)
         }
 
-    def _subscribe(self, hosts: set[str]) -> None:
-        for host in hosts:
-            self._transport.sendto(self._subscription, (host, self._listen[1]))
+    def _subscribe(
+        self, host: str, service: Service, endpoint: Endpoint, now: float
+    ) -> None:
+        demand = self._demand(service, endpoint, now) if self._demand else 0.0
+        message = Subscription(self._instance, round(demand, 3))
+        self._transport.sendto(msgspec.msgpack.encode(message), (host, self._listen[1]))
+
+    def _check_standstill(self, now: float) -> None:
+        if now - self._checked_at > STANDSTILL_S:
+            self._buffered_until = now + BUFFERED_S
 
     def datagram_received(self, data: bytes, addr: tuple) -> None:
         """Record the status that a datagram carries."""
@@ -108,6 +132,10 @@
         now = self._clock()
         self._health.observe_load(name, status.running, status.waiting, now)
         self._health.observe_status(name, status.is_open, status.pace, now)
+        self._check_standstill(now)
+        is_recent = now >= self._buffered_until
+        slots = max(0, status.allocated) if is_recent else 0
+        self._health.observe_allocation(name, slots, now)
         self._on_status(name, status.pace)
 
     def error_received(self, exc: Exception) -> None:
--- a/packages/maps/src/slatehoist/maps/agent.py
+++ b/packages/maps/src/slatehoist/maps/agent.py
@@ -13,6 +13,7 @@
 
 import asyncio
 import logging
+import random
 from collections.abc import Awaitable, Callable, Sequence
 from typing import NamedTuple, Protocol
 
@@ -43,8 +44,9 @@
     RankReport,
     RankUnreachableError,
 )
-from slatehoist.maps.status import SUBSCRIPTION_TTL_S, RankStatus
+from slatehoist.maps.status import SUBSCRIPTION_TTL_S, RankStatus, Subscription
 from slatehoist.observe import AgentMetrics, serve_metrics
+from slatehoist.routing import CapacityAllocator
 from slatehoist.storage import PlatformError
 
 log = logging.getLogger(__name__)
@@ -137,6 +139,8 @@
     ----------
     connect : callable
         Returns the client of the rank at an address.
+    rng : random.Random or None
+        Draws the order in which gateways get allocated slots.
     """
 
     def __init__(
@@ -145,6 +149,7 @@
         source: GroupSource,
         connect: Callable[[str], RankClient],
         clock: Callable[[], float],
+        rng: random.Random | None = None,
     ) -> None:
         self._cfg = cfg
         self._source = source
@@ -163,6 +168,9 @@
         self._demand: DemandWindow | None = None
         #: Times at which the subscriptions of the gateways expire, by address.
         self._subscribers: dict[Address, float] = {}
+        self._allocator = CapacityAllocator(rng or random.Random())
+        #: Requests that the own rank runs at once; 0 until known.
+        self._slots = 0
         self._known_maps = KnownMaps(self._group)
         host, port = cfg.listen
         self._orders = GroupOrders(
@@ -332,8 +340,8 @@
                 self._order_relay.handle_order(message, sender)
             case OrderAnswer():
                 self._orders.handle_answer(message)
-            case _:
-                self._on_subscription(sender)
+            case Subscription():
+                self._on_subscription(message, sender)
 
     def _on_state(self, state: PeerState) -> None:
         own = self._state
@@ -350,19 +358,32 @@
                 self._demand.add(state.counts, now)
             self._demand_at = now
 
-    def _on_subscription(self, address: Address) -> None:
+    def _on_subscription(self, message: Subscription, address: Address) -> None:
         self._subscribers[address] = self._clock() + SUBSCRIPTION_TTL_S
+        self._allocator.set_demand(address, message.demand)
 
     def _publish_status(self, now: float) -> None:
         """Send the status of the own rank to the gateways that subscribe to it."""
         for address, expires_at in list(self._subscribers.items()):
             if expires_at < now:
                 del self._subscribers[address]
+                self._allocator.remove(address)
         state = self._state
         status = RankStatus(
             state.address, state.is_open, state.running, state.waiting, state.pace
         )
-        self._send_all(status, list(self._subscribers))
+        allocated = self._allocator.allocate(self._free_slots(state))
+        self._metrics.allocated_slots.inc(sum(allocated.values()))
+        for address, slots in allocated.items():
+            self._send(msgspec.structs.replace(status, allocated=slots), address)
+        self._send_all(status, [a for a in self._subscribers if a not in allocated])
+
+    def _free_slots(self, state: PeerState) -> int:
+        """Return the free slots of the own rank; a straggler has fewer."""
+        if not state.is_open or self._slots <= 0:
+            return 0
+        usable = int(self._slots / max(state.pace, 1.0))
+        return max(0, usable - state.running - state.waiting)
 
     def _encode_counts(self, counts: list[int]) -> list[int]:
         if len(counts) <= MAX_DENSE_COUNTS:
@@ -435,6 +456,7 @@
     def _create_coordinator(self, spec: GroupSpec | None) -> None:
         if spec is None:
             return
+        self._slots = spec.slots
         self._known_maps.spec = spec
         self._demand = DemandWindow(spec.sets, spec.experts)
         self._coordinator = Coordinator(
--- a/packages/maps/src/slatehoist/maps/rank.py
+++ b/packages/maps/src/slatehoist/maps/rank.py
@@ -22,6 +22,8 @@
         be copied.
     copy_s : float
         Seconds that the copy of one expert takes.
+    slots : int
+        Requests that a rank runs at once; 0 if unknown.
     """
 
     sets: int
@@ -29,6 +31,7 @@
     places: int
     spare: int
     copy_s: float
+    slots: int = 0
 
 
 class Armed(NamedTuple):
--- a/packages/maps/src/slatehoist/maps/status.py
+++ b/packages/maps/src/slatehoist/maps/status.py
@@ -10,9 +10,18 @@
 
 
 class Subscription(msgspec.Struct, array_like=True, tag=1):
-    """Request of a gateway for the status of a rank, valid for `SUBSCRIPTION_TTL_S`."""
+    """Request of a gateway for the status of a rank, valid for `SUBSCRIPTION_TTL_S`.
+
+    Attributes
+    ----------
+    demand : float
+        Requests per second that the gateway has for this rank and its like; 0 if it
+        uses no allocated slots. Older gateways do not state it, and older agents ignore
+        it.
+    """
 
     subscriber: str
+    demand: float = 0.0
 
 
 class RankStatus(msgspec.Struct, array_like=True, tag=2):
@@ -28,6 +37,9 @@
         Requests in progress, and requests in the queue.
     pace : float
         Slowdown factor: duration of the rank's work relative to its usual duration.
+    allocated : int
+        Free slots that the receiver may fill until the next status. Older agents do not
+        state it, and older gateways ignore it.
     """
 
     address: str
@@ -35,3 +47,4 @@
     running: int
     waiting: int
     pace: float
+    allocated: int = 0
--- a/packages/observe/src/slatehoist/observe/metrics.py
+++ b/packages/observe/src/slatehoist/observe/metrics.py
@@ -93,6 +93,19 @@
             ["event"],
             **kwargs,
         )
+        self.endpoint_choices = Counter(
+            "slatehoist_endpoint_choices",
+            "Choices where load is spread evenly, by rule (allocated: by slots that"
+            " agents allocated to this gateway; estimated: by estimated free slots).",
+            ["rule"],
+            **kwargs,
+        )
+        self.allocated_slots = Gauge(
+            "slatehoist_allocated_slots",
+            "Slots that agents have allocated to this gateway and that are unused.",
+            ["service"],
+            **kwargs,
+        )
         self.task_failures = Counter(
             "slatehoist_task_failures",
             "Times that a background task failed and was started again, by task.",
@@ -138,6 +151,11 @@
             "Ranks of the group whose last report is recent.",
             **kwargs,
         )
+        self.allocated_slots = Counter(
+            "slatehoist_rank_allocated_slots",
+            "Free slots of the rank that were allocated to gateways.",
+            **kwargs,
+        )
         self.skew = Gauge(
             "slatehoist_map_skew",
             "Load of the most loaded rank divided by the mean load, as last estimated.",
--- a/packages/routing/src/slatehoist/routing/__init__.py
+++ b/packages/routing/src/slatehoist/routing/__init__.py
@@ -1,6 +1,7 @@
 """Where, when and how often a request runs; decisions without clocks or I/O."""
 
 from slatehoist.routing.affinity import PrefixIndex, prefix_keys
+from slatehoist.routing.allocation import CapacityAllocator
 from slatehoist.routing.crashes import RETENTION_S as CRASH_RETENTION_S
 from slatehoist.routing.crashes import CrashTally
 from slatehoist.routing.fairness import FairQueue, Ticket
@@ -12,6 +13,7 @@
     TokenBucket,
     home_entry,
 )
+from slatehoist.routing.load_estimate import EvenChooser, ZoneDemand
 from slatehoist.routing.prompt_parts import (
     CONVICTION_S,
     PROOF_S,
@@ -50,9 +52,11 @@
     "AdaptiveLimit",
     "AllowanceShare",
     "Candidate",
+    "CapacityAllocator",
     "Chooser",
     "Crash",
     "CrashTally",
+    "EvenChooser",
     "FairQueue",
     "LoadAwareChooser",
     "Membership",
@@ -72,6 +76,7 @@
     "SuspectTracker",
     "Ticket",
     "TokenBucket",
+    "ZoneDemand",
     "choose_subset",
     "home_entry",
     "may_fail_fast",
--- /dev/null
+++ b/packages/routing/src/slatehoist/routing/load_estimate.py
@@ -0,0 +1,138 @@
+"""Even choice of endpoints by reports that several instances read at the same time.
+
+Two rules apply, in this order:
+
+- *Allocated*: the agents of some endpoints have allocated free slots to this instance;
+  the least loaded of these endpoints is chosen.
+- *Estimated*: the endpoint is chosen at random, in proportion to the free slots that it
+  is estimated to have. All instances see the same reports, so that choosing the minimum
+  would send the requests of all of them to the same endpoints.
+
+Both rules prefer the own zone: a request leaves it only if no endpoint there is
+estimated to have a free slot.
+"""
+
+import math
+import random
+from collections.abc import Sequence
+
+from slatehoist.routing.selection import Candidate
+
+#: Seconds over which the rate of requests is averaged: about two subscription renewals,
+#: by which the rate is stated.
+RATE_WINDOW_S = 3.0
+#: Age in seconds at which a reported load has 1/e of its weight in the estimate: about
+#: the duration of a stream, after which the requests of the report have ended.
+LOAD_LIFE_S = 1.5
+#: Lowest demand in requests per second that is stated, so that an instance that was
+#: idle has allocations when requests arrive.
+MIN_DEMAND = 0.5
+#: Demand for endpoints of other zones as a fraction of the demand for the own ones.
+REMOTE_DEMAND = 0.05
+#: Estimated free slots below which an endpoint counts as full, and the free slots per
+#: endpoint of the zone below which allocated slots in other zones are preferred to an
+#: estimate. With lower values, requests of a busy zone reach full endpoints there while
+#: other zones have free ones: in the simulation 0.08 instead of 0.02 of the arrivals.
+MIN_FREE = 0.5
+
+
+class RequestRate:
+    """Rate of events, averaged over `RATE_WINDOW_S` with exponential weights."""
+
+    def __init__(self) -> None:
+        self._count = 0.0
+        self._updated_at = float("-inf")
+
+    def record(self, now: float) -> None:
+        """Count an event."""
+        self._count = self._decayed(now) + 1.0
+        self._updated_at = now
+
+    def per_second(self, now: float) -> float:
+        """Return the rate in events per second."""
+        return self._decayed(now) / RATE_WINDOW_S
+
+    def _decayed(self, now: float) -> float:
+        elapsed = max(now - self._updated_at, 0.0)
+        return self._count * math.exp(-elapsed / RATE_WINDOW_S)
+
+
+class ZoneDemand:
+    """Requests per second that one service gets, and those that leave the zone."""
+
+    def __init__(self) -> None:
+        self._all = RequestRate()
+        self._leaving = RequestRate()
+
+    def record(self, leaves_zone: bool, now: float) -> None:
+        """Count a request and whether it is sent to another zone."""
+        self._all.record(now)
+        if leaves_zone:
+            self._leaving.record(now)
+
+    def per_second(self, in_zone: bool, now: float) -> float:
+        """Return the demand to state to the agents in the own zone, or in others."""
+        demand = max(self._all.per_second(now), MIN_DEMAND)
+        if in_zone:
+            return demand
+        return max(self._leaving.per_second(now), REMOTE_DEMAND * demand)
+
+
+class EvenChooser:
+    """Chooser for several instances with reports of some age; see `Chooser`."""
+
+    def __init__(self, rng: random.Random) -> None:
+        self._rng = rng
+
+    def choose(
+        self,
+        candidates: Sequence[Candidate],
+        zone: str,
+        holders: Sequence[str] = (),
+        prefix: int = 0,
+    ) -> Candidate | None:
+        """Return the chosen candidate, or None if there are no candidates.
+
+        Holders and prefix are not used: the gateways' requests have none.
+        """
+        if not candidates:
+            return None
+        allocated = [c for c in candidates if c.allocated > 0]
+        in_zone = [c for c in allocated if c.zone == zone]
+        if in_zone:
+            return min(in_zone, key=_load_per_slot)
+        local = [c for c in candidates if c.zone == zone]
+        chosen = self._estimated(local, MIN_FREE)
+        if chosen is None and allocated:
+            return min(allocated, key=_load_per_slot)
+        if chosen is None:
+            chosen = self._estimated(candidates)
+        if chosen is None:
+            sample = self._rng.sample(candidates, min(2, len(candidates)))
+            chosen = min(sample, key=_load_per_slot)
+        return chosen
+
+    def _estimated(
+        self, candidates: Sequence[Candidate], min_free: float = 0.0
+    ) -> Candidate | None:
+        """Return a candidate at random by free slots; None if there are none."""
+        if not candidates:
+            return None
+        others = [max(0.0, c.reported_load - c.own_at_report) for c in candidates]
+        mean_others = sum(others) / len(others)
+        free = []
+        for c, reported in zip(candidates, others, strict=True):
+            weight = math.exp(-c.report_age_s / LOAD_LIFE_S)
+            load = c.own_inflight + mean_others + weight * (reported - mean_others)
+            slots = c.concurrency - load
+            # Squares spread requests nearly as evenly as the minimum would if this
+            # process chose alone, and do not herd.
+            free.append(slots * slots if slots > MIN_FREE else 0.0)
+        if sum(free) <= min_free * len(free):
+            return None
+        return self._rng.choices(candidates, free)[0]
+
+
+def _load_per_slot(candidate: Candidate) -> float:
+    others = max(0.0, candidate.reported_load - candidate.own_at_report)
+    return (candidate.own_inflight + others) / candidate.concurrency
--- a/packages/routing/src/slatehoist/routing/selection.py
+++ b/packages/routing/src/slatehoist/routing/selection.py
@@ -57,6 +57,9 @@
         Age of the report in seconds.
     concurrency : int
         Requests that the endpoint runs at once.
+    allocated : int
+        Free slots that the endpoint's agent allocated to this process and that are
+        still unused.
     """
 
     name: str
@@ -66,6 +69,7 @@
     own_at_report: int = 0
     report_age_s: float = 0.0
     concurrency: int = 32
+    allocated: int = 0
 
 
 class Chooser(Protocol):
--- a/tools/models/stale_statuses.py
+++ b/tools/models/stale_statuses.py
@@ -18,7 +18,14 @@
 from slatehoist.gateway import Endpoint
 from slatehoist.gateway.health import EndpointHealth
 from slatehoist.maps.agent import POLL_INTERVAL_S, STATUS_INTERVAL_S, STATUSES_PER_S
-from slatehoist.routing import Candidate, LoadAwareChooser
+from slatehoist.maps.status import SUBSCRIPTION_RENEWAL_S
+from slatehoist.routing import (
+    Candidate,
+    CapacityAllocator,
+    EvenChooser,
+    LoadAwareChooser,
+    ZoneDemand,
+)
 
 #: Seconds that a datagram, request or response travels: shortest and longest.
 TRAVEL_S = (0.001, 0.004)
@@ -109,6 +116,8 @@
         Endpoints to which a gateway sent requests, averaged over gateways.
     rejected : int
         Requests that found a full queue.
+    allocated : float
+        Fraction of the choices by allocated capacity.
     """
 
     full: float
@@ -118,6 +127,7 @@
     remote: float
     used: float
     rejected: int
+    allocated: float
 
 
 class Contender(NamedTuple):
@@ -130,10 +140,13 @@
     is_exact : bool
         Whether the candidates show the present state of all endpoints, including
         requests on their way.
+    allocates : bool
+        Whether agents allocate free slots to gateways.
     """
 
     make_chooser: Callable[[random.Random], object]
     is_exact: bool = False
+    allocates: bool = False
 
 
 class RandomChooser:
@@ -192,7 +205,8 @@
 
 CONTENDERS = {
     "today": Contender(LoadAwareChooser),
-    "product": Contender(LoadAwareChooser),
+    "product": Contender(EvenChooser, allocates=True),
+    "estimated": Contender(EvenChooser),
     "random": Contender(RandomChooser),
     "least own": Contender(LeastOwnChooser),
     "two choices": Contender(TwoChoicesChooser),
@@ -241,6 +255,7 @@
         self.on_way = 0
         self.queue: list = []
         self.status_at = float("-inf")
+        self.allocator: CapacityAllocator | None = None
 
     @property
     def load(self) -> int:
@@ -259,6 +274,7 @@
         self.frozen_until = 0.0
         self.buffered = 0
         self.used: set[str] = set()
+        self.demand = ZoneDemand()
 
 
 class Simulation:
@@ -285,7 +301,7 @@
         ]
         self.events: list = []
         self.sequence = itertools.count()
-        self.chosen = self.remote = 0
+        self.chosen = self.remote = self.allocated = 0
         self.full = self.queued = self.rejected = self.arrived = 0
         self.samples: list[list[int]] = []
 
@@ -297,6 +313,11 @@
         for server in self.servers:
             if setup.agents:
                 self._schedule(self.rng.uniform(0, POLL_INTERVAL_S), self._poll, server)
+        if self.contender.allocates:
+            for server in self.servers:
+                server.allocator = CapacityAllocator(self.rng)
+            for gateway in self.gateways:
+                self._schedule(0.0, self._subscribe, gateway)
         self._schedule(WARM_UP_S, self._sample)
         if setup.restart_every_s:
             self._schedule(setup.restart_every_s, self._restart)
@@ -314,6 +335,7 @@
             round(self.remote / max(self.chosen, 1), 4),
             round(float(np.mean([len(g.used) for g in self.gateways])), 1),
             self.rejected,
+            round(self.allocated / max(self.chosen, 1), 3),
         )
 
     def _schedule(self, when: float, action: Callable, *args) -> None:
@@ -330,12 +352,15 @@
         candidates = self._candidates(gateway, now)
         chosen = gateway.chooser.choose(candidates, gateway.zone)
         server = self.by_name[chosen.name]
+        gateway.health.record_sent(chosen.name, now)
+        gateway.demand.record(chosen.zone != gateway.zone, now)
         gateway.health.get_record(chosen.name).inflight += 1
         server.on_way += 1
         if now >= WARM_UP_S:
             gateway.used.add(chosen.name)
             self.chosen += 1
             self.remote += chosen.zone != gateway.zone
+            self.allocated += chosen.allocated > 0
         self._schedule(now + self._travel(), self._arrive, server, gateway, arrival)
 
     def _candidates(self, gateway: _Gateway, now: float) -> list[Candidate]:
@@ -405,7 +430,20 @@
         if now < self.setup.seconds:
             self._schedule(now + POLL_INTERVAL_S, self._poll, server)
 
+    def _subscribe(self, now: float, gateway: _Gateway) -> None:
+        if now >= gateway.frozen_until:
+            demands = [gateway.demand.per_second(z, now) for z in (False, True)]
+            for server in self.servers:
+                in_zone = server.endpoint.zone == gateway.zone
+                server.allocator.set_demand(gateway.name, demands[in_zone])
+        if now < self.setup.seconds:
+            self._schedule(now + SUBSCRIPTION_RENEWAL_S, self._subscribe, gateway)
+
     def _send_status(self, now: float, server: _Server) -> None:
+        allocated = {}
+        if server.allocator is not None:
+            free = int(self.setup.slots / server.pace) - server.load
+            allocated = server.allocator.allocate(free)
         for gateway in self.gateways:
             if self.rng.random() < self.setup.lost:
                 continue
@@ -416,6 +454,7 @@
                 server,
                 server.running,
                 len(server.queue),
+                allocated.get(gateway.name, 0),
             )
 
     def _receive(
@@ -425,6 +464,7 @@
         server: _Server,
         running: int,
         waiting: int,
+        allocated: int,
     ) -> None:
         if now < gateway.frozen_until:
             gateway.buffered += 1
@@ -436,11 +476,13 @@
                     server,
                     running,
                     waiting,
+                    0,
                 )
             return
         name = server.endpoint.endpoint_id
         gateway.health.observe_load(name, running, waiting, now)
         gateway.health.observe_status(name, True, server.pace, now)
+        gateway.health.observe_allocation(name, allocated, now)
 
     def _sample(self, now: float) -> None:
         self.samples.append([s.load for s in self.servers])
