--- a/packages/gateway/src/slatehoist/gateway/statuses.py
+++ b/packages/gateway/src/slatehoist/gateway/statuses.py
@@ -62,6 +62,9 @@
         self._checked_at = float("inf")
         self._buffered_until = float("-inf")
         self._decoder = msgspec.msgpack.Decoder(RankStatus)
+        self._renewed_at = float("-inf")
+        #: Hosts to whose agents this process has subscribed since then.
+        self._subscribed: set[str] = set()
         self._transport: asyncio.DatagramTransport | None = None
 
     async def run(self, services: Callable[[], list[Service]]) -> None:
@@ -77,22 +80,24 @@
             lambda: self, local_addr=self._listen
         )
         try:
-            renewed_at, subscribed = float("-inf"), set()
+            self._renewed_at, self._subscribed = float("-inf"), set()
             while True:
-                now = self._clock()
-                self._check_standstill(now)
-                self._checked_at = now
-                endpoints = self._endpoints_by_host(services())
-                hosts = endpoints.keys()
-                if now - renewed_at >= SUBSCRIPTION_RENEWAL_S:
-                    renewed_at, subscribed = now, set()
-                for host in hosts - subscribed:
-                    self._subscribe(host, *endpoints[host], now)
-                subscribed = set(hosts)
+                self.check(self._clock(), services())
                 await asyncio.sleep(HOST_POLL_S)
         finally:
             self._transport.close()
 
+    def check(self, now: float, services: list[Service]) -> None:
+        """Subscribe to the agents of new hosts, and to all if renewals are due."""
+        self._check_standstill(now)
+        self._checked_at = now
+        endpoints = self._endpoints_by_host(services)
+        if now - self._renewed_at >= SUBSCRIPTION_RENEWAL_S:
+            self._renewed_at, self._subscribed = now, set()
+        for host in endpoints.keys() - self._subscribed:
+            self._subscribe(host, *endpoints[host], now)
+        self._subscribed = set(endpoints)
+
     def _endpoints_by_host(
         self, services: list[Service]
     ) -> dict[str, tuple[Service, Endpoint]]:
--- a/packages/maps/tests/group_world.py
+++ b/packages/maps/tests/group_world.py
@@ -5,13 +5,22 @@
 """
 
 import asyncio
+import contextlib
 import random
 from typing import NamedTuple
 
 import msgspec
 from map_builders import Engine, VirtualLoop
 
-from slatehoist.maps import Agent, AgentSettings, Answer, GroupSpec, RankCounts
+from slatehoist.maps import (
+    Agent,
+    AgentSettings,
+    Answer,
+    GroupSpec,
+    RankCounts,
+    RankStatus,
+    Subscription,
+)
 from slatehoist.maps.placement import initial_placement, skew
 
 PORT = 7000
@@ -37,6 +46,7 @@
     link_mbps: float
     spare: int = 2
     copy_s: float = 0.038
+    slots: int = 0
 
 
 class _Link:
@@ -175,6 +185,37 @@
         return self._world.engine.carry_out(self._rank, order, epoch, args)
 
 
+class Subscriber(asyncio.DatagramProtocol):
+    """Gateway that subscribes to the agents of a group.
+
+    Attributes
+    ----------
+    statuses : list of tuple
+        Time, host of the agent and status of each that was received.
+    """
+
+    def __init__(self, world: "GroupWorld", host: str, demand: float) -> None:
+        self.statuses: list[tuple[float, str, RankStatus]] = []
+        self._world = world
+        self._host = host
+        self._demand = demand
+        self._decoder = msgspec.msgpack.Decoder(RankStatus)
+        world.links[host] = _Link(1000.0)
+
+    def subscribe(self) -> None:
+        """Subscribe to the agents of all ranks."""
+        self._world.sockets[self._host] = self
+        data = msgspec.msgpack.encode(Subscription(self._host, self._demand))
+        for rank in range(self._world.size.ranks):
+            self._world.send_datagram(self._host, self._world.host(rank), data)
+
+    def datagram_received(self, data: bytes, addr: tuple) -> None:
+        """Record a status, and ignore the heartbeats of agents that know no ranks."""
+        now = asyncio.get_running_loop().time()
+        with contextlib.suppress(msgspec.DecodeError):
+            self.statuses.append((now, addr[0], self._decoder.decode(data)))
+
+
 class GroupWorld:
     """Agents of one group and its engine, in virtual time.
 
@@ -254,7 +295,9 @@
     async def group_spec(self):
         """Return the dimensions of the group; see `GroupSource`."""
         size = self.size
-        return GroupSpec(size.sets, size.experts, size.places, size.spare, size.copy_s)
+        return GroupSpec(
+            size.sets, size.experts, size.places, size.spare, size.copy_s, size.slots
+        )
 
     async def peer_hosts(self):
         """Return all hosts; see `GroupSource`."""
