--- a/packages/gateway/tests/gateway_fleet.py
+++ b/packages/gateway/tests/gateway_fleet.py
@@ -29,7 +29,7 @@
 from slatehoist.gateway.sync import EndpointSync
 from slatehoist.gateway.upstream import BrokenReplyError, NotSentError, UpstreamRequest
 from slatehoist.observe import GatewayMetrics
-from slatehoist.routing import CrashTally, LoadAwareChooser, Membership
+from slatehoist.routing import CrashTally, EvenChooser, LoadAwareChooser, Membership
 from slatehoist.storage import (
     ABSENT,
     Check,
@@ -393,6 +393,7 @@
             EndpointProbes(self.upstream.probe, self.crashes, clock),
             metrics,
             clock,
+            EvenChooser(random.Random(number)),
         )
         self._next_read_at = fleet.now + fleet.rng.random() * self._poll_s
         self._directory = directory
