--- a/packages/gateway/src/slatehoist/gateway/forwarding.py
+++ b/packages/gateway/src/slatehoist/gateway/forwarding.py
@@ -206,6 +206,7 @@
                 "digest": exchange.digest,
                 "prompt_parts": exchange.info.prompt_parts[:MAX_LOGGED_PARTS],
                 "outcome": outcome.value,
+                "chosen_by": exchange.chosen_by or None,
                 "attempt": len(exchange.tried),
                 "framing": exchange.framing,
                 "reply_bytes": exchange.reply_bytes,
@@ -231,6 +232,7 @@
     find_service: Callable[[str], Service | None],
     metrics: GatewayMetrics,
     clock: Callable[[], float],
+    even_chooser: Chooser | None = None,
 ) -> Forwarder:
     """Build a forwarder and its parts.
 
@@ -256,6 +258,8 @@
             cold,
             chooser,
             clock,
+            even_chooser,
+            metrics,
         ),
         AttemptRunner(
             codec,
