Admit requests by urgency where the contracts ask for it

Cause: while the least urgent class of a service bursts, the gateways sent all requests on in order of arrival, so that the urgent ones were late, too.

Requests now carry the priority of their team, then of their route, to the endpoints. Where slots are short, each gateway claims its share of the free ones, leaves what more urgent requests will need, and keeps to the number of requests with which passes stay within the accepted pause. Off unless the settings name the contract.

--- a/packages/gateway/src/slatehoist/gateway/attempts.py
+++ b/packages/gateway/src/slatehoist/gateway/attempts.py
@@ -64,6 +64,7 @@
         streams: StreamRelay,
         metrics: GatewayMetrics,
         clock: Callable[[], float],
+        states_urgency: bool,
     ) -> None:
         self._codec = codec
         self._directory = directory
@@ -75,6 +76,7 @@
         self.streams = streams
         self._metrics = metrics
         self._clock = clock
+        self._states_urgency = states_urgency
         self._buffers = BufferBudget(MAX_BUFFERED_BYTES)
 
     async def run(
@@ -133,6 +135,7 @@
             exchange.deadline_at - self._clock(),
             exchange.team,
             exchange.last_event_id,
+            exchange.urgency if self._states_urgency else None,
         )
         headers = self._codec.request_headers(exchange.req.headers, forwarding)
         return UpstreamRequest(
--- a/packages/gateway/src/slatehoist/gateway/catalogue.py
+++ b/packages/gateway/src/slatehoist/gateway/catalogue.py
@@ -1,10 +1,16 @@
 """Configuration in force, and the time for which its credentials are trusted."""
 
+import itertools
 import random
 from typing import NamedTuple
 
 from slatehoist.gateway.model import Configuration, Route, Service, Team
 
+#: Priority of teams that state none.
+DEFAULT_PRIORITY = 5
+#: Levels of urgency that endpoints distinguish.
+MAX_URGENCIES = 10
+
 
 class RouteTable:
     """Index of one configuration for lookups by host, path and credential."""
@@ -17,6 +23,7 @@
         for routes in self._by_host.values():
             routes.sort(key=lambda route: len(route.prefix), reverse=True)
         self._services = {service.name: service for service in cfg.services}
+        self._urgencies = _rank_urgencies(cfg)
         self._teams = {
             credential: team
             for team in cfg.teams or ()
@@ -38,12 +45,35 @@
         """Return the service of a name, or None."""
         return self._services.get(name)
 
+    def urgency(self, route: Route, team: Team | None) -> int:
+        """Return the urgency of a team's requests on a route; 0 is the most urgent.
+
+        The priority of the team decides; that of the route ranks requests of teams with
+        the same priority.
+        """
+        return self._urgencies[_team_priority(team), route.priority]
+
     @property
     def needs_credentials(self) -> bool:
         """Return True if routes that are not public require a credential."""
         return self.cfg.teams is not None
 
 
+def _team_priority(team: Team | None) -> int:
+    if team is None or team.priority is None:
+        return DEFAULT_PRIORITY
+    return team.priority
+
+
+def _rank_urgencies(cfg: Configuration) -> dict[tuple[int, int], int]:
+    """Return the urgency of each pair of a team's and a route's priority."""
+    teams = {_team_priority(team) for team in (None, *(cfg.teams or ()))}
+    routes = {route.priority for route in cfg.routes}
+    pairs = sorted(itertools.product(teams, routes))
+    scale = max(len(pairs) / MAX_URGENCIES, 1.0)
+    return {pair: int(rank / scale) for rank, pair in enumerate(pairs)}
+
+
 def pick_service(route: Route, rng: random.Random) -> str:
     """Return one of a route's services, chosen at random by weight."""
     if len(route.targets) == 1:
--- a/packages/gateway/src/slatehoist/gateway/choice.py
+++ b/packages/gateway/src/slatehoist/gateway/choice.py
@@ -112,6 +112,15 @@
             async with asyncio.timeout(LIST_WAIT_S):
                 await asyncio.gather(*reads)
 
+    def usable(self, service: str, now: float) -> list[Endpoint]:
+        """Return the endpoints of a service that take requests now.
+
+        Those in evacuated zones, held ones, and those in closed groups do not.
+        """
+        listed = self._directory.of_service(service)
+        placed = self._placement.allowed(listed)
+        return self._health.in_open_groups(self.holds.available(placed, now), now)
+
     def is_unplaced(self, exchange: Exchange) -> bool:
         """Return True if no endpoint may run the request, and set its `unplaced`."""
         self._placed(exchange)
--- a/packages/gateway/src/slatehoist/gateway/exchange.py
+++ b/packages/gateway/src/slatehoist/gateway/exchange.py
@@ -86,6 +86,7 @@
         arrived_at: float,
         deadline_at: float,
         team_regions: tuple[str, ...] = (),
+        urgency: int = 0,
     ) -> None:
         self.req = req
         self.body = body
@@ -98,6 +99,14 @@
         #: Restrictions of the regions in which the request may run.
         self.regions = (route.regions, team_regions)
         self.arrived_at = arrived_at
+        #: 0 is the most urgent; see `RouteTable.urgency`.
+        self.urgency = urgency
+        #: Time until which an answer is in time for the caller's first attempt.
+        self.objective_at = deadline_at - route.timeout_s + route.objective_s
+        #: Time at which the request was admitted; None before and after.
+        self.admitted_at: float | None = None
+        #: Time at which the head of the answer was sent; None before.
+        self.first_byte_at: float | None = None
         self.deadline_at = deadline_at
         #: Attempts that count towards the route's limit.
         self.attempts = 0
@@ -151,6 +160,7 @@
 
     def record_first_byte(self, metrics: GatewayMetrics, now: float) -> None:
         """Record that the head of the answer is sent."""
+        self.first_byte_at = now
         kind = self.route.kind.value
         metrics.first_byte.labels(kind).observe(now - self.arrived_at)
 
--- a/packages/gateway/src/slatehoist/gateway/forwarding.py
+++ b/packages/gateway/src/slatehoist/gateway/forwarding.py
@@ -82,6 +82,8 @@
         self._guard = guard
         self._metrics = metrics
         self._clock = clock
+        #: Instances that share the services, as last counted.
+        self.instances = 1
         self._budgets: dict[str, SharedRetryBudget] = {}
         self._allowance_share = AllowanceShare(
             cfg.retry_window_s, REGISTRY_PROPAGATION_S
@@ -90,6 +92,7 @@
     def record_membership(self, membership: Membership) -> None:
         """Record the instances that share the retry allowance and endpoints' rates."""
         now = self._clock()
+        self.instances = max(membership.instances, 1)
         self._allowance_share.record_membership(membership, now)
         self.choice.record_membership(membership, now)
 
@@ -272,6 +275,7 @@
             StreamRelay(codec, metrics, idle_timeout_s, clock),
             metrics,
             clock,
+            cfg.admits_by_urgency,
         ),
         CrashGuard(tally, crashes, probes, metrics, clock),
         metrics,
--- a/packages/gateway/src/slatehoist/gateway/gateway.py
+++ b/packages/gateway/src/slatehoist/gateway/gateway.py
@@ -6,6 +6,7 @@
 
 from aiohttp import web
 
+from slatehoist.gateway.admission import Admission, AdmissionError
 from slatehoist.gateway.catalogue import Catalogue, RouteTable, pick_service
 from slatehoist.gateway.codec import HeaderCodec
 from slatehoist.gateway.exchange import CallerLeftError, Exchange
@@ -79,6 +80,8 @@
     ----------
     clock : callable
         Returns seconds, including time during which the instance was suspended.
+    admission : Admission or None
+        None to send all requests at once.
     """
 
     def __init__(
@@ -89,8 +92,10 @@
         metrics: GatewayMetrics,
         rng: random.Random,
         clock: Callable[[], float],
+        admission: Admission | None = None,
     ) -> None:
         self._codec = codec
+        self._admission = admission
         self._catalogue = catalogue
         self._forwarder = forwarder
         self._metrics = metrics
@@ -146,9 +151,10 @@
             arrived_at,
             arrived_at + limit_s,
             team.regions if team else (),
+            table.urgency(route, team),
         )
         try:
-            resp = await self._forwarder.forward(exchange)
+            resp = await self._forward(exchange)
         except CallerLeftError:
             exchange.stream.break_off()
             return exchange.stream
@@ -159,6 +165,22 @@
         self._metrics.answers.labels(str(resp.status), "endpoint").inc()
         return resp
 
+    async def _forward(self, exchange: Exchange) -> web.StreamResponse | None:
+        """Forward a request once it is admitted.
+
+        One that no endpoint may run by its place is answered without waiting.
+        """
+        if self._admission is None or self._forwarder.choice.is_unplaced(exchange):
+            return await self._forwarder.forward(exchange)
+        try:
+            await self._admission.enter(exchange)
+        except AdmissionError as exc:
+            raise RefusalError(503, str(exc), exc.wait_s) from exc
+        try:
+            return await self._forwarder.forward(exchange)
+        finally:
+            self._admission.leave(exchange)
+
     def _find_route(self, table: RouteTable, req: web.BaseRequest) -> Route:
         host = req.headers.get("Host", "").partition(":")[0]
         path = req.raw_path.partition("?")[0]
--- a/packages/gateway/src/slatehoist/gateway/process.py
+++ b/packages/gateway/src/slatehoist/gateway/process.py
@@ -9,6 +9,7 @@
 from aiohttp import web
 from transitions import Machine
 
+from slatehoist.gateway.admission import Admission
 from slatehoist.gateway.catalogue import Catalogue
 from slatehoist.gateway.codec import DeploymentSource, HeaderCodec
 from slatehoist.gateway.crash_reports import CrashReports
@@ -147,6 +148,16 @@
         self.evacuations.on_restored = lambda zone, now: cold.record_zone_restored(
             self.directory.in_zone(zone), now
         )
+        admission = None
+        if self._cfg.admits_by_urgency:
+            admission = Admission(
+                forwarder.choice.usable,
+                self._health,
+                lambda: forwarder.instances,
+                self._metrics,
+                self._clock,
+            )
+            forwarder.attempts.streams.on_pause = admission.record_pause
         self._gateway = Gateway(
             self._codec,
             self.catalogue,
@@ -154,6 +165,7 @@
             self._metrics,
             self._rng,
             self._clock,
+            admission,
         )
         syncs = [
             ConfigurationSync(
--- a/packages/gateway/src/slatehoist/gateway/streams.py
+++ b/packages/gateway/src/slatehoist/gateway/streams.py
@@ -50,6 +50,8 @@
         #: Timeouts of the movable streams, by endpoint.
         self._timeouts: dict[str, set[asyncio.Timeout]] = {}
         self.draining = False
+        #: Called with an exchange, the seconds between two of its events, and `now`.
+        self.on_pause: Callable[[Exchange, float, float], None] | None = None
 
     async def relay(
         self, exchange: Exchange, endpoint: Endpoint, reply: aiohttp.ClientResponse
@@ -77,6 +79,7 @@
                 if _is_movable(exchange):
                     timeouts.add(timeout)
                 progress = _Progress(loop.time())
+                event_at: float | None = None
                 while chunk := await reply.content.readany():
                     exchange.last_data_at = self._clock()
                     exchange.reply_bytes += len(chunk)
@@ -86,6 +89,11 @@
                     data = events if exchange.route.resumable else chunk
                     arrived_at = loop.time()
                     progress.record(chunk, events, has_events, arrived_at)
+                    if events and self.on_pause is not None:
+                        now = exchange.last_data_at
+                        if event_at is not None:
+                            self.on_pause(exchange, now - event_at, now)
+                        event_at = now
                     if data:
                         timeout.reschedule(None)
                         await self._write_to_caller(exchange, reply, data)
--- a/packages/observe/src/slatehoist/observe/metrics.py
+++ b/packages/observe/src/slatehoist/observe/metrics.py
@@ -100,6 +100,12 @@
             ["state"],
             **kwargs,
         )
+        self.admissions = Counter(
+            "slatehoist_admissions",
+            "Requests of model services, by result (admitted, rejected).",
+            ["result"],
+            **kwargs,
+        )
         self.lost_requests = Counter(
             "slatehoist_lost_requests",
             "Attempts that ended without a complete answer, by how they ended.",
