--- a/packages/gateway/src/slatehoist/gateway/admission.py
+++ b/packages/gateway/src/slatehoist/gateway/admission.py
@@ -120,7 +120,9 @@
         if not state.waiting(urgency) and self._may_send(name, urgency, now):
             self._admit(exchange, state, now)
             return
-        wait_s = expected_wait_s(state.waiting(urgency), state.active, state.times)
+        urgent_rate = state.arrivals.more_urgent(urgency, now)
+        ahead = state.waiting(urgency)
+        wait_s = expected_wait_s(ahead, state.active, urgent_rate, state.times)
         objective_s = exchange.objective_at - now
         latest_s = latest_send_s(objective_s, exchange.deadline_at - now, state.times)
         if judge(wait_s, latest_s) is Verdict.REJECT:
--- a/packages/routing/src/slatehoist/routing/admission.py
+++ b/packages/routing/src/slatehoist/routing/admission.py
@@ -41,6 +41,9 @@
 #: Events in a window without which the limit stays.
 MIN_EVENTS = 5
 
+#: Fewest slots per second that are expected to become free for a waiting request.
+MIN_FREE_PER_S = 0.1
+
 #: Weight of the newest sample in the smoothed times of a service.
 TIME_SMOOTHING = 0.1
 #: Times of a service in seconds before any was measured: to the first event, and whole.
@@ -187,7 +190,9 @@
     REJECT = "reject"
 
 
-def expected_wait_s(ahead: int, own: float, times: ServiceTimes) -> float:
+def expected_wait_s(
+    ahead: int, own: float, urgent_rate: float, times: ServiceTimes
+) -> float:
     """Return the expected seconds until a request behind others is sent.
 
     Parameters
@@ -196,9 +201,13 @@
         Requests that wait at this instance and go before it.
     own : float
         Requests of this instance in progress, whose slots are reused.
+    urgent_rate : float
+        More urgent requests per second that arrive at this instance and get their slots
+        first.
     """
     ends_per_s = max(own, 1.0) / times.duration_s
-    return (ahead + 1) / ends_per_s
+    free_per_s = max(ends_per_s - urgent_rate, MIN_FREE_PER_S)
+    return (ahead + 1) / free_per_s
 
 
 def latest_send_s(objective_s: float, left_s: float, times: ServiceTimes) -> float:
--- a/packages/routing/tests/test_routing_admission.py
+++ b/packages/routing/tests/test_routing_admission.py
@@ -150,11 +150,17 @@
         self.assertGreater(latest_send_s(-1.0, 5.0, self.times), 1.0)
 
     def test_request_is_rejected_at_once_if_the_wait_is_too_long(self):
-        wait_s = expected_wait_s(ahead=20, own=10, times=self.times)
+        wait_s = expected_wait_s(20, 10, 0.0, self.times)
         self.assertEqual(judge(wait_s, 0.8), Verdict.REJECT)
-        wait_s = expected_wait_s(ahead=1, own=10, times=self.times)
+        wait_s = expected_wait_s(1, 10, 0.0, self.times)
         self.assertEqual(judge(wait_s, 0.8), Verdict.WAIT)
 
+    # Guards against callers that are held in vain: more urgent requests take each slot
+    # that becomes free.
+    def test_request_does_not_wait_for_slots_that_more_urgent_ones_take(self):
+        wait_s = expected_wait_s(0, 10, 5.0, self.times)
+        self.assertEqual(judge(wait_s, 2.0), Verdict.REJECT)
+
 
 class ArrivalRatesTests(unittest.TestCase):
     def test_only_recent_and_more_urgent_arrivals_count(self):
