--- a/packages/gateway/src/slatehoist/gateway/gateway.py
+++ b/packages/gateway/src/slatehoist/gateway/gateway.py
@@ -273,6 +273,7 @@
                 "digest": exchange.digest,
                 "prompt_parts": exchange.info.prompt_parts[:MAX_LOGGED_PARTS],
                 "blocked": exchange.blocked,
+                "unplaced": exchange.unplaced,
                 "tried": sorted(exchange.tried),
                 "config": self._catalogue.version,
                 "config_age_ms": milliseconds(self._catalogue.age_s(now)),
