--- a/packages/gateway/tests/test_gateway_zones.py
+++ b/packages/gateway/tests/test_gateway_zones.py
@@ -297,17 +297,30 @@
     async def test_read_during_a_standstill_is_repeated_without_a_wait(self):
         for fault in ("", "silent"):
             with self.subTest(fault=fault):
-                world = self.make_world()
-                async with world.running():
-                    while world.source.waits[-1] == 0.0:
-                        await asyncio.sleep(0.001)
-                    world.source.fault = fault
-                    reads = len(world.source.waits)
-                    world.now += EVACUATION_S
-                    while len(world.source.waits) == reads:
-                        await asyncio.sleep(0.001)
-                    self.assertTrue(world.evacuations.is_overdue(world.now))
-                    self.assertEqual(world.source.waits[reads], 0.0)
+                wait_s, was_overdue = await self.next_poll(fault)
+                self.assertEqual(wait_s, 0.0)
+                self.assertTrue(was_overdue)
+
+    async def next_poll(self, fault: str) -> tuple[float, bool]:
+        """Return the wait of the poll after a standstill during a poll with a fault.
+
+        Return also whether the zones were overdue when it began.
+        """
+        world = self.make_world()
+        polls = []
+
+        def record_poll() -> None:
+            is_overdue = world.evacuations.is_overdue(world.now)
+            polls.append((world.source.waits[-1], is_overdue))
+
+        async with world.running():
+            self.assertGreater(world.source.waits[-1], 0.0)
+            world.source.on_poll = record_poll
+            world.source.fault = fault
+            world.now += EVACUATION_S
+            while not polls:
+                await asyncio.sleep(0.001)
+        return polls[0]
 
     async def test_request_does_not_wait_while_the_store_is_unavailable(self):
         world = self.make_world()
--- a/packages/gateway/tests/zone_world.py
+++ b/packages/gateway/tests/zone_world.py
@@ -31,6 +31,8 @@
         Number of calls received.
     waits : list of float
         Seconds for which each poll may wait, in order.
+    on_poll : callable
+        Called when a poll is received.
     """
 
     era = 0
@@ -39,6 +41,7 @@
         self.fault = ""
         self.calls = 0
         self.waits: list[float] = []
+        self.on_poll = lambda: None
         self.cfg = cfg
         self._version = 1
         self._oldest = 1
@@ -90,6 +93,7 @@
 
     async def next_configuration(self, since: int, wait_s: float) -> OperatorUpdate:
         self.waits.append(wait_s)
+        self.on_poll()
         await self._receive()
         if since < self._oldest:
             raise HistoryLostError("changes are no longer kept")
