Test drawn changes of zones, lost history and faults of the store

The cases so far have one order of events each. 12 seeds draw evacuations, restorations, lost history and faults; the gateway must agree with the store afterwards, and must not restore a zone while it reads nothing.

--- a/packages/gateway/tests/test_gateway_zones.py
+++ b/packages/gateway/tests/test_gateway_zones.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import logging
+import random
 import time
 import unittest
 
@@ -105,6 +106,44 @@
             await world.settle()
             self.assertEqual(await world.used_zones(), "ab")
 
+    # Guards against an order of changes and faults that leaves a gateway with other
+    # zones than the store has, or with fewer while it reads nothing.
+    async def test_gateway_agrees_with_the_store_after_drawn_changes_and_faults(self):
+        for seed in range(12):
+            with self.subTest(seed=seed):
+                await self.check_drawn_changes(random.Random(seed))
+
+    async def check_drawn_changes(self, rng: random.Random) -> None:
+        world = self.make_world()
+        known = world.evacuations.zones
+        expected = set()
+        async with world.running():
+            for _ in range(12):
+                action = rng.choice(
+                    ("evacuate", "evacuate", "restore", "lose", "fault")
+                )
+                zone = rng.choice("abc")
+                if action == "evacuate":
+                    world.source.evacuate(zone)
+                    expected.add(zone)
+                elif action == "restore":
+                    world.source.restore(zone)
+                    expected.discard(zone)
+                elif action == "lose":
+                    world.source.lose_history()
+                else:
+                    world.source.fault = rng.choice(("", "down", "silent"))
+                    before = {z for z in "abc" if z in known}
+                    await world.settle()
+                    if world.source.fault:
+                        self.assertLessEqual(before, {z for z in "abc" if z in known})
+                await asyncio.sleep(rng.choice((0.0, 0.0, 0.002)))
+            world.source.fault = ""
+            await world.settle()
+            self.assertEqual({z for z in "abc" if z in known}, expected)
+            used = await world.used_zones()
+        self.assertEqual(used, "".join(sorted(set("abc") - expected)) or "-")
+
     # Guards against requests that a starting gateway sends before it knows the zones.
     async def test_gateway_that_starts_serves_nothing_before_it_knows_the_zones(self):
         world = self.make_world()
