Let servers of the soak be cold, and check that none gets more than the bound

Servers that start while there is traffic are cold, several may return so at once, and one may become cold while it serves. The gateways of the soak have counted each other long ago: in a run of 15 s, which is mostly shorter than the time until they are counted, none would have a share of a cold server, a stated rate or the retries.

The check begins 0.5 s after a server became cold while it served.

--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -8,7 +8,7 @@
 from collections.abc import Awaitable, Callable, Iterator, Sequence
 
 from soak.servers import RateLimit, SoakServer
-from soak.world import GRACE_S, REVOKE_S, Gateway, World
+from soak.world import COLD_S, GRACE_S, REVOKE_S, Gateway, World
 
 #: Number of series of faults that run concurrently.
 SERIES = 3
@@ -314,6 +314,27 @@
     server.rate_limits.append(RateLimit(rate, start, time.monotonic()))
 
 
+async def return_cold(injector: FaultInjector, gateway: Gateway) -> None:
+    """Replace some servers by new ones that start cold at the same moment."""
+    world = injector.world
+    count = injector.rng.randint(1, len(world.servers) - 1)
+    drained = [await replace_oldest_server(world) for _ in range(count)]
+    for server in drained:
+        row = server.row("app", state="draining")
+        world.store.put("servers", server.server_id, row)
+        server.draining_since = time.monotonic()
+    await asyncio.sleep(SERVES_ON_S)
+    for server in drained:
+        world.store.remove("servers", server.server_id)
+        server.crash()
+
+
+async def become_cold(injector: FaultInjector, gateway: Gateway) -> None:
+    """Let a server become cold while it serves, which its responses then state."""
+    injector.rng.choice(injector.world.servers).become_cold(COLD_S)
+    await asyncio.sleep(COLD_S)
+
+
 async def misbehave(injector: FaultInjector, gateway: Gateway) -> None:
     """Make a fraction of the servers' responses faulty for a while."""
     injector.world.bad_ratio = 0.02 + 0.2 * injector.rng.random()
@@ -347,6 +368,8 @@
         leave_server,
         turn_away,
         limit_rate,
+        return_cold,
+        become_cold,
         misbehave,
     )
 }
--- a/tools/soak/guarantees.py
+++ b/tools/soak/guarantees.py
@@ -10,7 +10,14 @@
     plain_body,
     stream_body,
 )
-from soak.world import DRAIN_S, REVOKE_S, World
+from soak.world import (
+    COLD_EXCESS,
+    COLD_RATE,
+    COLD_SLACK,
+    DRAIN_S,
+    REVOKE_S,
+    World,
+)
 
 #: Statuses which guarantee that the request has not run and will not run.
 NOT_RUN = frozenset({408, 421, 429, 503})
@@ -28,6 +35,9 @@
 RATE_WINDOW_S = 4.0
 RATE_TOLERANCE = 1.5
 RATE_EXTRA = 5
+#: Seconds after a server became cold while it served from which arrivals are counted:
+#: with so few servers, each may get more than the bound while it is warm.
+COLD_KNOWN_S = 0.5
 #: Kinds of requests that may run at most once.
 AT_MOST_ONCE = frozenset({"unsafe", "once"})
 
@@ -47,6 +57,7 @@
     for server in [*world.servers, *world.retired]:
         yield from _check_notices(world, server, results)
         yield from _check_rates(world, server, results)
+        yield from _check_cold_spans(server)
 
 
 def _check_answer(result: Result) -> Iterator[str]:
@@ -189,3 +200,28 @@
         elif at >= first + RATE_KNOWN_S:
             bound.append(at)
     return bound
+
+
+def _check_cold_spans(server: SoakServer) -> Iterator[str]:
+    """Check that a cold server gets no more than the bound in any second.
+
+    No fault of a gateway or the store is an excuse.
+    """
+    most = count_in_cold_second(server)
+    allowed = COLD_EXCESS * COLD_RATE + COLD_SLACK
+    if most > allowed:
+        yield (
+            f"{server.server_id}: {most} requests in a second while it was cold, "
+            f"{allowed:g} are allowed"
+        )
+
+
+def count_in_cold_second(server: SoakServer) -> int:
+    """Return the most requests that a server got in a second while it was cold."""
+    most = 0
+    for span in server.cold_spans:
+        start = span.start if span.is_start else span.start + COLD_KNOWN_S
+        times = [at for at in server.counted_at if start <= at <= span.end]
+        for first, at in enumerate(times):
+            most = max(most, sum(t < at + 1.0 for t in times[first:]))
+    return most
--- a/tools/soak/runner.py
+++ b/tools/soak/runner.py
@@ -11,7 +11,11 @@
 
 from soak.callers import Caller
 from soak.faults import FaultInjector
-from soak.guarantees import find_bound_arrivals, find_violations
+from soak.guarantees import (
+    count_in_cold_second,
+    find_bound_arrivals,
+    find_violations,
+)
 from soak.poisons import PoisonCaller
 from soak.world import GATEWAYS, World
 
@@ -35,6 +39,8 @@
         status 200 that ended early, ``poison_crashes`` the crashes of servers by a
         poison request, ``rates`` the rates that servers stated, and ``rates_in_force``
         those that bound a gateway; ``rate_arrivals`` requests were checked.
+        ``cold_spans`` counts the times that a server was cold, ``cold_arrivals`` the
+        requests in them, and ``cold_second`` the most in a second.
     """
 
     history: list[str]
@@ -102,6 +108,7 @@
         **_count_outcomes(results),
         "poison_crashes": len(world.poison_crashes),
         **_count_rate_checks(world, results),
+        **_count_cold_checks(world),
     }
     return Report(injector.history, broken, counts)
 
@@ -120,6 +127,21 @@
     }
 
 
+def _count_cold_checks(world: World) -> dict[str, int]:
+    """Count the times that servers were cold, and their requests then."""
+    servers = [*world.servers, *world.retired]
+    spans = [(server, span) for server in servers for span in server.cold_spans]
+    return {
+        "cold_spans": len(spans),
+        "cold_arrivals": sum(
+            span.start <= at <= span.end
+            for server, span in spans
+            for at in server.counted_at
+        ),
+        "cold_second": max(map(count_in_cold_second, servers), default=0),
+    }
+
+
 async def _find_not_serving(world: World) -> list:
     """Return the gateways that do not serve requests after the last fault."""
     not_serving = []
--- a/tools/soak/servers.py
+++ b/tools/soak/servers.py
@@ -83,6 +83,20 @@
     end: float
 
 
+class ColdSpan(NamedTuple):
+    """Time span in which a server was cold, in monotonic seconds.
+
+    Attributes
+    ----------
+    is_start : bool
+        True if the server had just started.
+    """
+
+    start: float
+    end: float
+    is_start: bool
+
+
 class SoakServer(DeploymentServer):
     """Server that can crash and drain, draws its behaviour, and records its runs.
 
@@ -114,6 +128,9 @@
         self.notices: list[Notice] = []
         self.arrived: list[tuple[str, float]] = []
         self.rate_limits: list[RateLimit] = []
+        self.cold_spans: list[ColdSpan] = []
+        #: Times of the requests that were meant for this server, in order.
+        self.counted_at: list[float] = []
         #: Seconds before a plain response and after each event of a stream.
         self.pause_s = 0.02
         #: Time at which the store accepted the state ``draining``; None before that.
@@ -136,6 +153,12 @@
             else:
                 writer.transport.abort()
 
+    def become_cold(self, cold_s: float, is_start: bool = False) -> None:
+        """Become cold for some seconds, and record that."""
+        super().become_cold(cold_s)
+        now = time.monotonic()
+        self.cold_spans.append(ColdSpan(now, now + cold_s, is_start))
+
     async def restart(self) -> None:
         """Start again at the same address, under the same id."""
         self.born += 1
@@ -150,6 +173,8 @@
     ) -> bool:
         self.arrived.append((arrival.headers["Request-Id"], time.monotonic()))
         expected = arrival.headers.get("Expect-Instance")
+        if expected == self.server_id:
+            self.counted_at.append(time.monotonic())
         if not crashes_servers(arrival) or expected != self.server_id:
             return await super()._respond(arrival, reader, writer)
         ending = self.draw_ending()
--- a/tools/soak/world.py
+++ b/tools/soak/world.py
@@ -25,6 +25,12 @@
 DRAIN_S = 2.0
 GRACE_S = 8.0
 ROUTE_TIMEOUT_S = 3.0
+#: Seconds for which a server is cold after its start, the requests per second that it
+#: tolerates then, and what the bound on all gateways together allows beyond them.
+COLD_S = 2.0
+COLD_RATE = 10.0
+COLD_EXCESS = 1.5
+COLD_SLACK = 5.0
 #: Seconds after a fault or a planned stop for which a gateway counts as disturbed.
 SETTLE_S = 4.0
 #: Seconds between heartbeats of a server, and the number of missing ones after which
@@ -173,7 +179,7 @@
         doc = {
             "version": self._version,
             "routes": routes,
-            "services": [{"name": "app"}],
+            "services": [{"name": "app", "coldS": COLD_S, "coldPerS": COLD_RATE}],
             "tenants": teams,
         }
         self.store.put("op", "config", doc)
@@ -240,15 +246,18 @@
             self.store.remove("servers", server.server_id)
             await self.add_server()
             return
+        server.become_cold(COLD_S, is_start=True)
         self.store.put("servers", server.server_id, server.row("app"))
 
     async def add_server(self) -> SoakServer:
-        """Start a server and add it to the store."""
+        """Start a server and add it to the store; it is cold if there is traffic."""
         name = f"i-{next(self._numbers)}"
         server = SoakServer(name, self.runs, self._draw_behaviour)
         server.draw_ending = lambda: self.rng.choice(ENDINGS)
         server.on_poison = self._on_poison
         await server.start()
+        if self.gateways:
+            server.become_cold(COLD_S, is_start=True)
         self.servers.append(server)
         self.store.put("servers", name, server.row("app"))
         return server
@@ -260,6 +269,10 @@
 
     async def _add_gateway(self, name: str) -> None:
         gateway = Gateway(name)
+        # All gateways have counted each other long ago. Otherwise none would have a
+        # share of cold servers, stated rates and retries in most of a short run.
+        row = {"renewals": 0, "joined_at": -1000.0, "started_at": -1000.0}
+        self.store.put("gateways", name, row)
         gateway.store_relay = Relay(self.store_address)
         store_port = await gateway.store_relay.start()
         gateway.address = f"127.0.0.1:{await gateway.caller_relay.start()}"
@@ -270,6 +283,7 @@
             f"listen.ready={gateway.ready}\ninternalPorts={first},{first}\n"
             f"bounds.drainMs={DRAIN_S * 1000:.0f}\nbounds.graceS={GRACE_S}\n"
             f"bounds.revokeMs={REVOKE_S * 1000:.0f}\n"
+            f"bounds.coldExcess={COLD_EXCESS}\nbounds.coldSlack={COLD_SLACK}\n"
             f"provider.addr=127.0.0.1:{store_port}\n"
         )
         self.gateways.append(gateway)
