--- a/packages/gateway/src/slatehoist/gateway/cold_starts.py
+++ b/packages/gateway/src/slatehoist/gateway/cold_starts.py
@@ -39,6 +39,9 @@
         self._slack = slack
         self._find_service = find_service
         self._metrics = metrics
+        #: Services that had requests here. Endpoints that start before any traffic are
+        #: not cold.
+        self._requested: set[str] = set()
 
     def record_list(
         self, listed: Sequence[Endpoint], started: Sequence[Endpoint], now: float
@@ -56,6 +59,7 @@
                 endpoint.endpoint_id, endpoint.cold_s, now
             ):
                 self._log_cold(service, endpoint, "listed", now)
+        started = [e for e in started if e.service in self._requested]
         self._record_service_time(started, "started", now)
         self._drop_ended(now)
         self._starts.forget_others({e.endpoint_id for e in listed}, now)
@@ -103,6 +107,7 @@
         """Return the endpoints without the cold ones whose share is used up."""
         if service.cold_rate <= 0.0:
             return endpoints
+        self._requested.add(service.name)
         self._drop_ended(now)
         names = [endpoint.endpoint_id for endpoint in endpoints]
         names = set(self._starts.available(names, self._limit(service), now))
--- a/packages/gateway/tests/test_gateway_cold_starts.py
+++ b/packages/gateway/tests/test_gateway_cold_starts.py
@@ -248,6 +248,18 @@
         await world.run(COLD_S)
         self.assertFalse(self.is_cold(gateway, "e0", world.now))
 
+    # Guards against a deployment that refuses its first requests: its servers start
+    # together with gateways that have no shares yet.
+    async def test_servers_that_start_before_any_traffic_are_not_cold(self):
+        world = ColdWorld(0, servers=2, rate=0.0)
+        gateway = world.add_gateway()
+        world.add_server()
+        await world.run(1.0)
+        self.assertFalse(self.is_cold(gateway, "e2", world.now))
+        world.rate = 20.0
+        await world.run(1.0)
+        self.assertEqual(world.refused, 0)
+
     async def test_listed_cold_time_counts_for_a_gateway_that_has_just_started(self):
         world = ColdWorld(1, servers=2)
         self.restart(world, 1)
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -8,7 +8,12 @@
 from unittest import mock
 
 import aiohttp
-from adapter.documents import MalformedError, read_configuration, read_endpoint
+from adapter.documents import (
+    MalformedError,
+    PlatformSource,
+    read_configuration,
+    read_endpoint,
+)
 from adapter.headers import PlatformHeaderCodec
 from adapter.ranks import read_group_spec, read_report
 from adapter.settings import (
@@ -33,6 +38,7 @@
     StoreDownError,
     Write,
 )
+from slatehoist_standins.deployment_server import DeploymentServer
 from slatehoist_standins.deployment_store import DeploymentStore
 
 SETTINGS = """\
@@ -442,6 +448,18 @@
             with self.subTest(era=era), self.assertRaises(HistoryLostError):
                 await self.table.changes("own", version, 0.01)
 
+    # Guards against a server that is lost, or a log that fills, because of one field.
+    async def test_unusable_cold_time_of_a_listed_server_is_logged_once(self):
+        server = DeploymentServer("i-0")
+        server.address = "127.0.0.1:80"
+        self.store.put("servers", "i-0", {**server.row("app"), "coldLeftMs": -1})
+        source = PlatformSource(self.table)
+        with self.assertLogs("adapter.documents", "WARNING") as logs:
+            for _ in range(3):
+                (endpoint,) = await source.endpoints()
+        self.assertEqual(endpoint.cold_s, 0.0)
+        self.assertEqual(len(logs.records), 1)
+
     async def test_unreadable_rows_are_skipped_and_logged_once(self):
         self.store.put("own", "good", {})
         self.store.put_bytes("own", "bad", b"\xff\xfe")
--- a/tests/test_platform_boundary.py
+++ b/tests/test_platform_boundary.py
@@ -34,6 +34,8 @@
     "gapAimMs",
     "apiKeys",
     "coldLeftMs",
+    "coldPerS",
+    "Cold-Ms",
     "expectRev",
     "setKeys",
     "sinceRev",
