--- a/tools/soak/runner.py
+++ b/tools/soak/runner.py
@@ -12,6 +12,7 @@
 from soak.callers import Caller
 from soak.faults import FaultInjector
 from soak.guarantees import (
+    count_in_cold_second,
     find_bound_arrivals,
     find_evacuated_arrivals,
     find_violations,
@@ -41,6 +42,8 @@
         those that bound a gateway; ``rate_arrivals`` requests were checked.
         ``evacuations`` counts the evacuations of zones, and ``evacuated_arrivals`` the
         requests that were checked in them.
+        ``cold_spans`` counts the times that a server was cold, ``cold_arrivals`` the
+        requests in them, and ``cold_second`` the most in a second.
     """
 
     history: list[str]
@@ -115,6 +118,7 @@
             len(find_evacuated_arrivals(world, evacuation, results))
             for evacuation in world.evacuations
         ),
+        **_count_cold_checks(world),
     }
     return Report(injector.history, broken, counts)
 
@@ -133,6 +137,21 @@
     }
 
 
+def _count_cold_checks(world: World) -> dict[str, int]:
+    """Count the times that servers were cold, and their requests then."""
+    servers = [*world.servers, *world.retired]
+    spans = [(server, span) for server in servers for span in server.cold_spans]
+    return {
+        "cold_spans": len(spans),
+        "cold_arrivals": sum(
+            span.start <= at <= span.end
+            for server, span in spans
+            for at in server.counted_at
+        ),
+        "cold_second": max(map(count_in_cold_second, servers), default=0),
+    }
+
+
 async def _find_not_serving(world: World) -> list:
     """Return the gateways that do not serve requests after the last fault."""
     not_serving = []
