--- a/packages/routing/src/slatehoist/routing/admission.py
+++ b/packages/routing/src/slatehoist/routing/admission.py
@@ -11,7 +11,6 @@
 number.
 """
 
-import statistics
 from collections import deque
 from enum import StrEnum
 from typing import NamedTuple
@@ -31,6 +30,10 @@
 #: increases.
 PAUSE_HIGH = 0.9
 PAUSE_LOW = 0.8
+#: Quantile of the pauses in a window that is compared. A stream is late after a single
+#: long pass, which is one of three or four in a window, and all streams share it. Long
+#: pauses of a few streams alone are those of their links.
+PAUSE_QUANTILE = 0.76
 #: Seconds of events between two changes of the limit: a few passes.
 PAUSE_WINDOW_S = 0.25
 #: Factor of a decrease, and fraction of the slots by which the limit increases.
@@ -113,8 +116,7 @@
         self._changed_at = now
         if len(pauses) < MIN_EVENTS:
             pauses = [0.0]
-        # All streams of a group share each pass; single ones also wait for their links.
-        pause_s = statistics.median(pauses)
+        pause_s = sorted(pauses)[int(len(pauses) * PAUSE_QUANTILE)]
         if pause_s > accepted_s * PAUSE_HIGH:
             self.fraction = max(self.fraction * LIMIT_DECREASE, MIN_LIMIT)
         elif pause_s < accepted_s * PAUSE_LOW:
--- a/packages/routing/tests/test_routing_admission.py
+++ b/packages/routing/tests/test_routing_admission.py
@@ -118,6 +118,17 @@
         self.feed(limit, 0.06, now, 10.0)
         self.assertEqual(limit.fraction, 1.0)
 
+    # Guards against streams that are late since some passes are long.
+    def test_one_long_pass_of_four_decreases_the_limit(self):
+        limit = PauseLimit()
+        now = 0.0
+        for step in range(60):
+            now += 0.08
+            for _ in range(4):
+                limit.record(0.13 if step % 4 == 0 else 0.08, now)
+            limit.update(0.12, now)
+        self.assertLess(limit.fraction, 0.7)
+
     # Guards against one slow connection that limits the whole service.
     def test_single_long_pauses_do_not_decrease_the_limit(self):
         limit = PauseLimit()
