Let gateways take turns for statuses, and keep today's chooser without agents

With 300 gateways an agent sent all statuses at the same moment every 2 s, so that nearly all slots were chosen by old estimates. Now at most 24 gateways get a status every 0.16 s, in turns, at the same rate of 150 per second, and free slots are allocated each time.

The former chooser is kept for services without an engine, and while no status is fresh.

The numbers that agents and gateways read from documents are checked.

--- a/packages/gateway/src/slatehoist/gateway/choice.py
+++ b/packages/gateway/src/slatehoist/gateway/choice.py
@@ -28,8 +28,7 @@
         Availability zone of this instance.
     chooser : Chooser
     even_chooser : Chooser or None
-        Used instead for services whose endpoints several gateways choose by reports of
-        some age.
+        Used instead while several gateways choose by the statuses of agents.
 
     Attributes
     ----------
@@ -67,11 +66,13 @@
     def spreads_evenly(self, service: Service) -> bool:
         """Return True if several gateways choose by reports of a stated age.
 
-        Without an engine, the loads in responses are the only reports.
+        The loads in responses, which are the only reports of a service without an
+        engine, reach one gateway each. Gateways that read different reports do not
+        choose the same endpoints, and the default chooser is more even then.
         """
         if self._even_chooser is None or self._instances < EVEN_CHOICE_INSTANCES:
             return False
-        return service.engine is None or service.engine.report_lag_ms is not None
+        return service.engine is not None and service.engine.report_lag_ms is not None
 
     def demand(self, service: Service, endpoint: Endpoint, now: float) -> float:
         """Return the requests per second to state to the agent of an endpoint.
@@ -126,6 +127,7 @@
         endpoints = self._health.available(endpoints, now)
         candidates = [self._health.candidate(e, now) for e in endpoints]
         is_even = self.spreads_evenly(exchange.service)
+        is_even = is_even and self._health.has_status(endpoints, now)
         chooser = self._even_chooser if is_even else self._chooser
         chosen = chooser.choose(candidates, self._zone)
         exchange.chosen_by = ""
--- a/packages/gateway/src/slatehoist/gateway/health.py
+++ b/packages/gateway/src/slatehoist/gateway/health.py
@@ -30,7 +30,7 @@
 STATUS_FRESH_S = 0.5
 #: Seconds for which an allocation is valid if no further status arrives: the status
 #: interval with some delay, after which the slots may be allocated to another instance.
-ALLOCATION_S = 0.2
+ALLOCATION_S = 0.25
 #: Seconds from the sending of a request until a report that includes it can arrive: the
 #: request travels to the endpoint, and the report back.
 REPORT_TRAVEL_S = 0.01
@@ -231,6 +231,11 @@
         ]
         return open_endpoints or list(endpoints)
 
+    def has_status(self, endpoints: Sequence[Endpoint], now: float) -> bool:
+        """Return True if the status of any of the endpoints is fresh."""
+        records = (self.get_record(e.endpoint_id) for e in endpoints)
+        return any(now - record.status_at <= STATUS_FRESH_S for record in records)
+
     def pace(self, endpoint_id: str, now: float) -> float:
         """Return the endpoint's pace, or 1.0 if its status is not fresh."""
         record = self.get_record(endpoint_id)
--- a/packages/gateway/tests/gateway_builders.py
+++ b/packages/gateway/tests/gateway_builders.py
@@ -44,6 +44,6 @@
     return Configuration(version, **{**values, **fields})
 
 
-def make_engine() -> EngineSpec:
+def make_engine(report_lag_ms: float | None = None) -> EngineSpec:
     """Build the cost model of an engine."""
-    return EngineSpec(6, 5.0, 0.4, 0.01, 74_000.0, 512, 7, 700.0, 150.0)
+    return EngineSpec(6, 5.0, 0.4, 0.01, 74_000.0, 512, 7, 700.0, 150.0, report_lag_ms)
--- a/packages/gateway/tests/test_gateway_even_load.py
+++ b/packages/gateway/tests/test_gateway_even_load.py
@@ -4,8 +4,9 @@
 
 import msgspec
 from gateway_builders import make_endpoint, make_engine
+from gateway_fleet import Fleet
 
-from slatehoist.gateway import Service
+from slatehoist.gateway import EngineSpec, Service
 from slatehoist.gateway.directory import EndpointDirectory
 from slatehoist.gateway.health import ALLOCATION_S, REPORT_TRAVEL_S, EndpointHealth
 from slatehoist.gateway.statuses import BUFFERED_S, STANDSTILL_S, StatusFeed
@@ -39,12 +40,51 @@
         self.assertEqual(self.health.candidate(self.endpoint, expired_at).allocated, 0)
         self.assertEqual(self.health.allocated([self.endpoint], expired_at), 0)
 
+    # Guards against random choices while the only reports are the loads in responses.
+    def test_statuses_of_agents_are_known_while_they_are_fresh(self):
+        self.assertFalse(self.health.has_status([self.endpoint], 10.0))
+        self.health.observe_status("e1", True, 1.0, 10.0)
+        self.assertTrue(self.health.has_status([self.endpoint], 10.1))
+        self.assertFalse(self.health.has_status([self.endpoint], 12.0))
+
     def test_restarted_endpoint_has_no_allocated_slots(self):
         self.health.observe_allocation("e1", 2, 10.0)
         self.health.forget("e1")
         self.assertEqual(self.health.candidate(self.endpoint, 10.0).allocated, 0)
 
 
+class RuleTests(unittest.IsolatedAsyncioTestCase):
+    async def choose(self, gateways: int, engine: EngineSpec | None, allocated: int):
+        """Return the rule that chose an endpoint, and the ids of those tried."""
+        fleet = await Fleet(4, gateways, 1).start()
+        gateway = fleet.gateways[0]
+        gateway.observe_groups(is_open=True)
+        name = fleet.servers[2].name
+        gateway.health.observe_allocation(name, allocated, fleet.now)
+        exchange = await gateway.send(b"sound", engine=engine)
+        return exchange.chosen_by, exchange.tried, name
+
+    async def test_endpoint_with_allocated_slots_is_chosen(self):
+        engine = make_engine(report_lag_ms=200.0)
+        rule, tried, allocating = await self.choose(6, engine, allocated=1)
+        self.assertEqual((rule, tried), ("allocated", {allocating}))
+
+    async def test_endpoint_is_chosen_by_estimate_without_allocated_slots(self):
+        engine = make_engine(report_lag_ms=200.0)
+        rule, tried, _ = await self.choose(6, engine, allocated=0)
+        self.assertEqual((rule, len(tried)), ("estimated", 1))
+
+    # Guards against a change for deployments that do not state the age of reports.
+    async def test_default_chooser_is_used_with_few_gateways_or_without_stated_age(
+        self,
+    ):
+        cases = (5, make_engine(200.0)), (6, make_engine()), (6, None)
+        for gateways, engine in cases:
+            with self.subTest(gateways=gateways, engine=engine):
+                rule, _, _ = await self.choose(gateways, engine, allocated=1)
+                self.assertEqual(rule, "")
+
+
 class _Transport:
     """Transport that records what is sent."""
 
--- a/packages/maps/src/slatehoist/maps/agent.py
+++ b/packages/maps/src/slatehoist/maps/agent.py
@@ -79,10 +79,11 @@
 #: Heartbeats in a row that contain the experts after these or the peers have changed,
 #: since one datagram may be lost.
 HEARTBEATS_AFTER_CHANGE = 2
-#: Seconds between statuses to the gateways, and the subscribers per second above which
-#: they are sent less often.
+#: Seconds between statuses to the gateways, and the number of gateways that get one
+#: then (150 in a second). If there are more, they take turns, so that each status can
+#: allocate slots that are free at its time.
 STATUS_INTERVAL_S = 0.16
-STATUSES_PER_S = 150.0
+STATUSES_PER_INTERVAL = 24
 #: Seconds between cycles of the coordinator: about one pass.
 COORDINATE_INTERVAL_S = 0.06
 #: Seconds between reads of the list of peers. The interval is doubled with each read
@@ -166,7 +167,8 @@
         self._counts: tuple[int, list[int]] | None = None
         self._hosts: list[str] = []
         self._demand: DemandWindow | None = None
-        #: Times at which the subscriptions of the gateways expire, by address.
+        #: Times at which the subscriptions of the gateways expire, by address, the one
+        #: whose last status is oldest first.
         self._subscribers: dict[Address, float] = {}
         self._allocator = CapacityAllocator(rng or random.Random())
         #: Requests that the own rank runs at once; 0 until known.
@@ -271,10 +273,7 @@
         self._group.record_heartbeat(self._state, now)
         changed = known is None or _switch_state(known) != _switch_state(report)
         self._publish_state(counts, changed, now)
-        status_interval_s = max(
-            STATUS_INTERVAL_S, len(self._subscribers) / STATUSES_PER_S
-        )
-        if _is_due(self._status_at, status_interval_s, now):
+        if _is_due(self._status_at, STATUS_INTERVAL_S, now):
             self._status_at = now
             self._publish_status(now)
 
@@ -363,20 +362,24 @@
         self._allocator.set_demand(address, message.demand)
 
     def _publish_status(self, now: float) -> None:
-        """Send the status of the own rank to the gateways that subscribe to it."""
+        """Send the status of the own rank to the subscribers whose turn it is."""
         for address, expires_at in list(self._subscribers.items()):
             if expires_at < now:
                 del self._subscribers[address]
                 self._allocator.remove(address)
+        receivers = list(self._subscribers)[:STATUSES_PER_INTERVAL]
+        if len(receivers) < len(self._subscribers):
+            for address in receivers:
+                self._subscribers[address] = self._subscribers.pop(address)
         state = self._state
         status = RankStatus(
             state.address, state.is_open, state.running, state.waiting, state.pace
         )
-        allocated = self._allocator.allocate(self._free_slots(state))
+        allocated = self._allocator.allocate(self._free_slots(state), set(receivers))
         self._metrics.allocated_slots.inc(sum(allocated.values()))
         for address, slots in allocated.items():
             self._send(msgspec.structs.replace(status, allocated=slots), address)
-        self._send_all(status, [a for a in self._subscribers if a not in allocated])
+        self._send_all(status, [a for a in receivers if a not in allocated])
 
     def _free_slots(self, state: PeerState) -> int:
         """Return the free slots of the own rank; a straggler has fewer."""
--- a/packages/maps/tests/test_maps_status.py
+++ b/packages/maps/tests/test_maps_status.py
@@ -8,7 +8,7 @@
 from group_world import GroupSize, GroupWorld, Subscriber
 
 from slatehoist.maps import RankStatus, Subscription
-from slatehoist.maps.agent import STATUS_INTERVAL_S
+from slatehoist.maps.agent import STATUS_INTERVAL_S, STATUSES_PER_INTERVAL
 
 SIZE = GroupSize(4, 2, 8, 5, link_mbps=100.0, slots=5)
 
@@ -103,6 +103,17 @@
                 by_moment[host, round(at, 2)] += status.allocated
         self.assertLessEqual(max(by_moment.values()), SIZE.slots)
 
+    # Guards against statuses that need more bandwidth with each gateway, and against
+    # gateways that get none.
+    def test_many_subscribers_take_turns(self):
+        count = 3 * STATUSES_PER_INTERVAL
+        subscribers = self.run_world(*[1.0] * count)
+        numbers = [len(subscriber.statuses) for subscriber in subscribers]
+        self.assertLessEqual(max(numbers) - min(numbers), SIZE.ranks)
+        self.assertGreater(min(numbers), 0)
+        rate = sum(numbers) / SIZE.ranks / 4.5
+        self.assertLessEqual(rate, STATUSES_PER_INTERVAL / STATUS_INTERVAL_S * 1.05)
+
     def test_agent_that_does_not_know_the_slots_allocates_none(self):
         (subscriber,) = self.run_world(1.0, size=SIZE._replace(slots=0))
         self.assertGreater(len(subscriber.statuses), 20)
--- a/packages/routing/src/slatehoist/routing/allocation.py
+++ b/packages/routing/src/slatehoist/routing/allocation.py
@@ -11,7 +11,7 @@
 
 import math
 import random
-from collections.abc import Hashable
+from collections.abc import Collection, Hashable
 
 #: Free slots per slot that is allocated in a status interval. If all free slots were
 #: allocated, a status interval would fill an endpoint while others are nearly idle.
@@ -63,27 +63,35 @@
         """Remove a subscriber."""
         self._subscribers.pop(name, None)
 
-    def allocate(self, free: int) -> dict[Hashable, int]:
+    def allocate(
+        self, free: int, receivers: Collection[Hashable] | None = None
+    ) -> dict[Hashable, int]:
         """Return the slots that subscribers may fill until the next status.
 
         Parameters
         ----------
         free : int
             Free slots of the endpoint.
+        receivers : collection of hashable or None
+            Subscribers that get a status now, a set or the like; all if None.
         """
-        if free <= 0 or not self._subscribers:
+        turns = self._subscribers
+        if receivers is not None:
+            turns = {name: s for name, s in turns.items() if name in receivers}
+        if free <= 0 or not turns:
             return {}
         allocated: dict[Hashable, int] = {}
         for _ in range(-(-free // FREE_PER_ALLOCATED)):
-            name = self._next_turn()
+            name = _next_turn(turns)
             allocated[name] = allocated.get(name, 0) + 1
         return allocated
 
-    def _next_turn(self) -> Hashable:
-        total = sum(s.demand for s in self._subscribers.values())
-        for subscriber in self._subscribers.values():
-            credit = subscriber.credit + subscriber.demand / total
-            subscriber.credit = min(credit, _MAX_CREDIT)
-        name, first = max(self._subscribers.items(), key=lambda item: item[1].credit)
-        first.credit = max(first.credit - 1.0, -_MAX_CREDIT)
-        return name
+
+def _next_turn(subscribers: dict[Hashable, _Subscriber]) -> Hashable:
+    total = sum(s.demand for s in subscribers.values())
+    for subscriber in subscribers.values():
+        credit = subscriber.credit + subscriber.demand / total
+        subscriber.credit = min(credit, _MAX_CREDIT)
+    name, first = max(subscribers.items(), key=lambda item: item[1].credit)
+    first.credit = max(first.credit - 1.0, -_MAX_CREDIT)
+    return name
--- a/packages/routing/src/slatehoist/routing/load_estimate.py
+++ b/packages/routing/src/slatehoist/routing/load_estimate.py
@@ -21,19 +21,20 @@
 #: Seconds over which the rate of requests is averaged: about two subscription renewals,
 #: by which the rate is stated.
 RATE_WINDOW_S = 3.0
-#: Age in seconds at which a reported load has 1/e of its weight in the estimate: about
-#: the duration of a stream, after which the requests of the report have ended.
-LOAD_LIFE_S = 1.5
+#: Age in seconds at which a reported load has 1/e of its weight in the estimate: half
+#: the duration of a stream, after which half of the reported requests have ended.
+LOAD_LIFE_S = 0.7
 #: Lowest demand in requests per second that is stated, so that an instance that was
 #: idle has allocations when requests arrive.
 MIN_DEMAND = 0.5
 #: Demand for endpoints of other zones as a fraction of the demand for the own ones.
 REMOTE_DEMAND = 0.05
-#: Estimated free slots below which an endpoint counts as full, and the free slots per
-#: endpoint of the zone below which allocated slots in other zones are preferred to an
-#: estimate. With lower values, requests of a busy zone reach full endpoints there while
-#: other zones have free ones: in the simulation 0.08 instead of 0.02 of the arrivals.
+#: Estimated free slots up to which an endpoint counts as full.
 MIN_FREE = 0.5
+#: Estimated free slots per endpoint of the zone up to which the zone counts as full,
+#: for requests without allocated slots there. With 0, requests of a busy zone reach
+#: full endpoints while other zones have free ones.
+MIN_FREE_IN_ZONE = 0.5
 
 
 class RequestRate:
@@ -102,7 +103,7 @@
         if in_zone:
             return min(in_zone, key=_load_per_slot)
         local = [c for c in candidates if c.zone == zone]
-        chosen = self._estimated(local, MIN_FREE)
+        chosen = self._estimated(local, MIN_FREE_IN_ZONE)
         if chosen is None and allocated:
             return min(allocated, key=_load_per_slot)
         if chosen is None:
@@ -120,17 +121,21 @@
             return None
         others = [max(0.0, c.reported_load - c.own_at_report) for c in candidates]
         mean_others = sum(others) / len(others)
-        free = []
+        squares, total = [], 0.0
         for c, reported in zip(candidates, others, strict=True):
             weight = math.exp(-c.report_age_s / LOAD_LIFE_S)
             load = c.own_inflight + mean_others + weight * (reported - mean_others)
             slots = c.concurrency - load
             # Squares spread requests nearly as evenly as the minimum would if this
             # process chose alone, and do not herd.
-            free.append(slots * slots if slots > MIN_FREE else 0.0)
-        if sum(free) <= min_free * len(free):
+            if slots > MIN_FREE:
+                total += slots
+                squares.append(slots * slots)
+            else:
+                squares.append(0.0)
+        if total <= min_free * len(squares):
             return None
-        return self._rng.choices(candidates, free)[0]
+        return self._rng.choices(candidates, squares)[0]
 
 
 def _load_per_slot(candidate: Candidate) -> float:
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -150,9 +150,36 @@
             "linkMbps": 44000.0,
         }
         self.assertAlmostEqual(read_group_spec(engine).copy_s, 0.4)
+        self.assertEqual(read_group_spec(engine).slots, 0)
+        self.assertEqual(read_group_spec({**engine, "slots": 5}).slots, 5)
+        for slots in ("5", True, -1, None):
+            self.assertEqual(read_group_spec({**engine, "slots": slots}).slots, 0)
         with self.assertRaises(MalformedError):
             read_group_spec({"sets": 3})
 
+    # Guards against a value that makes a whole configuration unusable although only
+    # one optional rule depends on it.
+    def test_age_of_reports_is_optional(self):
+        engine = {
+            "slots": 5,
+            "step_ms": 5.85,
+            "per_seq_ms": 0.852,
+            "context_per_k": 0.01,
+            "read_per_s": 61200,
+            "chunk": 512,
+            "stride": 6,
+        }
+        cases = (200, 200.0), ("200", None), (True, None), (-1, None), (None, None)
+        for value, expected in cases:
+            with self.subTest(value=value):
+                service = {"name": "app", "engine": {**engine, "report_lag_ms": value}}
+                cfg = read_configuration(make_configuration(3, services=[service]))
+                self.assertEqual(cfg.services[0].engine.report_lag_ms, expected)
+        cfg = read_configuration(
+            make_configuration(3, services=[{"name": "app", "engine": engine}])
+        )
+        self.assertIsNone(cfg.services[0].engine.report_lag_ms)
+
 
 class HeaderTests(unittest.TestCase):
     def test_caller_cannot_set_headers_of_the_gateway(self):
--- a/tools/bench_routing.py
+++ b/tools/bench_routing.py
@@ -1,20 +1,23 @@
 """Compare endpoint selection, fair queueing, quotas and retries with baselines.
 
 The last line of the output is JSON. The environment variable ``SEED`` is the seed of
-the simulated requests, which are the same for every contender.
+the simulated requests, which are the same for every contender. ``PARTS`` names the
+parts to run, separated by commas; all are run without it.
 """
 
 import concurrent.futures
 import json
 import os
 import random
+import timeit
 
-from models import choosers, overload
+from models import choosers, overload, stale_statuses
 from models.endpoints import Outcome, Setup, run, run_central
 from models.overload import DEADLINE_S, TOKENS_PER_S, Traffic
-from slatehoist.routing import LoadAwareChooser
+from slatehoist.routing import Candidate, EvenChooser, LoadAwareChooser
 
-WORKERS = 6
+#: Processes that simulate at the same time.
+WORKERS = int(os.environ.get("WORKERS", "6"))
 #: Number of first attempts of a request that a full endpoint refuses rather than
 #: queues, as in the product.
 FAIL_FAST_ATTEMPTS = 2
@@ -48,6 +51,40 @@
 )
 
 
+EVEN_SETUPS = {
+    "16 at 0.7": stale_statuses.Setup(),
+    "16 at 0.7, 1.1 s": stale_statuses.Setup(stream_s=(1.1, 1.1)),
+    "16 at 0.85": stale_statuses.Setup(load=0.85),
+    "16 at 0.95": stale_statuses.Setup(load=0.95),
+    "16 at 0.2": stale_statuses.Setup(load=0.2),
+    "6 at 0.7": stale_statuses.Setup(gateways=6),
+    "6, zones swing": stale_statuses.Setup(gateways=6, swing=0.55),
+    "14 at 0.7": stale_statuses.Setup(gateways=14),
+    "14 at 0.7, uneven": stale_statuses.Setup(gateways=14, uneven=True),
+    "35 at 0.7": stale_statuses.Setup(gateways=35),
+    "35 at 0.7, uneven": stale_statuses.Setup(gateways=35, uneven=True),
+    "300 of 880": stale_statuses.Setup(
+        gateways=300, endpoints=880, zones=12, seconds=8.0
+    ),
+    "16, 0.1 s late": stale_statuses.Setup(lag_s=0.1),
+    "16, 0.2 s late": stale_statuses.Setup(lag_s=0.2),
+    "16, 0.5 s late": stale_statuses.Setup(lag_s=0.5),
+    "16, 2 s late": stale_statuses.Setup(lag_s=2.0),
+    "16, 0.3 lost": stale_statuses.Setup(lost=0.3),
+    "16, stragglers": stale_statuses.Setup(stragglers=0.1),
+    "16, restarts": stale_statuses.Setup(restart_every_s=1.0),
+    "16, one frozen": stale_statuses.Setup(freeze_at=8.0),
+    "16, burst at 0.5": stale_statuses.Setup(load=0.5, burst=1.8),
+    "16 without agents": stale_statuses.Setup(agents=False),
+    "16 of 3, no agents": stale_statuses.Setup(
+        endpoints=3, slots=6, agents=False, stream_s=(0.3, 0.6)
+    ),
+    "6 of 7, no agents": stale_statuses.Setup(
+        gateways=6, endpoints=7, slots=6, agents=False, stream_s=(0.3, 0.6)
+    ),
+}
+
+
 def run_contender(case: tuple[str, str, int]) -> Outcome:
     """Simulate one contender in one setup."""
     name, contender, seed = case
@@ -96,6 +133,69 @@
     return result
 
 
+def run_even(case: tuple[str, str, int]) -> stale_statuses.Outcome:
+    """Simulate one contender of the choice by late statuses."""
+    name, contender, seed = case
+    return stale_statuses.run(EVEN_SETUPS[name]._replace(seed=seed), contender)
+
+
+def bench_even_load(seed: int) -> dict:
+    """Compare choices by statuses that several gateways read at the same time."""
+    contenders = list(stale_statuses.CONTENDERS)
+    cases = [(name, c, seed) for name in EVEN_SETUPS for c in contenders]
+    with concurrent.futures.ProcessPoolExecutor(WORKERS) as pool:
+        outcomes = dict(zip(cases, pool.map(run_even, cases), strict=True))
+    for name in EVEN_SETUPS:
+        fields = stale_statuses.Outcome._fields
+        print(f"\n{name:20}" + "".join(f"{f:>11}" for f in fields))
+        for contender in contenders:
+            outcome = outcomes[name, contender, seed]
+            print(f"{contender:20}" + "".join(f"{v:>11}" for v in outcome))
+    return {
+        name: {c: outcomes[name, c, seed]._asdict() for c in contenders}
+        for name in EVEN_SETUPS
+    }
+
+
+def bench_cost(seed: int) -> dict:
+    """Measure the microseconds of one choice, by number of candidates."""
+    rng = random.Random(seed)
+    result = {}
+    for count in (14, 72, 880):
+        unallocated = [
+            Candidate(
+                f"e{i}",
+                f"z{i % 3}",
+                own_inflight=rng.randrange(2),
+                reported_load=rng.randrange(6),
+                own_at_report=rng.randrange(2),
+                report_age_s=rng.random() * 0.2,
+                concurrency=5,
+            )
+            for i in range(count)
+        ]
+        allocated = [
+            c._replace(allocated=i % 10 == 0) for i, c in enumerate(unallocated)
+        ]
+        result[count] = {
+            name: _time_choice(chooser, candidates)
+            for name, chooser, candidates in (
+                ("load aware", LoadAwareChooser(rng), unallocated),
+                ("even, allocated", EvenChooser(rng), allocated),
+                ("even, estimated", EvenChooser(rng), unallocated),
+            )
+        }
+    return result
+
+
+def _time_choice(chooser, candidates: list[Candidate]) -> float:
+    runs = 200
+    times = timeit.repeat(
+        lambda: chooser.choose(candidates, "z0"), number=runs, repeat=5
+    )
+    return round(min(times) / runs * 1e6, 1)
+
+
 def bench_fairness(seed: int) -> dict:
     """Measure how a greedy member and overload affect the other members."""
     max_requests_per_s = TOKENS_PER_S / 100
@@ -199,14 +299,19 @@
     """Run the bench and print its report."""
     seed = int(os.environ.get("SEED", "1"))
     print(f"seed {seed}, deadline {DEADLINE_S} s")
-    report = {
-        "seed": seed,
-        "choices": bench_choices(seed),
-        "fairness": bench_fairness(seed),
-        "quotas": bench_quotas(seed),
-        "retries": bench_retries(seed),
+    parts = {
+        "choices": bench_choices,
+        "even_load": bench_even_load,
+        "cost": bench_cost,
+        "fairness": bench_fairness,
+        "quotas": bench_quotas,
+        "retries": bench_retries,
     }
-    for part in ("fairness", "quotas", "retries"):
+    selected = os.environ.get("PARTS", ",".join(parts)).split(",")
+    report = {"seed": seed, **{part: parts[part](seed) for part in selected}}
+    for part in ("cost", "fairness", "quotas", "retries"):
+        if part not in report:
+            continue
         print(f"\n{part}")
         for name, row in report[part].items():
             print(f"  {name}: {row}")
--- a/tools/models/stale_statuses.py
+++ b/tools/models/stale_statuses.py
@@ -17,7 +17,11 @@
 
 from slatehoist.gateway import Endpoint
 from slatehoist.gateway.health import EndpointHealth
-from slatehoist.maps.agent import POLL_INTERVAL_S, STATUS_INTERVAL_S, STATUSES_PER_S
+from slatehoist.maps.agent import (
+    POLL_INTERVAL_S,
+    STATUS_INTERVAL_S,
+    STATUSES_PER_INTERVAL,
+)
 from slatehoist.maps.status import SUBSCRIPTION_RENEWAL_S
 from slatehoist.routing import (
     Candidate,
@@ -255,6 +259,8 @@
         self.on_way = 0
         self.queue: list = []
         self.status_at = float("-inf")
+        #: Gateways, the one whose last status is oldest first.
+        self.subscribers: list[_Gateway] = []
         self.allocator: CapacityAllocator | None = None
 
     @property
@@ -299,6 +305,8 @@
             _Gateway(i, setup, contender.make_chooser(random.Random(setup.seed + i)))
             for i in range(setup.gateways)
         ]
+        for server in self.servers:
+            server.subscribers = list(self.gateways)
         self.events: list = []
         self.sequence = itertools.count()
         self.chosen = self.remote = self.allocated = 0
@@ -423,10 +431,12 @@
         record.inflight = max(0, record.inflight - 1)
 
     def _poll(self, now: float, server: _Server) -> None:
-        interval_s = max(STATUS_INTERVAL_S, len(self.gateways) / STATUSES_PER_S)
-        if now - server.status_at >= interval_s - POLL_INTERVAL_S / 4:
+        if now - server.status_at >= STATUS_INTERVAL_S - POLL_INTERVAL_S / 4:
             server.status_at = now
-            self._send_status(now, server)
+            receivers = server.subscribers[:STATUSES_PER_INTERVAL]
+            del server.subscribers[:STATUSES_PER_INTERVAL]
+            server.subscribers += receivers
+            self._send_status(now, server, receivers)
         if now < self.setup.seconds:
             self._schedule(now + POLL_INTERVAL_S, self._poll, server)
 
@@ -439,12 +449,13 @@
         if now < self.setup.seconds:
             self._schedule(now + SUBSCRIPTION_RENEWAL_S, self._subscribe, gateway)
 
-    def _send_status(self, now: float, server: _Server) -> None:
+    def _send_status(self, now: float, server: _Server, receivers: list) -> None:
         allocated = {}
         if server.allocator is not None:
             free = int(self.setup.slots / server.pace) - server.load
-            allocated = server.allocator.allocate(free)
-        for gateway in self.gateways:
+            names = {gateway.name for gateway in receivers}
+            allocated = server.allocator.allocate(free, names)
+        for gateway in receivers:
             if self.rng.random() < self.setup.lost:
                 continue
             self._schedule(
