Check the gateways' configuration document before it is sent

The decoder named only the first error of a document, without its place, and a number beyond a float's range ended the gateway's task with OverflowError. What a document means was checked nowhere: routes that never match, credentials of two teams, limits that contradict each other.

The decoder now reports every error with its place. The checks of a decoded configuration are in gateway/configuration_checks.py: slatehoist check applies them to a file, with the differences from a file or from the store, and gateways log the findings of what they adopt, 20 lines at most. What gateways adopt is unchanged, except that documents which the route table cannot index, and numbers out of range, are refused by the decoder instead of failing the task; the configuration in force stays in both cases. coldS, coldPerS and allowedRegions are decoded.

--- a/packages/cli/src/slatehoist/cli/main.py
+++ b/packages/cli/src/slatehoist/cli/main.py
@@ -1,11 +1,13 @@
 """Command line of ``slatehoist``.
 
 Exit codes: 0 success, 1 refused by the server, 2 invalid arguments or file, 3 server
-or process unreachable, 4 change not in force within the timeout.
+or process unreachable, 4 change not in force within the timeout. ``slatehoist check``
+exits with 1 if it found warnings only and with 2 if it found errors.
 """
 
 import asyncio
 import os
+import pathlib
 import sys
 import time
 from collections.abc import Coroutine
@@ -14,6 +16,14 @@
 
 import cappa
 
+from slatehoist.cli.check import (
+    DEFAULT_PLATFORM,
+    STORE,
+    CheckedDocument,
+    Documents,
+    check_document,
+    load_documents,
+)
 from slatehoist.cli.client import Api, ApiError, UnreachableError
 from slatehoist.cli.fleet import (
     FLEET_HEADS,
@@ -29,6 +39,8 @@
 )
 from slatehoist.cli.trace import collect_events, format_events
 from slatehoist.config import Manifest, parse_manifests
+from slatehoist.gateway import Deployment
+from slatehoist.storage import PlatformError
 
 EXIT_REFUSED = 1
 EXIT_INVALID_INPUT = 2
@@ -318,13 +330,100 @@
             _fail(EXIT_UNREACHABLE, f"not read: {', '.join(summary['unread'])}")
 
 
+@cappa.command(help="Check a configuration document of the gateways.")
+@dataclass
+class Check:
+    """Arguments of ``slatehoist check``."""
+
+    file: Annotated[str, cappa.Arg(help="Configuration document, JSON.")]
+    against: Annotated[
+        str,
+        cappa.Arg(
+            long="--against",
+            help="Document in force to compare with: a file, or 'store'.",
+        ),
+    ] = ""
+    settings: Annotated[
+        str,
+        cappa.Arg(
+            long="--settings",
+            help="Settings file of a gateway: store, regions and retry budget.",
+        ),
+    ] = ""
+    store: Annotated[
+        str, cappa.Arg(long="--store", help="Address of the store, host:port.")
+    ] = ""
+    platform: Annotated[
+        str, cappa.Arg(long="--platform", help="Folder of the platform's adapter.")
+    ] = str(DEFAULT_PLATFORM)
+    format: Annotated[
+        Literal["text", "json"], cappa.Arg(long="--format", help="Output format.")
+    ] = "text"
+
+    def __call__(self) -> None:
+        """Print the findings and the changes, and exit with the code of the worst."""
+        data = _read_file(self.file)
+        try:
+            documents = load_documents(pathlib.Path(self.platform))
+        except ImportError as exc:
+            _fail(EXIT_INVALID_INPUT, f"no adapter in {self.platform}: {exc}")
+        deployment, in_force = self._read_deployment(documents)
+        report = check_document(
+            documents, data, self.file, deployment, in_force, self.against
+        )
+        if self.format == "json":
+            print_json(report.as_json())
+        else:
+            print(report.as_text())
+        raise cappa.Exit(code=report.exit_code)
+
+    def _read_deployment(
+        self, documents: Documents
+    ) -> tuple[Deployment, CheckedDocument | None]:
+        """Return what is known of the deployment, and the document in force."""
+        deployment, address = Deployment(), ""
+        try:
+            if self.settings:
+                text = _read_file(self.settings).decode()
+                deployment, address = documents.read_settings(text)
+        except ValueError as exc:
+            _fail(EXIT_INVALID_INPUT, f"{self.settings}: {exc}")
+        if self.against != STORE:
+            return deployment, self._read_other(documents)
+        address = self.store or address
+        if not address:
+            _fail(EXIT_INVALID_INPUT, "--against store needs --store or --settings")
+        try:
+            in_force = asyncio.run(documents.read_in_force(address))
+        except PlatformError as exc:
+            _fail(EXIT_UNREACHABLE, f"store {address}: {exc}")
+        deployment = deployment._replace(endpoint_counts=in_force.endpoint_counts)
+        return deployment, in_force.document
+
+    def _read_other(self, documents: Documents) -> CheckedDocument | None:
+        if not self.against:
+            return None
+        try:
+            return documents.decode(_read_file(self.against))
+        except (RecursionError, ValueError) as exc:
+            _fail(EXIT_INVALID_INPUT, f"{self.against} cannot be decoded: {exc}")
+
+
+def _read_file(path: str) -> bytes:
+    try:
+        with open(path, "rb") as file:
+            return file.read()
+    except OSError as exc:
+        _fail(EXIT_INVALID_INPUT, f"cannot read {path}: {exc.strerror}")
+
+
 @cappa.command(name="slatehoist", help="Command line for operators.")
 @dataclass
 class Operator:
     """Arguments of ``slatehoist``."""
 
     command: cappa.Subcommands[
-        Apply | Get | Delete | Watch | Status | Explain | Trace | Fleet
+        Apply | Get | Delete | Watch | Status | Explain | Trace | Fleet | Check
     ]
 
 
--- a/packages/gateway/src/slatehoist/gateway/__init__.py
+++ b/packages/gateway/src/slatehoist/gateway/__init__.py
@@ -2,6 +2,25 @@
 
 from slatehoist.gateway.catalogue import Catalogue, RouteTable
 from slatehoist.gateway.codec import DeploymentSource, Forwarding, HeaderCodec
+from slatehoist.gateway.configuration_checks import (
+    UNKNOWN_DEPLOYMENT,
+    Deployment,
+    Finding,
+    Severity,
+    check_configuration,
+    describe_deployment,
+    format_path,
+    label,
+    shorten,
+)
+from slatehoist.gateway.configuration_diff import (
+    Change,
+    ChangeKind,
+    ConfigurationDiff,
+    FieldChange,
+    Move,
+    compare_configurations,
+)
 from slatehoist.gateway.directory import EndpointDirectory
 from slatehoist.gateway.model import (
     CallerLimits,
@@ -20,23 +39,38 @@
 from slatehoist.gateway.settings import GatewaySettings
 
 __all__ = [
+    "UNKNOWN_DEPLOYMENT",
     "CallerLimits",
     "Catalogue",
+    "Change",
+    "ChangeKind",
     "Configuration",
+    "ConfigurationDiff",
+    "Deployment",
     "DeploymentSource",
     "Endpoint",
     "EndpointDirectory",
     "EngineSpec",
+    "FieldChange",
+    "Finding",
     "Forwarding",
     "GatewayProcess",
     "GatewaySettings",
     "HeaderCodec",
     "Kind",
+    "Move",
     "ReplyInfo",
     "RequestInfo",
     "Route",
     "RouteTable",
     "Service",
+    "Severity",
     "Target",
     "Team",
+    "check_configuration",
+    "compare_configurations",
+    "describe_deployment",
+    "format_path",
+    "label",
+    "shorten",
 ]
--- a/packages/gateway/src/slatehoist/gateway/directory.py
+++ b/packages/gateway/src/slatehoist/gateway/directory.py
@@ -175,6 +175,10 @@
         """Return the endpoints of a service that are not draining."""
         return self._by_service.get(service, [])
 
+    def service_counts(self) -> dict[str, int]:
+        """Return the number of endpoints of each service, without draining ones."""
+        return {name: len(listed) for name, listed in self._by_service.items()}
+
     def at_address(self, address: str) -> Endpoint | None:
         """Return the endpoint at an address, or None."""
         return self._by_address.get(address)
--- a/packages/gateway/src/slatehoist/gateway/model.py
+++ b/packages/gateway/src/slatehoist/gateway/model.py
@@ -50,6 +50,9 @@
         route states none.
     regions : tuple of str
         Regions whose endpoints may run the requests; all if empty.
+    unused_targets : tuple of Target
+        Services of the split that get no requests, since only others have a weight
+        above 0.
     """
 
     name: str
@@ -65,6 +68,7 @@
     resumable: bool = False
     pause_s: float | None = None
     regions: tuple[str, ...] = ()
+    unused_targets: tuple[Target, ...] = ()
 
     @property
     def repeatable(self) -> bool:
--- a/packages/gateway/src/slatehoist/gateway/process.py
+++ b/packages/gateway/src/slatehoist/gateway/process.py
@@ -11,6 +11,7 @@
 
 from slatehoist.gateway.catalogue import Catalogue
 from slatehoist.gateway.codec import DeploymentSource, HeaderCodec
+from slatehoist.gateway.configuration_checks import Deployment, describe_deployment
 from slatehoist.gateway.crash_reports import CrashReports
 from slatehoist.gateway.directory import EndpointDirectory
 from slatehoist.gateway.forwarding import make_forwarder
@@ -145,7 +146,9 @@
             self._clock,
         )
         syncs = [
-            ConfigurationSync(self._source, self.catalogue, self._clock),
+            ConfigurationSync(
+                self._source, self.catalogue, self._clock, self._describe_deployment
+            ),
             EndpointSync(
                 self._source,
                 self.directory,
@@ -204,6 +207,12 @@
             count = len(self.directory.of_service(service.name))
             self._metrics.endpoints.labels(service.name).set(count)
 
+    def _describe_deployment(self) -> Deployment:
+        """Return what the checks of a configuration use; see `Deployment`."""
+        if self.directory.updated_at is None:
+            return describe_deployment(self._cfg)
+        return describe_deployment(self._cfg, self.directory.service_counts())
+
     def _engine_services(self) -> list[str]:
         table = self.catalogue.table
         services = table.cfg.services if table else ()
--- a/packages/gateway/src/slatehoist/gateway/settings.py
+++ b/packages/gateway/src/slatehoist/gateway/settings.py
@@ -202,3 +202,6 @@
 MAX_BUFFERED_BYTES = 24 * 1024 * 1024
 #: Parts of a prompt that a log line names.
 MAX_LOGGED_PARTS = 8
+#: Findings of one configuration that are logged, one line each. A process may write 400
+#: lines at once, and 8,000 entries can have thousands of findings.
+MAX_LOGGED_FINDINGS = 20
--- a/packages/gateway/src/slatehoist/gateway/sync.py
+++ b/packages/gateway/src/slatehoist/gateway/sync.py
@@ -6,6 +6,11 @@
 
 from slatehoist.gateway.catalogue import Catalogue
 from slatehoist.gateway.codec import DeploymentSource
+from slatehoist.gateway.configuration_checks import (
+    Deployment,
+    check_configuration,
+    log_findings,
+)
 from slatehoist.gateway.crash_reports import CrashReports
 from slatehoist.gateway.directory import EndpointDirectory
 from slatehoist.gateway.health import EndpointHealth
@@ -52,6 +57,11 @@
     confirms that the configuration in force was current when the poll began. This holds
     even if the configuration read is not adopted: the catalogue passes one over only if
     it is not newer than the one in force.
+
+    Parameters
+    ----------
+    describe : callable
+        Returns what is known of the deployment, for the checks of a configuration.
     """
 
     def __init__(
@@ -59,10 +69,12 @@
         source: DeploymentSource,
         catalogue: Catalogue,
         clock: Callable[[], float],
+        describe: Callable[[], Deployment] = Deployment,
     ) -> None:
         self._source = source
         self._catalogue = catalogue
         self._clock = clock
+        self._describe = describe
         self._dependency = Dependency("configuration")
         self._version: int | None = None
         self._wait_s = CONFIG_LONG_POLL_S
@@ -93,8 +105,10 @@
                 self._version, self._wait_s
             )
         self._version = version
+        adopted = False
         if cfg is not None:
             offer = self._catalogue.offer(cfg)
+            adopted = offer.adopted
             log.info(
                 "configuration_read",
                 extra={
@@ -108,6 +122,12 @@
             await asyncio.sleep(STORE_RETRY_S)
             return
         self._catalogue.confirm(started_at)
+        if adopted:
+            # In a thread: streams that are being relayed must not pause meanwhile.
+            findings = await asyncio.to_thread(
+                check_configuration, cfg, self._describe()
+            )
+            log_findings(cfg.version, findings)
 
 
 class EndpointSync:
--- a/tests/gateway_world.py
+++ b/tests/gateway_world.py
@@ -9,6 +9,7 @@
 from adapter.documents import PlatformSource
 from adapter.headers import PlatformHeaderCodec
 from adapter.store import PlatformTable
+from hypothesis import strategies as st
 
 from slatehoist.gateway import GatewayProcess, GatewaySettings
 from slatehoist_standins.deployment_server import DeploymentServer
@@ -56,6 +57,120 @@
     return {**values, **fields}
 
 
+SCALARS = st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=5)
+VALUES = st.recursive(
+    SCALARS,
+    lambda children: (
+        st.lists(children, max_size=3)
+        | st.dictionaries(st.text(max_size=4), children, max_size=3)
+    ),
+    max_leaves=8,
+)
+
+
+def documents(*names: str) -> st.SearchStrategy[dict]:
+    """Draw documents whose fields have the names that a parser reads."""
+    return st.dictionaries(st.sampled_from(names), VALUES, max_size=len(names))
+
+
+_ROUTES = st.lists(
+    documents("name", "host", "prefix", "kind", "service", "timeoutMs", "split")
+    | VALUES,
+    max_size=2,
+)
+_SERVICES = st.lists(documents("name", "engine") | VALUES, max_size=2)
+_TENANTS = st.lists(documents("name", "apiKeys") | VALUES, max_size=2)
+
+
+def drawn_configurations() -> st.SearchStrategy[dict]:
+    """Draw configuration documents of any shape, of which few can be decoded."""
+    return st.fixed_dictionaries(
+        {
+            "version": SCALARS,
+            "routes": _ROUTES | VALUES,
+            "services": _SERVICES | VALUES,
+            "tenants": _TENANTS | VALUES,
+            "limits": documents("maxBodyBytes", "idleTimeoutMs") | VALUES,
+        }
+    )
+
+
+#: Values that the decoder takes for any field without a conversion.
+_ODD_VALUES = (
+    None,
+    True,
+    0,
+    -1,
+    2.5,
+    1 << 70,
+    "",
+    "x",
+    "y" * 200,
+    [],
+    ["a"],
+    {"a": []},
+)
+
+
+def decodable_configurations() -> st.SearchStrategy[dict]:
+    """Draw documents that can be decoded, with entries and values that collide."""
+    number = st.sampled_from([0, -5, 0.5, 30, 400, 1500, 1e12, True])
+    odd = st.sampled_from(_ODD_VALUES)
+    text = st.sampled_from(["a", "b", "A", "", "a:1"])
+    regions = st.lists(st.sampled_from(["eu", "us"]), max_size=2)
+    weight = st.sampled_from([0, 1, 9, -1, 0.25, "3", 1e308])
+    target = st.fixed_dictionaries({"service": text, "weight": weight})
+    credential = st.sampled_from(["", "k", "key-1", "key-2", " key-3", 7])
+    route = st.fixed_dictionaries(
+        {
+            "name": text | odd,
+            "host": text,
+            "prefix": st.sampled_from(
+                ["", "/", "/a/", "/a/b", "a", "/ä", "/a?", ["/"]]
+            ),
+            "kind": st.sampled_from(["safe", "unsafe", "stream"]),
+            "timeoutMs": number,
+            "service": text | odd,
+        },
+        optional={
+            "goalMs": number,
+            "priority": number | odd,
+            "maxAttempts": number | odd,
+            "public": st.booleans(),
+            "resumable": st.booleans(),
+            "gapAimMs": number,
+            "allowedRegions": regions,
+            "split": st.lists(target, max_size=3),
+        },
+    )
+    names = "slots step_ms per_seq_ms context_per_k read_per_s chunk stride"
+    engine = st.fixed_dictionaries(
+        dict.fromkeys(names.split(), number | odd),
+        optional={"usual": st.fixed_dictionaries({"prompt": number | odd})},
+    )
+    service = st.fixed_dictionaries(
+        {"name": text},
+        optional={"engine": engine, "coldS": number, "coldPerS": number},
+    )
+    team = st.fixed_dictionaries(
+        {"name": text | odd, "apiKeys": st.lists(credential, max_size=3)},
+        optional={"priority": number | odd, "allowedRegions": regions},
+    )
+    return st.fixed_dictionaries(
+        {
+            "version": st.integers(1, 2),
+            "routes": st.lists(route, max_size=3),
+            "services": st.lists(service, max_size=2),
+        },
+        optional={
+            "tenants": st.none() | st.lists(team, max_size=2),
+            "limits": st.fixed_dictionaries(
+                {}, optional={"maxBodyBytes": number | odd, "idleTimeoutMs": number}
+            ),
+        },
+    )
+
+
 class GatewayTestCase(unittest.IsolatedAsyncioTestCase):
     """Test case that starts a `GatewayWorld` for a test and stops it afterwards."""
 
--- a/tests/test_platform_parsers.py
+++ b/tests/test_platform_parsers.py
@@ -18,34 +18,11 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from gateway_world import VALUES, documents, drawn_configurations
 from slatehoist.gateway import process
 from slatehoist.maps import RankUnreachableError
 from slatehoist.observe import GatewayMetrics
 
-SCALARS = st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=5)
-VALUES = st.recursive(
-    SCALARS,
-    lambda children: (
-        st.lists(children, max_size=3)
-        | st.dictionaries(st.text(max_size=4), children, max_size=3)
-    ),
-    max_leaves=8,
-)
-
-
-def documents(*names: str) -> st.SearchStrategy[dict]:
-    """Draw documents whose fields have the names that a parser reads."""
-    return st.dictionaries(st.sampled_from(names), VALUES, max_size=len(names))
-
-
-ROUTES = st.lists(
-    documents("name", "host", "prefix", "kind", "service", "timeoutMs", "split")
-    | VALUES,
-    max_size=2,
-)
-SERVICES = st.lists(documents("name", "engine") | VALUES, max_size=2)
-TENANTS = st.lists(documents("name", "apiKeys") | VALUES, max_size=2)
-
 
 def setUpModule():
     logging.getLogger("slatehoist").setLevel(logging.CRITICAL)
@@ -64,17 +41,7 @@
         except (MalformedError, SettingsError):
             pass
 
-    @given(
-        st.fixed_dictionaries(
-            {
-                "version": SCALARS,
-                "routes": ROUTES | VALUES,
-                "services": SERVICES | VALUES,
-                "tenants": TENANTS | VALUES,
-                "limits": documents("maxBodyBytes", "idleTimeoutMs") | VALUES,
-            }
-        )
-    )
+    @given(drawn_configurations())
     def test_configuration_of_any_shape_raises_only_its_own_error(self, doc):
         self.check(read_configuration, doc)
 
