Document slatehoist check and test the findings of a whole gateway

docs/reference/checks.md lists the checks, options and exit codes; a test compares it with the checks in the code. A gateway with a store adopts a configuration with findings, logs them with its regions, servers and retry budget, and serves its other routes.

--- a/packages/cli/src/slatehoist/cli/check.py
+++ b/packages/cli/src/slatehoist/cli/check.py
@@ -1,6 +1,7 @@
 """Check of a configuration document before it is sent, and its differences."""
 
 import importlib
+import json
 import pathlib
 import sys
 from collections.abc import Collection, Mapping, Sequence
@@ -154,7 +155,7 @@
             lines.append(f"{len(self.changes)} changes against {self.against}")
             lines += [_format_change(change) for change in self.changes]
             lines += [
-                f"  callers: {move['callers']}: {move['before']} -> {move['after']}"
+                f"  {move['callers']}: {move['before']} -> {move['after']}"
                 for move in self.moves
             ]
         return "\n".join(lines)
@@ -270,7 +271,13 @@
     if change["change"] == "reordered":
         text += ": other order"
     fields = [
-        f"{name} {field['before']} -> {field['after']}".strip()
+        f"{name} {_format(field['before'])} -> {_format(field['after'])}"
         for name, field in change["fields"].items()
     ]
+    if change["place"] in change["fields"]:
+        fields = [field.partition(" ")[2] for field in fields]
     return text + (f": {'; '.join(fields)}" if fields else "")
+
+
+def _format(value: Any) -> str:
+    return value if isinstance(value, str) else json.dumps(value, ensure_ascii=False)
--- a/packages/gateway/src/slatehoist/gateway/configuration_diff.py
+++ b/packages/gateway/src/slatehoist/gateway/configuration_diff.py
@@ -195,7 +195,7 @@
     for host, prefix in dict.fromkeys([*before.places(), *after.places()]):
         routes = before.route(host, prefix), after.route(host, prefix)
         services = [_describe_services(route) for route in routes]
-        callers = label(host + prefix)
+        callers = f"callers of {label(host + prefix)}"
         if services[0] != services[1]:
             yield Move(callers, *services)
         if None not in routes:
--- a/packages/gateway/tests/test_gateway_configuration_checks.py
+++ b/packages/gateway/tests/test_gateway_configuration_checks.py
@@ -262,20 +262,21 @@
             make_route("/b/x/", public=True),
         )
         moves = self.compare(routes=routes).moves
-        self.assertEqual(moves, (("h/a/", "app", "app 75%, x 25%"),))
+        self.assertEqual(moves, (("callers of h/a/", "app", "app 75%, x 25%"),))
         moves = self.compare(routes=self.old.routes[:1]).moves
-        self.assertEqual(moves, (("h/b/", "app", "no route (404)"),))
+        self.assertEqual(moves, (("callers of h/b/", "app", "no route (404)"),))
 
     # Guards against a longer prefix that takes callers from another route unnoticed.
     def test_new_longer_prefix_moves_its_callers(self):
         route = make_route("/a/b/", targets=(Target("x", 1.0),))
         moves = self.compare(routes=(*self.old.routes, route)).moves
-        self.assertEqual(moves, (("h/a/b/", "app", "x"),))
+        self.assertEqual(moves, (("callers of h/a/b/", "app", "x"),))
 
     def test_callers_that_lose_or_need_access_are_listed(self):
         moves = self.compare(teams=None).moves
         self.assertEqual(
-            moves, (("h/a/", "a credential is needed", "no credential is needed"),)
+            moves,
+            (("callers of h/a/", "a credential is needed", "no credential is needed"),),
         )
         moves = self.compare(teams=(Team("u", ("key", "key-2")),)).moves
         self.assertEqual(
--- a/tests/test_check_command.py
+++ b/tests/test_check_command.py
@@ -7,6 +7,7 @@
 import json
 import logging
 import pathlib
+import re
 import tempfile
 import threading
 import time
@@ -45,6 +46,7 @@
 #: Seconds within which a document of `ENTRIES` entries is checked and compared.
 CHECK_S = 2.0
 ENTRIES = 8000
+ROOT = pathlib.Path(__file__).resolve().parent.parent
 DOCUMENTS = PlatformDocuments()
 DEPLOYMENT = Deployment(frozenset({"eu"}), {"a": 1}, 9.0)
 
@@ -317,6 +319,26 @@
                 self.assertEqual(change["fields"][name]["after"], value)
 
 
+class ReferenceTests(unittest.TestCase):
+    # Guards against a check that the reference page does not explain.
+    def test_reference_lists_all_checks(self):
+        page = (ROOT / "docs" / "reference" / "checks.md").read_text()
+        listed = set(re.findall(r"`([a-z_]+(?:\.[a-z_]+)?)`", page))
+        folder = ROOT / "packages"
+        source = "".join(
+            (folder / path).read_text()
+            for path in (
+                "gateway/src/slatehoist/gateway/configuration_checks.py",
+                "cli/src/slatehoist/cli/check.py",
+            )
+        )
+        call = r'(?:_error|_warning|Finding|Line)\(\s*"([a-z_.]+)"'
+        checks = set(re.findall(call, source))
+        checks |= {f"{kind}.name_repeated" for kind in ("route", "service", "team")}
+        self.assertGreater(len(checks), 25)
+        self.assertEqual(checks - listed, set())
+
+
 class CommandTests(unittest.TestCase):
     def setUp(self):
         folder = tempfile.TemporaryDirectory()
@@ -462,7 +484,7 @@
         self.assertEqual(code, 2)
         self.assertIn("routes[0].allowedRegions (safe): no zone is in mars", out)
         self.assertIn("2 attempts, but service app has 1 endpoints", out)
-        self.assertIn("~ version: version 1 -> 2", out)
+        self.assertIn("~ version: 1 -> 2", out)
         code, out, _ = self.run_check(path, "--against", "store", "--store", address)
         self.assertEqual(code, 1)
         self.assertNotIn("mars: no", out)
--- a/tests/test_platform_gateway.py
+++ b/tests/test_platform_gateway.py
@@ -304,6 +304,34 @@
         async with world.call("/moved/") as resp:
             self.assertEqual(resp.status, 401)
 
+    # Guards against checks that lack the facts of the gateway's deployment, and against
+    # a gateway that rejects what it adopted before the checks existed.
+    async def test_configuration_with_findings_is_served_and_they_are_logged(self):
+        world = await self.start_world(zone_regions={"a": "eu"}, retry_allowance=90.0)
+        doc = make_configuration(3, limits={"maxBodyBytes": 0})
+        doc["routes"][0] |= {"allowedRegions": ["mars"], "maxAttempts": 3}
+        doc["services"][0] |= {"coldS": 3.0, "coldPerS": 5.0}
+        doc["routes"].append(make_route("again", "/safe/", "safe", "other"))
+        with self.assertLogs("slatehoist.gateway", "WARNING") as logs:
+            world.store.put("op", "config", doc)
+            await self.wait_until(
+                lambda: any(r.msg == "configuration_checked" for r in logs.records)
+            )
+        found = {r.check for r in logs.records if r.msg == "configuration_finding"}
+        self.assertEqual(
+            found,
+            {
+                "limit_not_positive",
+                "region_without_zone",
+                "route.more_attempts_than_endpoints",
+                "route.prefix_taken",
+                "service.rate_below_retries",
+            },
+        )
+        self.assertEqual(world.gateway.catalogue.version, 3)
+        async with world.call("/stream/") as resp:
+            self.assertEqual(resp.status, 200)
+
     async def test_hundreds_of_added_routes_are_served_like_the_first(self):
         world = await self.start_world()
         doc = make_configuration(3)
