--- a/packages/gateway/tests/test_gateway_configuration_checks.py
+++ b/packages/gateway/tests/test_gateway_configuration_checks.py
@@ -114,6 +114,11 @@
         self.assertEqual(find(cfg), [("route.prefix_taken", ERROR, "routes[1].prefix")])
         self.assertEqual(RouteTable(cfg).route("h", "/a/x").name, "a")
 
+    def test_routes_of_the_same_name_are_a_warning(self):
+        routes = (make_route(name="a"), make_route("/b/", name="a"))
+        expected = [("route.name_repeated", WARNING, "routes[1].name")]
+        self.assertEqual(find(make_configuration(1, routes=routes)), expected)
+
     def test_findings_of_services(self):
         cases = (
             ((APP, APP), "service.name_repeated", ERROR, "services[1].name"),
