--- a/packages/gateway/src/slatehoist/gateway/__init__.py
+++ b/packages/gateway/src/slatehoist/gateway/__init__.py
@@ -1,7 +1,12 @@
 """Gateway: forwards callers' requests directly to the endpoints."""
 
 from slatehoist.gateway.catalogue import Catalogue, RouteTable
-from slatehoist.gateway.codec import DeploymentSource, Forwarding, HeaderCodec
+from slatehoist.gateway.codec import (
+    DeploymentSource,
+    Forwarding,
+    HeaderCodec,
+    OperatorUpdate,
+)
 from slatehoist.gateway.configuration_checks import (
     UNKNOWN_DEPLOYMENT,
     Deployment,
@@ -59,6 +64,7 @@
     "HeaderCodec",
     "Kind",
     "Move",
+    "OperatorUpdate",
     "ReplyInfo",
     "RequestInfo",
     "Route",
--- a/packages/gateway/src/slatehoist/gateway/configuration_checks.py
+++ b/packages/gateway/src/slatehoist/gateway/configuration_checks.py
@@ -513,7 +513,11 @@
             unknown = [region for region in entry.regions if region not in known]
             if not unknown:
                 continue
-            names = ", ".join(label(region) for region in unknown[:MAX_NAMED_REGIONS])
+            names = ", ".join(
+                # An empty name, which no zone has, stands for an unusable list.
+                label(region) or shorten(region)
+                for region in unknown[:MAX_NAMED_REGIONS]
+            )
             if len(unknown) > MAX_NAMED_REGIONS:
                 names += f" and {len(unknown) - MAX_NAMED_REGIONS} more"
             is_lost = len(unknown) == len(entry.regions)
--- a/packages/gateway/src/slatehoist/gateway/directory.py
+++ b/packages/gateway/src/slatehoist/gateway/directory.py
@@ -179,6 +179,15 @@
         """Return the number of endpoints of each service, without draining ones."""
         return {name: len(listed) for name, listed in self._by_service.items()}
 
+    @property
+    def zones(self) -> set[str]:
+        """Return the zones of all endpoints, draining ones included."""
+        return {endpoint.zone for endpoint in self._endpoints.values()}
+
+    def in_zone(self, zone: str) -> list[Endpoint]:
+        """Return the endpoints of a zone, draining ones included."""
+        return [e for e in self._endpoints.values() if e.zone == zone]
+
     def at_address(self, address: str) -> Endpoint | None:
         """Return the endpoint at an address, or None."""
         return self._by_address.get(address)
--- a/packages/gateway/src/slatehoist/gateway/process.py
+++ b/packages/gateway/src/slatehoist/gateway/process.py
@@ -14,6 +14,7 @@
 from slatehoist.gateway.configuration_checks import Deployment, describe_deployment
 from slatehoist.gateway.crash_reports import CrashReports
 from slatehoist.gateway.directory import EndpointDirectory
+from slatehoist.gateway.evacuations import EvacuationState
 from slatehoist.gateway.forwarding import make_forwarder
 from slatehoist.gateway.gateway import Gateway
 from slatehoist.gateway.health import EndpointHealth
@@ -107,6 +108,9 @@
         )
         self._health = EndpointHealth()
         self._metrics = GatewayMetrics()
+        self.evacuations = EvacuationState(
+            cfg.max_zones_age_s, self.directory, self._metrics, clock
+        )
         self._tasks: list[asyncio.Task] = []
         self._runners: list[web.ServerRunner] = []
 
@@ -129,14 +133,20 @@
             self._codec,
             self.directory,
             self._health,
+            self.evacuations,
             self._upstream,
             chooser,
             tally,
             crashes,
             EndpointProbes(self._upstream.probe, crashes, self._clock),
+            self.catalogue.find_service,
             self._metrics,
             self._clock,
         )
+        cold = forwarder.choice.cold
+        self.evacuations.on_restored = lambda zone, now: cold.record_zone_restored(
+            self.directory.in_zone(zone), now
+        )
         self._gateway = Gateway(
             self._codec,
             self.catalogue,
@@ -147,13 +157,18 @@
         )
         syncs = [
             ConfigurationSync(
-                self._source, self.catalogue, self._clock, self._describe_deployment
+                self._source,
+                self.catalogue,
+                self.evacuations,
+                self._clock,
+                self._describe_deployment,
             ),
             EndpointSync(
                 self._source,
                 self.directory,
                 self._health,
                 crashes,
+                forwarder.choice.cold,
                 self._cfg.endpoint_poll_s,
                 self._clock,
             ),
--- a/packages/routing/src/slatehoist/routing/__init__.py
+++ b/packages/routing/src/slatehoist/routing/__init__.py
@@ -1,6 +1,12 @@
 """Where, when and how often a request runs; decisions without clocks or I/O."""
 
 from slatehoist.routing.affinity import PrefixIndex, prefix_keys
+from slatehoist.routing.cold_starts import (
+    ColdLimit,
+    ColdStarts,
+    ColdUse,
+    make_cold_limit,
+)
 from slatehoist.routing.crashes import RETENTION_S as CRASH_RETENTION_S
 from slatehoist.routing.crashes import CrashTally
 from slatehoist.routing.fairness import FairQueue, Ticket
@@ -12,6 +18,12 @@
     TokenBucket,
     home_entry,
 )
+from slatehoist.routing.placement import (
+    Placement,
+    Unplaced,
+    ZoneChanges,
+    ZoneEvacuations,
+)
 from slatehoist.routing.prompt_parts import (
     CONVICTION_S,
     PROOF_S,
@@ -51,6 +63,9 @@
     "AllowanceShare",
     "Candidate",
     "Chooser",
+    "ColdLimit",
+    "ColdStarts",
+    "ColdUse",
     "Crash",
     "CrashTally",
     "FairQueue",
@@ -59,6 +74,7 @@
     "PartConviction",
     "PartTally",
     "Peer",
+    "Placement",
     "PrefixIndex",
     "PromptPart",
     "QuotaHolder",
@@ -72,8 +88,12 @@
     "SuspectTracker",
     "Ticket",
     "TokenBucket",
+    "Unplaced",
+    "ZoneChanges",
+    "ZoneEvacuations",
     "choose_subset",
     "home_entry",
+    "make_cold_limit",
     "may_fail_fast",
     "prefix_keys",
     "retry_after_s",
--- a/tests/test_platform_parsers.py
+++ b/tests/test_platform_parsers.py
@@ -90,6 +90,7 @@
             "Server-Load": load,
             "Server-Limit": number,
             "Retry-After": number,
+            "Cold-Ms": number,
         }
         codec.read_request(headers)
         codec.read_reply(status, headers)
