--- a/packages/gateway/src/slatehoist/gateway/configuration_checks.py
+++ b/packages/gateway/src/slatehoist/gateway/configuration_checks.py
@@ -252,6 +252,10 @@
     return -_LARGEST_NUMBER <= value <= _LARGEST_NUMBER
 
 
+def _is_optional_number(value: Any) -> bool:
+    return value is None or _is_number(value)
+
+
 #: Bound on numbers, so that sums of them stay finite.
 _LARGEST_NUMBER = 1e300
 
@@ -259,6 +263,7 @@
 _TEXT: _Test = (_is_text, "a text")
 _INTEGER: _Test = (_is_integer, "an integer")
 _NUMBER: _Test = (_is_number, "a finite number")
+_OPTIONAL_NUMBER: _Test = (_is_optional_number, "a finite number")
 
 _ROUTE_TYPES = {
     "name": _TEXT,
@@ -270,7 +275,10 @@
     "max_attempts": _INTEGER,
 }
 _SERVICE_TYPES = {"name": _TEXT, "cold_s": _NUMBER, "cold_rate": _NUMBER}
-_ENGINE_TYPES = dict.fromkeys(EngineSpec._fields, _NUMBER)
+_ENGINE_TYPES = {
+    **dict.fromkeys(EngineSpec._fields, _NUMBER),
+    "report_lag_ms": _OPTIONAL_NUMBER,
+}
 _LIMITS_TYPES = dict.fromkeys(CallerLimits._fields, _NUMBER)
 
 
--- a/packages/gateway/src/slatehoist/gateway/process.py
+++ b/packages/gateway/src/slatehoist/gateway/process.py
@@ -9,6 +9,7 @@
 from aiohttp import web
 from transitions import Machine
 
+from slatehoist.gateway.admission import Admission
 from slatehoist.gateway.catalogue import Catalogue
 from slatehoist.gateway.codec import DeploymentSource, HeaderCodec
 from slatehoist.gateway.configuration_checks import Deployment, describe_deployment
@@ -18,7 +19,7 @@
 from slatehoist.gateway.forwarding import make_forwarder
 from slatehoist.gateway.gateway import Gateway
 from slatehoist.gateway.health import EndpointHealth
-from slatehoist.gateway.model import CallerLimits
+from slatehoist.gateway.model import CallerLimits, Service
 from slatehoist.gateway.probes import EndpointProbes
 from slatehoist.gateway.registry import InstanceRegistry
 from slatehoist.gateway.settings import (
@@ -35,7 +36,7 @@
 from slatehoist.gateway.sync import ConfigurationSync, EndpointSync
 from slatehoist.gateway.upstream import Upstream
 from slatehoist.observe import GatewayMetrics, serve_metrics
-from slatehoist.routing import CrashTally, LoadAwareChooser
+from slatehoist.routing import CrashTally, EvenChooser, LoadAwareChooser
 from slatehoist.storage import WatchableTable
 
 log = logging.getLogger(__name__)
@@ -142,11 +143,22 @@
             self.catalogue.find_service,
             self._metrics,
             self._clock,
+            EvenChooser(self._rng),
         )
         cold = forwarder.choice.cold
         self.evacuations.on_restored = lambda zone, now: cold.record_zone_restored(
             self.directory.in_zone(zone), now
         )
+        admission = None
+        if self._cfg.admits_by_urgency:
+            admission = Admission(
+                forwarder.choice.usable,
+                self._health,
+                lambda: forwarder.instances,
+                self._metrics,
+                self._clock,
+            )
+            forwarder.attempts.streams.on_pause = admission.record_pause
         self._gateway = Gateway(
             self._codec,
             self.catalogue,
@@ -154,6 +166,7 @@
             self._metrics,
             self._rng,
             self._clock,
+            admission,
         )
         syncs = [
             ConfigurationSync(
@@ -192,6 +205,7 @@
                 self._health,
                 self._move_streams_if_slow,
                 self._clock,
+                forwarder.choice.demand,
             )
             self._start_task("StatusFeed", lambda: feed.run(self._engine_services))
         await self._listen(self._cfg.ready_listen, self._handle_ready)
@@ -219,8 +233,10 @@
         self._metrics.store_eras.set(self._source.era)
         self._metrics.config_age.set(self.catalogue.age_s(self._clock()))
         for service in table.cfg.services if table else ():
-            count = len(self.directory.of_service(service.name))
-            self._metrics.endpoints.labels(service.name).set(count)
+            endpoints = self.directory.of_service(service.name)
+            self._metrics.endpoints.labels(service.name).set(len(endpoints))
+            slots = self._health.allocated(endpoints, self._clock())
+            self._metrics.allocated_slots.labels(service.name).set(slots)
 
     def _describe_deployment(self) -> Deployment:
         """Return what the checks of a configuration use; see `Deployment`."""
@@ -228,10 +244,10 @@
             return describe_deployment(self._cfg)
         return describe_deployment(self._cfg, self.directory.service_counts())
 
-    def _engine_services(self) -> list[str]:
+    def _engine_services(self) -> list[Service]:
         table = self.catalogue.table
         services = table.cfg.services if table else ()
-        return [service.name for service in services if service.engine]
+        return [service for service in services if service.engine]
 
     def _move_streams_if_slow(self, endpoint_id: str, pace: float) -> None:
         if pace < MOVE_STREAMS_PACE:
--- a/packages/routing/src/slatehoist/routing/__init__.py
+++ b/packages/routing/src/slatehoist/routing/__init__.py
@@ -1,6 +1,7 @@
 """Where, when and how often a request runs; decisions without clocks or I/O."""
 
 from slatehoist.routing.affinity import PrefixIndex, prefix_keys
+from slatehoist.routing.allocation import CapacityAllocator
 from slatehoist.routing.cold_starts import (
     ColdLimit,
     ColdStarts,
@@ -18,6 +19,7 @@
     TokenBucket,
     home_entry,
 )
+from slatehoist.routing.load_estimate import EvenChooser, ZoneDemand
 from slatehoist.routing.placement import (
     Placement,
     Unplaced,
@@ -62,12 +64,14 @@
     "AdaptiveLimit",
     "AllowanceShare",
     "Candidate",
+    "CapacityAllocator",
     "Chooser",
     "ColdLimit",
     "ColdStarts",
     "ColdUse",
     "Crash",
     "CrashTally",
+    "EvenChooser",
     "FairQueue",
     "LoadAwareChooser",
     "Membership",
@@ -91,6 +95,7 @@
     "Unplaced",
     "ZoneChanges",
     "ZoneEvacuations",
+    "ZoneDemand",
     "choose_subset",
     "home_entry",
     "make_cold_limit",
--- a/tests/test_check_command.py
+++ b/tests/test_check_command.py
@@ -201,6 +201,59 @@
                 (cfg.services[0].cold_s, cfg.services[0].cold_rate), (decoded,) * 2
             )
 
+    # Guards against a task of the gateway that ends since priorities cannot be ranked,
+    # and against a document that is refused although they can.
+    def test_priorities_that_cannot_be_ranked_are_errors(self):
+        for routes, teams, places in (
+            ([1, "high"], [], ["routes[1].priority"]),
+            ([None, 1, 2], [], ["routes[0].priority"]),
+            ([[]], [], ["routes[0].priority"]),
+            ([1], [2, "high", None], ["tenants[1].priority"]),
+            ([], [{}], ["tenants[0].priority"]),
+            (["high", "low"], [None], []),
+            ([None], [True, 2.5], []),
+            ([], ["high", 1], []),
+        ):
+            doc = make_configuration(
+                routes=[
+                    make_route(f"r{n}", f"/{n}/", "safe", "app", priority=value)
+                    for n, value in enumerate(routes)
+                ],
+                tenants=[
+                    {"name": f"t{n}", "apiKeys": [f"k{n}"], "priority": value}
+                    for n, value in enumerate(teams)
+                ],
+            )
+            with self.subTest(routes=routes, teams=teams):
+                if places:
+                    self.assertEqual(list(self.errors_of(doc)), places)
+                else:
+                    RouteTable(read_configuration(doc))
+
+    # Guards against a service that is lost, or a task of the gateway that ends, because
+    # of the age of reports.
+    def test_age_of_reports_is_none_if_it_cannot_be_used(self):
+        names = "slots step_ms per_seq_ms context_per_k read_per_s chunk stride"
+        engine = dict.fromkeys(names.split(), 1)
+        for value, decoded in (
+            (200, 200.0),
+            (0, 0.0),
+            (None, None),
+            (-1, None),
+            (True, None),
+            ("200", None),
+            (float("inf"), None),
+        ):
+            service = {"name": "app", "engine": {**engine, "report_lag_ms": value}}
+            with self.subTest(value=value):
+                cfg = read_configuration(make_configuration(services=[service]))
+                self.assertEqual(cfg.services[0].engine.report_lag_ms, decoded)
+        service = {"name": "app", "engine": {**engine, "report_lag_ms": 10**400}}
+        self.assertEqual(
+            list(self.errors_of(make_configuration(services=[service]))),
+            ["services[0].engine.report_lag_ms"],
+        )
+
     # Guards against a task of the gateway that ends since a name cannot be written,
     # which is used to find the last valid regions of the entry.
     def test_name_that_cannot_be_written_is_an_error(self):
@@ -294,6 +347,7 @@
             "engine",
             "step_ms",
             "chunk",
+            "report_lag_ms",
         }
         self.assertEqual(names - set(WIRE_NAMES), same)
 
@@ -306,6 +360,7 @@
             "read_per_s": 1,
             "chunk": 1,
             "stride": 1,
+            "report_lag_ms": 200,
             "usual": {"prompt": 1, "answer": 1},
         }
         base = {
--- a/tests/test_platform_boundary.py
+++ b/tests/test_platform_boundary.py
@@ -36,6 +36,8 @@
     "evacMs",
     "apiKeys",
     "coldLeftMs",
+    "coldPerS",
+    "Cold-Ms",
     "expectRev",
     "setKeys",
     "sinceRev",
