--- a/packages/gateway/src/slatehoist/gateway/__init__.py
+++ b/packages/gateway/src/slatehoist/gateway/__init__.py
@@ -7,6 +7,25 @@
     HeaderCodec,
     OperatorUpdate,
 )
+from slatehoist.gateway.configuration_checks import (
+    UNKNOWN_DEPLOYMENT,
+    Deployment,
+    Finding,
+    Severity,
+    check_configuration,
+    describe_deployment,
+    format_path,
+    label,
+    shorten,
+)
+from slatehoist.gateway.configuration_diff import (
+    Change,
+    ChangeKind,
+    ConfigurationDiff,
+    FieldChange,
+    Move,
+    compare_configurations,
+)
 from slatehoist.gateway.directory import EndpointDirectory
 from slatehoist.gateway.model import (
     CallerLimits,
@@ -25,24 +44,39 @@
 from slatehoist.gateway.settings import GatewaySettings
 
 __all__ = [
+    "UNKNOWN_DEPLOYMENT",
     "CallerLimits",
     "Catalogue",
+    "Change",
+    "ChangeKind",
     "Configuration",
+    "ConfigurationDiff",
+    "Deployment",
     "DeploymentSource",
     "Endpoint",
     "EndpointDirectory",
     "EngineSpec",
+    "FieldChange",
+    "Finding",
     "Forwarding",
     "GatewayProcess",
     "GatewaySettings",
     "HeaderCodec",
     "Kind",
+    "Move",
     "OperatorUpdate",
     "ReplyInfo",
     "RequestInfo",
     "Route",
     "RouteTable",
     "Service",
+    "Severity",
     "Target",
     "Team",
+    "check_configuration",
+    "compare_configurations",
+    "describe_deployment",
+    "format_path",
+    "label",
+    "shorten",
 ]
--- a/packages/gateway/src/slatehoist/gateway/process.py
+++ b/packages/gateway/src/slatehoist/gateway/process.py
@@ -12,6 +12,7 @@
 from slatehoist.gateway.admission import Admission
 from slatehoist.gateway.catalogue import Catalogue
 from slatehoist.gateway.codec import DeploymentSource, HeaderCodec
+from slatehoist.gateway.configuration_checks import Deployment, describe_deployment
 from slatehoist.gateway.crash_reports import CrashReports
 from slatehoist.gateway.directory import EndpointDirectory
 from slatehoist.gateway.evacuations import EvacuationState
@@ -169,7 +170,11 @@
         )
         syncs = [
             ConfigurationSync(
-                self._source, self.catalogue, self.evacuations, self._clock
+                self._source,
+                self.catalogue,
+                self.evacuations,
+                self._clock,
+                self._describe_deployment,
             ),
             EndpointSync(
                 self._source,
@@ -233,6 +238,12 @@
             slots = self._health.allocated(endpoints, self._clock())
             self._metrics.allocated_slots.labels(service.name).set(slots)
 
+    def _describe_deployment(self) -> Deployment:
+        """Return what the checks of a configuration use; see `Deployment`."""
+        if self.directory.updated_at is None:
+            return describe_deployment(self._cfg)
+        return describe_deployment(self._cfg, self.directory.service_counts())
+
     def _engine_services(self) -> list[Service]:
         table = self.catalogue.table
         services = table.cfg.services if table else ()
--- a/packages/gateway/src/slatehoist/gateway/sync.py
+++ b/packages/gateway/src/slatehoist/gateway/sync.py
@@ -7,6 +7,11 @@
 from slatehoist.gateway.catalogue import Catalogue
 from slatehoist.gateway.codec import DeploymentSource
 from slatehoist.gateway.cold_starts import ColdEndpoints
+from slatehoist.gateway.configuration_checks import (
+    Deployment,
+    check_configuration,
+    log_findings,
+)
 from slatehoist.gateway.crash_reports import CrashReports
 from slatehoist.gateway.directory import EndpointDirectory
 from slatehoist.gateway.evacuations import EvacuationState
@@ -55,6 +60,11 @@
     that ends without an error also confirms that the configuration in force was current
     when the poll began. This holds even if the configuration read is not adopted: the
     catalogue passes one over only if it is not newer than the one in force.
+
+    Parameters
+    ----------
+    describe : callable
+        Returns what is known of the deployment, for the checks of a configuration.
     """
 
     def __init__(
@@ -63,11 +73,13 @@
         catalogue: Catalogue,
         evacuations: EvacuationState,
         clock: Callable[[], float],
+        describe: Callable[[], Deployment] = Deployment,
     ) -> None:
         self._source = source
         self._catalogue = catalogue
         self._evacuations = evacuations
         self._clock = clock
+        self._describe = describe
         self._dependency = Dependency("configuration")
         self._version: int | None = None
         self._wait_s = CONFIG_LONG_POLL_S
@@ -109,8 +121,10 @@
             self._evacuations.update(update.evacuated, update.restored, started_at)
         self._version = update.version
         cfg = update.cfg
+        adopted = False
         if cfg is not None:
             offer = self._catalogue.offer(cfg)
+            adopted = offer.adopted
             log.info(
                 "configuration_read",
                 extra={
@@ -124,6 +138,12 @@
             await asyncio.sleep(STORE_RETRY_S)
             return
         self._catalogue.confirm(started_at)
+        if adopted:
+            # In a thread: streams that are being relayed must not pause meanwhile.
+            findings = await asyncio.to_thread(
+                check_configuration, cfg, self._describe()
+            )
+            log_findings(cfg.version, findings)
 
 
 class EndpointSync:
