--- a/packages/gateway/src/slatehoist/gateway/health.py
+++ b/packages/gateway/src/slatehoist/gateway/health.py
@@ -77,12 +77,12 @@
         self.inflight = 0
         #: Times at which the latest requests were sent, the newest last.
         self.sent_at: deque[float] = deque(maxlen=_MAX_RECENT)
-        #: Times at which requests ended whose connections no later one uses.
-        self.idle_since: deque[float] = deque(maxlen=_MAX_RECENT)
         self.clear()
 
     def clear(self) -> None:
         """Forget all but the requests in flight."""
+        #: Times at which requests ended whose connections no later one uses.
+        self.idle_since: deque[float] = deque(maxlen=_MAX_RECENT)
         self.failures = 0
         self.ejection_s = FIRST_EJECTION_S
         self.ejected_until = float("-inf")
@@ -97,7 +97,7 @@
 
     def record_end(self, now: float) -> None:
         """Record that an attempt has ended, so that its connection is idle."""
-        self.inflight = max(0, self.inflight - 1)
+        self.inflight -= 1
         self.idle_since.append(now)
 
     def has_idle_connection(self, now: float) -> bool:
--- a/tools/models/stale_statuses.py
+++ b/tools/models/stale_statuses.py
@@ -261,6 +261,8 @@
         self.running = 0
         self.on_way = 0
         self.queue: list = []
+        #: Gateway of each request that runs.
+        self.active: list[_Gateway] = []
         self.status_at = float("-inf")
         #: Gateways, the one whose last status is oldest first.
         self.subscribers: list[_Gateway] = []
@@ -413,6 +415,7 @@
         while server.queue and server.running < self.setup.slots:
             gateway, stream_s = server.queue.pop(0)
             server.running += 1
+            server.active.append(gateway)
             head_at = now + HEAD_S * server.pace + self._travel()
             self._schedule(head_at, self._answer, server, gateway, False)
             ends_at = now + stream_s * server.pace
@@ -422,6 +425,7 @@
         if run != server.run:
             return
         server.running -= 1
+        server.active.remove(gateway)
         self._schedule(now + self._travel(), self._finish, server, gateway)
         self._start(now, server)
 
@@ -509,10 +513,10 @@
     def _restart(self, now: float) -> None:
         server = self.rng.choice(self.servers)
         server.run += 1
-        server.running, server.queue = 0, []
+        for gateway in [*server.active, *(gateway for gateway, _ in server.queue)]:
+            self._finish(now, server, gateway)
+        server.running, server.active, server.queue = 0, [], []
         for gateway in self.gateways:
-            record = gateway.health.get_record(server.endpoint.endpoint_id)
-            record.inflight = 0
             gateway.health.forget(server.endpoint.endpoint_id)
         if now < self.setup.seconds:
             self._schedule(now + self.setup.restart_every_s, self._restart)
