Keep requests in the zone while the other zones are as full

A zone with less than half a free slot per endpoint counted as full also where all zones were, so that at load 0.95 half of the requests left their zone for nothing. It now also has to have less than half of the mean of all zones.

Free slots are estimated for at most 24 candidates, drawn if there are more.

--- a/packages/routing/src/slatehoist/routing/load_estimate.py
+++ b/packages/routing/src/slatehoist/routing/load_estimate.py
@@ -15,6 +15,7 @@
 import math
 import random
 from collections.abc import Sequence
+from typing import NamedTuple
 
 from slatehoist.routing.selection import Candidate
 
@@ -35,6 +36,13 @@
 #: for requests without allocated slots there. With 0, requests of a busy zone reach
 #: full endpoints while other zones have free ones.
 MIN_FREE_IN_ZONE = 0.5
+#: A zone counts as full only if it also has less than this fraction of the mean free
+#: slots of all zones. Otherwise nearly all endpoints are full, and leaving the zone
+#: gains nothing.
+MIN_FREE_RATIO = 0.5
+#: Candidates whose free slots are estimated. If there are more, as many are drawn, so
+#: that a choice takes less time than that of `LoadAwareChooser`.
+MAX_ESTIMATED = 24
 #: Requests that a new connection counts as when allocated slots are compared. In the
 #: simulation this halves the new connections (0.19 instead of 0.27 per request at load
 #: 0.7, 0.26 instead of 0.56 at 0.2) without a measurable loss of evenness.
@@ -83,6 +91,14 @@
         return max(self._leaving.per_second(now), REMOTE_DEMAND * demand)
 
 
+class _Estimate(NamedTuple):
+    """Estimated free slots of some candidates, and their mean."""
+
+    candidates: Sequence[Candidate]
+    free: list[float]
+    mean: float
+
+
 class EvenChooser:
     """Chooser for several instances with reports of some age; see `Chooser`."""
 
@@ -106,40 +122,39 @@
         in_zone = [c for c in allocated if c.zone == zone]
         if in_zone:
             return min(in_zone, key=_load_per_slot)
-        local = [c for c in candidates if c.zone == zone]
-        chosen = self._estimated(local, MIN_FREE_IN_ZONE)
-        if chosen is None and allocated:
+        estimate = self._estimate([c for c in candidates if c.zone == zone])
+        if estimate.mean <= MIN_FREE_IN_ZONE:
+            of_all = self._estimate(candidates)
+            if estimate.mean <= MIN_FREE_RATIO * of_all.mean:
+                if allocated:
+                    return min(allocated, key=_load_per_slot)
+                estimate = of_all
+        if estimate.mean > 0:
+            squares = [slots * slots for slots in estimate.free]
+            return self._rng.choices(estimate.candidates, squares)[0]
+        if allocated:
             return min(allocated, key=_load_per_slot)
-        if chosen is None:
-            chosen = self._estimated(candidates)
-        if chosen is None:
-            sample = self._rng.sample(candidates, min(2, len(candidates)))
-            chosen = min(sample, key=_load_per_slot)
-        return chosen
-
-    def _estimated(
-        self, candidates: Sequence[Candidate], min_free: float = 0.0
-    ) -> Candidate | None:
-        """Return a candidate at random by free slots; None if there are none."""
+        sample = self._rng.sample(candidates, min(2, len(candidates)))
+        return min(sample, key=_load_per_slot)
+
+    def _estimate(self, candidates: Sequence[Candidate]) -> _Estimate:
+        """Estimate the free slots of candidates, or of a sample if there are many."""
+        if len(candidates) > MAX_ESTIMATED:
+            candidates = self._rng.choices(candidates, k=MAX_ESTIMATED)
         if not candidates:
-            return None
-        others = [max(0.0, c.reported_load - c.own_at_report) for c in candidates]
+            return _Estimate(candidates, [], 0.0)
+        others = [
+            work if (work := c.reported_load - c.own_at_report) > 0 else 0.0
+            for c in candidates
+        ]
         mean_others = sum(others) / len(others)
-        squares, total = [], 0.0
+        free = []
         for c, reported in zip(candidates, others, strict=True):
             weight = math.exp(-c.report_age_s / LOAD_LIFE_S)
             load = c.own_inflight + mean_others + weight * (reported - mean_others)
             slots = c.concurrency - load
-            # Squares spread requests nearly as evenly as the minimum would if this
-            # process chose alone, and do not herd.
-            if slots > MIN_FREE:
-                total += slots
-                squares.append(slots * slots)
-            else:
-                squares.append(0.0)
-        if total <= min_free * len(squares):
-            return None
-        return self._rng.choices(candidates, squares)[0]
+            free.append(slots if slots > MIN_FREE else 0.0)
+        return _Estimate(candidates, free, sum(free) / len(free))
 
 
 def _load_per_slot(candidate: Candidate) -> float:
--- a/packages/routing/tests/test_routing_allocation.py
+++ b/packages/routing/tests/test_routing_allocation.py
@@ -108,6 +108,15 @@
         )
         self.assertEqual(chosen, {"far": 400})
 
+    # Guards against requests that leave the zone although that gains nothing.
+    def test_request_stays_in_the_zone_if_the_others_are_as_full(self):
+        zones = [
+            make_candidate(f"{zone}{i}", zone, reported_load=4 + (i > 0))
+            for zone in "abc"
+            for i in range(4)
+        ]
+        self.assertEqual(self.choose(*zones), {"a0": 400})
+
     # Guards against gateways that all choose the minimum of the same reports.
     def test_estimated_choice_is_spread_by_free_slots(self):
         chosen = self.choose(
--- a/tools/bench_routing.py
+++ b/tools/bench_routing.py
@@ -177,12 +177,16 @@
         allocated = [
             c._replace(allocated=i % 10 == 0) for i, c in enumerate(unallocated)
         ]
+        zone_full = [
+            c._replace(reported_load=7) if c.zone == "z0" else c for c in unallocated
+        ]
         result[count] = {
             name: _time_choice(chooser, candidates)
             for name, chooser, candidates in (
                 ("load aware", LoadAwareChooser(rng), unallocated),
                 ("even, allocated", EvenChooser(rng), allocated),
                 ("even, estimated", EvenChooser(rng), unallocated),
+                ("even, zone full", EvenChooser(rng), zone_full),
             )
         }
     return result
