--- a/packages/gateway/src/slatehoist/gateway/admission.py
+++ b/packages/gateway/src/slatehoist/gateway/admission.py
@@ -30,6 +30,9 @@
 POLL_S = 0.03
 #: Fraction of the endpoints that must have a fresh status for the load to be known.
 MIN_KNOWN_RATIO = 0.5
+#: Longest wait in seconds that a rejected caller is told, before jitter. Callers cap
+#: longer ones at a third of their time, and would return without any jitter.
+MAX_RETRY_WAIT_S = 1.8
 #: Tokens that a request is charged with if it states no size.
 DEFAULT_COST = 1000.0
 #: Cost of an answer's token in prompt tokens.
@@ -224,7 +227,7 @@
                 "limit": round(state.limit.fraction, 2),
             },
         )
-        raise AdmissionError(wait_s)
+        raise AdmissionError(min(wait_s, MAX_RETRY_WAIT_S))
 
     async def _pump(self, service: str, state: _ServiceState) -> None:
         """Admit and expire waiting requests until none waits."""
