Read an outdated list soon, and let callers return when groups have formed

An answer of another server now asks for another read, at most one each 0.3 s. Callers of a service with an engine return after 1.2 s or more while less than half of the ranks report their status. Both tests of a requested read and that of the wait need the new code.

--- a/packages/gateway/src/slatehoist/gateway/attempts.py
+++ b/packages/gateway/src/slatehoist/gateway/attempts.py
@@ -165,6 +165,7 @@
         if info.wrong_instance:
             self._crashes.record_end(endpoint)
             self._directory.remove(endpoint.endpoint_id)
+            self._directory.request_read()
             return Outcome.WRONG_INSTANCE, None
         now = self._clock()
         self._holds.record_reply(endpoint, info, now, exchange.sent_at)
--- a/packages/gateway/src/slatehoist/gateway/choice.py
+++ b/packages/gateway/src/slatehoist/gateway/choice.py
@@ -122,6 +122,12 @@
         placed = self._placement.allowed(listed)
         return self._health.in_open_groups(self.holds.available(placed, now), now)
 
+    def has_statuses(self, service: Service, now: float) -> bool:
+        """Return True if half of a service's endpoints or more have a fresh status."""
+        listed = self._directory.of_service(service.name)
+        fresh = sum(self._health.has_status([endpoint], now) for endpoint in listed)
+        return fresh * 2 >= len(listed)
+
     def is_unplaced(self, exchange: Exchange) -> bool:
         """Return True if no endpoint may run the request, and set its `unplaced`."""
         self._placed(exchange)
--- a/packages/gateway/src/slatehoist/gateway/directory.py
+++ b/packages/gateway/src/slatehoist/gateway/directory.py
@@ -1,6 +1,7 @@
 """Directory of endpoints, which tolerates outages of the platform's list."""
 
 import asyncio
+import contextlib
 from collections import OrderedDict
 from collections.abc import Iterable
 
@@ -46,6 +47,8 @@
         self._max_age_s = max_age_s
         #: Set, and replaced, with each result of a read.
         self._was_read = asyncio.Event()
+        #: Set if another read is requested.
+        self._read_requested = asyncio.Event()
         self._relist_s = relist_s
         self._row_ttl_s = row_ttl_s
         #: Runs of endpoints that have left, with the time at which that was seen.
@@ -78,6 +81,17 @@
         """Wait for the result of the next read, a list or an outage."""
         await self._was_read.wait()
 
+    def request_read(self) -> None:
+        """Ask for another read soon, since the list has proved to be outdated."""
+        self._read_requested.set()
+
+    async def wait_for_request(self, timeout_s: float) -> None:
+        """Wait until a read is requested, at most for some seconds."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(timeout_s):
+                await self._read_requested.wait()
+        self._read_requested.clear()
+
     def is_overdue(self, now: float) -> bool:
         """Return True if the list should have been read again by now.
 
--- a/packages/gateway/src/slatehoist/gateway/gateway.py
+++ b/packages/gateway/src/slatehoist/gateway/gateway.py
@@ -264,7 +264,8 @@
             raise RefusalError(503, "the group of endpoints is forming", _GROUP_WAIT_S)
         if exchange.hold is not None:
             raise self._refuse_held(exchange.hold)
-        raise RefusalError(503, "no endpoint took the request", _ENDPOINT_WAIT_S)
+        reason = "no endpoint took the request"
+        raise RefusalError(503, reason, self._endpoint_wait_s(exchange, now))
 
     def _refuse_unplaced(self, cause: Unplaced) -> RefusalError:
         """Return the refusal of a request that no endpoint may run by its place."""
@@ -275,6 +276,18 @@
         reason = "all endpoints are in evacuated zones"
         return RefusalError(503, reason, wait_s, hopeless=True)
 
+    def _endpoint_wait_s(self, exchange: Exchange, now: float) -> float:
+        """Return the expected seconds until an endpoint takes a rejected request.
+
+        If less than half of the agents report a status, instances have failed together.
+        The ranks then have to start and to form their group, and callers retry only
+        once or twice.
+        """
+        service = exchange.service
+        if service.engine is None or self._forwarder.choice.has_statuses(service, now):
+            return _ENDPOINT_WAIT_S
+        return _GROUP_WAIT_S
+
     def _refuse_held(self, hold: Hold) -> RefusalError:
         """Return the refusal of a request whose endpoints are all held."""
         if hold.by_share:
--- a/packages/gateway/src/slatehoist/gateway/settings.py
+++ b/packages/gateway/src/slatehoist/gateway/settings.py
@@ -132,6 +132,9 @@
 #: Seconds after which a read of the list that has no answer is repeated on another
 #: connection; a slow store answers within 0.25 s.
 ENDPOINT_HEDGE_S = 0.35
+#: Shortest time in seconds between a read of the list and one that is requested because
+#: the list is outdated; each read is a billed call.
+MIN_READ_INTERVAL_S = 0.3
 #: Seconds before a background task that has failed is started again.
 TASK_RESTART_S = 0.5
 #: Seconds before a failed call to the store is retried.
--- a/packages/gateway/src/slatehoist/gateway/sync.py
+++ b/packages/gateway/src/slatehoist/gateway/sync.py
@@ -21,6 +21,7 @@
     CONFIG_LONG_POLL_S,
     CONFIG_MAX_READ_S,
     ENDPOINT_HEDGE_S,
+    MIN_READ_INTERVAL_S,
     STORE_RETRY_S,
 )
 from slatehoist.storage import HistoryLostError, PlatformError
@@ -203,8 +204,13 @@
             ended.result()
         if not read.done():
             return
+        if not read.result():
+            await asyncio.sleep(STORE_RETRY_S)
+            return
+        # A read that is requested begins at the earliest after the usual retry time.
+        await asyncio.sleep(min(self._poll_s, MIN_READ_INTERVAL_S))
         due_s = self._poll_s - (self._clock() - started_at)
-        await asyncio.sleep(max(0.0, due_s) if read.result() else STORE_RETRY_S)
+        await self._directory.wait_for_request(max(0.0, due_s))
 
     async def _read(self, started_at: float) -> bool:
         """Read the list once; return True if it was read."""
--- a/packages/gateway/tests/test_gateway_holds.py
+++ b/packages/gateway/tests/test_gateway_holds.py
@@ -3,10 +3,10 @@
 import logging
 import unittest
 
-from gateway_builders import make_endpoint
+from gateway_builders import make_endpoint, make_engine
 from reply_world import EVENT_STREAM, ReplyWorld, ScriptedReply, make_events
 
-from slatehoist.gateway import Kind
+from slatehoist.gateway import Kind, Service
 from slatehoist.routing import Membership
 
 LEAVING = {"Leaving": "1"}
@@ -110,6 +110,26 @@
         self.assertEqual(len(world.upstream.requests), 2)
 
 
+class FailedGroupTests(HoldTestCase):
+    """Endpoints reject requests after all instances have lost power together."""
+
+    async def retry_delay(self, **status) -> float:
+        reply = ScriptedReply(b"", "length", status=503, headers={"Not-Run": "1"})
+        service = Service("app", make_engine())
+        world = self.make_world(reply, reply, service=service, kind=Kind.STREAM)
+        for name in ("e1", "e2")[: status.get("statuses", 0)]:
+            world.health.observe_status(name, True, 1.0, world.now)
+        answer = await world.call()
+        return float(answer.head.partition("Retry-After: ")[2].split("\r\n")[0])
+
+    # Guards against callers that use up their retries before the group has formed.
+    async def test_caller_returns_after_the_group_has_formed(self):
+        self.assertGreaterEqual(await self.retry_delay(), 1.2)
+
+    async def test_caller_returns_soon_if_the_ranks_report_their_status(self):
+        self.assertLess(await self.retry_delay(statuses=2), 0.5)
+
+
 class RetryAfterTests(HoldTestCase):
     # Guards against requests to a server that asked for none for some seconds.
     async def test_endpoint_that_turned_a_request_away_gets_none_until_then(self):
--- a/packages/gateway/tests/test_gateway_sync.py
+++ b/packages/gateway/tests/test_gateway_sync.py
@@ -11,7 +11,7 @@
 
 from slatehoist.gateway import EndpointDirectory, Kind
 from slatehoist.gateway.health import EndpointHealth
-from slatehoist.gateway.settings import GatewaySettings
+from slatehoist.gateway.settings import MIN_READ_INTERVAL_S, GatewaySettings
 from slatehoist.gateway.sync import EndpointSync
 from slatehoist.storage import StoreDownError
 
@@ -106,6 +106,25 @@
         self.source.failing_reads = range(2, 4)
         await self.check_drain_is_known_in_time()
 
+    # Guards against requests that are sent to servers of an outdated list until the next
+    # read, although answers show that other servers have their addresses.
+    async def test_requested_read_begins_soon(self):
+        self.source.failing_reads = range(0)
+        await asyncio.sleep(0.05)
+        self.directory.request_read()
+        await asyncio.sleep(MIN_READ_INTERVAL_S + 0.1)
+        self.assertEqual(self.source.reads, 2)
+
+    # Guards against a billed read for each of many such answers.
+    async def test_requests_for_reads_do_not_add_up(self):
+        self.source.failing_reads = range(0)
+        began_at = time.monotonic()
+        while time.monotonic() < began_at + 1.0:
+            self.directory.request_read()
+            await asyncio.sleep(0.01)
+        took_s = time.monotonic() - began_at
+        self.assertLessEqual(self.source.reads, 1 + took_s / MIN_READ_INTERVAL_S)
+
     # Guards against the same where the list drops the server without notice: one failed
     # read counted as an outage, in which rows expire, and kept the server for 2.8 s.
     async def test_removal_is_known_in_time_if_one_read_fails(self):
