--- a/packages/gateway/tests/test_gateway_sync.py
+++ b/packages/gateway/tests/test_gateway_sync.py
@@ -106,8 +106,8 @@
         self.source.failing_reads = range(2, 4)
         await self.check_drain_is_known_in_time()
 
-    # Guards against requests that are sent to servers of an outdated list until the next
-    # read, although answers show that other servers have their addresses.
+    # Guards against requests that are sent by an outdated list until the next read,
+    # although answers show that other servers have the addresses.
     async def test_requested_read_begins_soon(self):
         self.source.failing_reads = range(0)
         await asyncio.sleep(0.05)
