--- a/packages/gateway/src/slatehoist/gateway/admission.py
+++ b/packages/gateway/src/slatehoist/gateway/admission.py
@@ -28,6 +28,8 @@
 MAX_WAITING = 512
 #: Seconds between checks for free slots while requests wait.
 POLL_S = 0.03
+#: Seconds beyond its longest wait after which a request is rejected in any case.
+EXPIRY_MARGIN_S = 0.2
 #: Fraction of the endpoints that must have a fresh status for the load to be known.
 MIN_KNOWN_RATIO = 0.5
 #: Longest wait in seconds that a rejected caller is told, before jitter. Callers cap
@@ -130,21 +132,39 @@
         latest_s = latest_send_s(objective_s, exchange.deadline_at - now, state.times)
         if judge(wait_s, latest_s) is Verdict.REJECT:
             self._reject(exchange, state, wait_s, now)
-        waiting = _Waiting(exchange, asyncio.get_running_loop().create_future())
-        ticket = Ticket(exchange.team, "", _cost(exchange), 0, now + latest_s, waiting)
-        queue = state.queues.setdefault(urgency, FairQueue(MAX_WAITING))
+        if not await self._wait(exchange, state, latest_s, now):
+            self._reject(exchange, state, wait_s, self._clock())
+
+    async def _wait(
+        self, exchange: Exchange, state: _ServiceState, latest_s: float, now: float
+    ) -> bool:
+        """Wait until a request is admitted; return False if that takes too long."""
+        admitted = asyncio.get_running_loop().create_future()
+        ticket = Ticket(
+            exchange.team,
+            "",
+            _cost(exchange),
+            0,
+            now + latest_s,
+            _Waiting(exchange, admitted),
+        )
+        queue = state.queues.setdefault(exchange.urgency, FairQueue(MAX_WAITING))
         for evicted in queue.push(ticket, now):
             _cancel(evicted)
         if state.pump is None:
-            state.pump = asyncio.create_task(self._pump(name, state))
+            pump = self._pump(exchange.service.name, state)
+            state.pump = asyncio.create_task(pump)
         try:
-            is_admitted = await waiting.admitted
+            # The queue expires requests itself; this ends the wait if its task fails.
+            async with asyncio.timeout(latest_s + EXPIRY_MARGIN_S):
+                return await admitted
+        except TimeoutError:
+            queue.remove(ticket)
+            return False
         except asyncio.CancelledError:
-            if not queue.remove(ticket) and waiting.admitted.done():
+            if not queue.remove(ticket) and admitted.done():
                 self.leave(exchange)
             raise
-        if not is_admitted:
-            self._reject(exchange, state, wait_s, self._clock())
 
     def leave(self, exchange: Exchange) -> None:
         """Record that an admitted request has ended."""
@@ -163,10 +183,11 @@
     def record_pause(self, exchange: Exchange, pause_s: float, now: float) -> None:
         """Record the pause between two events of a stream."""
         state = self._services.get(exchange.service.name)
-        if state is not None:
-            state.limit.record(pause_s, now)
-            if exchange.route.pause_s is not None:
-                state.limit.update(exchange.route.pause_s, now)
+        accepted_s = exchange.route.pause_s
+        if state is None or accepted_s is None:
+            return
+        state.limit.record(pause_s, now)
+        state.limit.update(accepted_s, now)
 
     def _state(self, service: str) -> _ServiceState:
         return self._services.setdefault(service, _ServiceState())
--- a/packages/gateway/tests/test_gateway_admission.py
+++ b/packages/gateway/tests/test_gateway_admission.py
@@ -172,6 +172,29 @@
         self.assertTrue(task.done())
         self.assertEqual(len(world.rejected), 1)
 
+    # Guards against waiting requests that nobody answers since the task that admits
+    # them has failed.
+    async def test_waiting_request_is_rejected_if_the_task_fails(self):
+        world = AdmissionWorld()
+        world.report(0)
+        for _ in range(SLOTS):
+            await world.enter(world.exchange())
+        world.report(SLOTS)
+        with mock.patch.object(Admission, "_admit_waiting", side_effect=ValueError):
+            task = asyncio.create_task(world.enter(world.exchange(objective_s=0.5)))
+            async with asyncio.timeout(2.0):
+                await task
+        self.assertEqual(len(world.rejected), 1)
+
+    # Guards against pauses that are kept for a route without a limit on them.
+    async def test_pauses_of_a_route_without_a_limit_are_not_kept(self):
+        world = AdmissionWorld()
+        world.report(0)
+        exchange = world.exchange(route=make_route(kind=Kind.STREAM))
+        await world.enter(exchange)
+        world.admission.record_pause(exchange, 1.0, world.now)
+        self.assertEqual(world.admission._services["app"].limit._pauses, [])
+
     # Guards against slots that are lost when waiting callers leave.
     async def test_caller_that_leaves_while_it_waits_uses_no_slot(self):
         world = AdmissionWorld()
