--- a/packages/gateway/src/slatehoist/gateway/admission.py
+++ b/packages/gateway/src/slatehoist/gateway/admission.py
@@ -256,6 +256,9 @@
             while any(state.queues.values()):
                 await asyncio.sleep(POLL_S)
                 self._admit_waiting(service, state)
+        except Exception:
+            # Those that wait are rejected when their wait ends.
+            log.exception("admission_failed", extra={"service": service})
         finally:
             state.pump = None
 
