Treat an endpoint that refused a connection as cold when it is back

They had crashed, and were back before the next read of the list showed their new start, so that gateways sent to them as to warm ones. A refused connection shows the end of a process at once.

--- a/packages/gateway/src/slatehoist/gateway/attempts.py
+++ b/packages/gateway/src/slatehoist/gateway/attempts.py
@@ -101,6 +101,7 @@
             self._record_failure(endpoint)
             if exc.refused:
                 self._crashes.record_end(endpoint)
+                self._cold.record_refused(endpoint, self._clock())
             return Outcome.NOT_SENT, None
         except TimeoutError:
             self._record_failure(endpoint)
--- a/packages/gateway/src/slatehoist/gateway/cold_starts.py
+++ b/packages/gateway/src/slatehoist/gateway/cold_starts.py
@@ -68,6 +68,13 @@
         """Record that a zone is restored: its endpoints may just have become cold."""
         self._record_service_time(endpoints, "restored", now)
 
+    def record_refused(self, endpoint: Endpoint, now: float) -> None:
+        """Record that an endpoint refused a connection.
+
+        Its process has ended. It may be back, and cold, before the list shows that.
+        """
+        self._record_service_time([endpoint], "refused", now)
+
     def record_reply(
         self,
         service: Service,
--- a/packages/gateway/tests/test_gateway_cold_starts.py
+++ b/packages/gateway/tests/test_gateway_cold_starts.py
@@ -248,6 +248,16 @@
         await world.run(COLD_S)
         self.assertFalse(self.is_cold(gateway, "e0", world.now))
 
+    # Guards against requests to a server that has crashed and is back before the list
+    # shows its new start: in the soak it got 35 in a second (20 allowed).
+    async def test_server_that_refused_a_connection_counts_as_cold(self):
+        world = ColdWorld(1, servers=2)
+        (gateway,) = world.gateways
+        endpoint = make_endpoint("e0", service=SERVICE.name)
+        gateway.cold.record_refused(endpoint, world.now)
+        self.assertTrue(self.is_cold(gateway, "e0", world.now))
+        self.assertFalse(self.is_cold(gateway, "e0", world.now + COLD_S))
+
     # Guards against a deployment that refuses its first requests: its servers start
     # together with gateways that have no shares yet.
     async def test_servers_that_start_before_any_traffic_are_not_cold(self):
