--- a/packages/gateway/src/slatehoist/gateway/admission.py
+++ b/packages/gateway/src/slatehoist/gateway/admission.py
@@ -32,8 +32,8 @@
 EXPIRY_MARGIN_S = 0.2
 #: Fraction of the endpoints that must have a fresh status for the load to be known.
 MIN_KNOWN_RATIO = 0.5
-#: Longest wait in seconds that a rejected caller is told, before jitter. Callers cap
-#: longer ones at a third of their time, and would return without any jitter.
+#: Upper bound in seconds on the `Retry-After` of a rejected request, before jitter.
+#: Callers cap longer values at a third of their deadline, which removes the jitter.
 MAX_RETRY_WAIT_S = 1.8
 #: Tokens that a request is charged with if it states no size.
 DEFAULT_COST = 1000.0
--- a/packages/gateway/tests/test_gateway_admission.py
+++ b/packages/gateway/tests/test_gateway_admission.py
@@ -157,7 +157,7 @@
         self.assertEqual(order, [0, 1, 2])
         await asyncio.gather(*tasks)
 
-    # Guards against waiting requests that nobody answers.
+    # Guards against requests that stay in the queue after their wait has ended.
     async def test_waiting_request_is_rejected_when_it_cannot_be_in_time(self):
         world = AdmissionWorld()
         world.report(0)
@@ -172,8 +172,8 @@
         self.assertTrue(task.done())
         self.assertEqual(len(world.rejected), 1)
 
-    # Guards against waiting requests that nobody answers since the task that admits
-    # them has failed.
+    # Guards against requests that stay in the queue after the task that admits them has
+    # failed.
     async def test_waiting_request_is_rejected_if_the_task_fails(self):
         world = AdmissionWorld()
         world.report(0)
