Log and count endpoints that are kept although the list lacks them

An `attempt` line did not tell whether the list by which the endpoint was chosen contained it, and a row that went back from draining to ready was not logged.

--- a/packages/gateway/src/slatehoist/gateway/choice.py
+++ b/packages/gateway/src/slatehoist/gateway/choice.py
@@ -210,6 +210,7 @@
             "allocated": record.allocated,
             "pace": record.pace,
             "list_age_ms": milliseconds(now - (self._directory.updated_at or now)),
+            "is_kept": self._directory.is_kept(endpoint.endpoint_id),
             **self.holds.rate_log_fields(endpoint, now),
             **self.cold.log_fields(exchange.service, endpoint, now),
         }
--- a/packages/gateway/src/slatehoist/gateway/directory.py
+++ b/packages/gateway/src/slatehoist/gateway/directory.py
@@ -64,6 +64,8 @@
         self._keep_until = float("-inf")
         #: Endpoints that have not been listed since the last outage.
         self._unseen: set[str] = set()
+        #: Endpoints that are missing from the last list, and are kept after an outage.
+        self._kept: set[str] = set()
         self.updated_at: float | None = None
         #: Time since which no outage delays the removal of endpoints that have left.
         self.reliable_since = float("inf")
@@ -125,6 +127,7 @@
         current = {endpoint.endpoint_id: endpoint for endpoint in listed}
         self._unseen -= current.keys()
         missing = self._endpoints.keys() - current.keys()
+        kept: set[str] = set()
         if now < self._keep_until:
             used_addresses = {e.address for e in current.values()}
             kept = {
@@ -134,6 +137,8 @@
             }
             current.update((name, self._endpoints[name]) for name in kept)
             missing -= kept
+        newly_kept = kept - self._kept
+        self._kept = kept
         changes = EndpointChanges(
             added=[e for name, e in current.items() if name not in self._endpoints],
             removed=[self._endpoints[name] for name in missing],
@@ -150,6 +155,14 @@
                 if name in self._endpoints
                 and e.started_at_ms != self._endpoints[name].started_at_ms
             ],
+            kept=[self._endpoints[name] for name in newly_kept],
+            undrained=[
+                e
+                for name, e in current.items()
+                if not e.draining
+                and name in self._endpoints
+                and self._endpoints[name].draining
+            ],
         )
         for endpoint in changes.removed:
             self._left[endpoint.run_id] = now
@@ -202,6 +215,15 @@
         """Return the endpoints of a zone, draining ones included."""
         return [e for e in self._endpoints.values() if e.zone == zone]
 
+    def is_kept(self, endpoint_id: str) -> bool:
+        """Return True if an endpoint is kept although the last list lacks it."""
+        return endpoint_id in self._kept
+
+    @property
+    def kept_count(self) -> int:
+        """Return the number of endpoints that the last list lacks."""
+        return len(self._kept)
+
     def at_address(self, address: str) -> Endpoint | None:
         """Return the endpoint at an address, or None."""
         return self._by_address.get(address)
@@ -221,6 +243,10 @@
     ----------
     removed, restarted : list of Endpoint
         Endpoints as they were listed before.
+    kept : list of Endpoint
+        Endpoints that are missing from this list for the first time, and are kept.
+    undrained : list of Endpoint
+        Endpoints that were draining, and are listed as ready.
     """
 
     def __init__(
@@ -229,11 +255,15 @@
         removed: list[Endpoint],
         drained: list[Endpoint],
         restarted: list[Endpoint],
+        kept: list[Endpoint],
+        undrained: list[Endpoint],
     ) -> None:
         self.added = added
         self.removed = removed
         self.drained = drained
         self.restarted = restarted
+        self.kept = kept
+        self.undrained = undrained
 
     def __bool__(self) -> bool:
-        return bool(self.added or self.removed or self.drained or self.restarted)
+        return any(vars(self).values())
--- a/packages/gateway/src/slatehoist/gateway/process.py
+++ b/packages/gateway/src/slatehoist/gateway/process.py
@@ -231,6 +231,7 @@
         table = self.catalogue.table
         self._metrics.config_version.set(self.catalogue.version)
         self._metrics.store_eras.set(self._source.era)
+        self._metrics.kept_endpoints.set(self.directory.kept_count)
         self._metrics.config_age.set(self.catalogue.age_s(self._clock()))
         for service in table.cfg.services if table else ():
             endpoints = self.directory.of_service(service.name)
--- a/packages/gateway/src/slatehoist/gateway/sync.py
+++ b/packages/gateway/src/slatehoist/gateway/sync.py
@@ -263,5 +263,7 @@
                     "removed": [e.endpoint_id for e in changes.removed],
                     "draining": [e.endpoint_id for e in changes.drained],
                     "restarted": [e.endpoint_id for e in changes.restarted],
+                    "kept": [e.endpoint_id for e in changes.kept],
+                    "undrained": [e.endpoint_id for e in changes.undrained],
                 },
             )
--- a/packages/observe/src/slatehoist/observe/metrics.py
+++ b/packages/observe/src/slatehoist/observe/metrics.py
@@ -168,6 +168,11 @@
             "Endpoints that are known to be cold.",
             **kwargs,
         )
+        self.kept_endpoints = Gauge(
+            "slatehoist_kept_endpoints",
+            "Endpoints that the last list lacks, kept since it was just unavailable.",
+            **kwargs,
+        )
         self.endpoints = Gauge(
             "slatehoist_endpoints",
             "Endpoints that accept new requests, by service.",
