--- a/packages/gateway/tests/test_gateway_sync.py
+++ b/packages/gateway/tests/test_gateway_sync.py
@@ -11,12 +11,20 @@
 
 from slatehoist.gateway import EndpointDirectory, Kind
 from slatehoist.gateway.health import EndpointHealth
-from slatehoist.gateway.settings import MIN_READ_INTERVAL_S, GatewaySettings
+from slatehoist.gateway.settings import (
+    CONNECT_TIMEOUT_S,
+    ENDPOINT_RELIST_S,
+    MIN_READ_INTERVAL_S,
+    GatewaySettings,
+)
 from slatehoist.gateway.sync import EndpointSync
 from slatehoist.storage import StoreDownError
 
 #: Seconds within which the shortest of the users' bounds wants a drain to be known.
 DRAIN_S = 2.0
+#: Seconds after an outage of the store from which the shortest of the users' bounds
+#: holds again.
+CONTACT_S = 3.0
 #: Seconds after which a call to the store fails that gets no answer.
 CALL_TIMEOUT_S = 0.9
 
@@ -60,25 +68,60 @@
         return self.listed
 
 
+class OutageSource:
+    """List of endpoints that is unavailable from `down_from` until `up_from`.
+
+    Attributes
+    ----------
+    silence_s : float
+        Seconds until a read that began during the outage fails.
+    """
+
+    era = 0
+
+    def __init__(self, down_from: float, up_from: float, silence_s: float) -> None:
+        self.up_from = up_from
+        self._down_from = down_from
+        self._silence_s = silence_s
+
+    async def endpoints(self) -> list:
+        """Return e1 and e2, and only e1 after the outage."""
+        began_at = time.monotonic()
+        if self._down_from <= began_at < self.up_from:
+            await asyncio.sleep(self._silence_s)
+            raise StoreDownError("no answer")
+        names = ("e1", "e2") if began_at < self._down_from else ("e1",)
+        return [make_endpoint(name) for name in names]
+
+
+def make_sync(source) -> tuple[EndpointDirectory, EndpointSync]:
+    """Build a directory with the users' shortest bounds, and what keeps it current."""
+    cfg = GatewaySettings("", "", "", "", drain_s=DRAIN_S, contact_s=CONTACT_S)
+    directory = EndpointDirectory(
+        cfg.endpoint_relist_s, cfg.row_ttl_s, cfg.min_outage_s
+    )
+    crashes = SimpleNamespace(
+        record_end=lambda endpoint: None,
+        record_restart=lambda old, current: None,
+        observe_list=lambda listed, read_at, reliable_since: None,
+    )
+    cold = SimpleNamespace(record_list=lambda listed, started, now: None)
+    sync = EndpointSync(
+        source,
+        directory,
+        EndpointHealth(),
+        crashes,
+        cold,
+        cfg.endpoint_poll_s,
+        time.monotonic,
+    )
+    return directory, sync
+
+
 class ReadTests(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
-        self.directory = EndpointDirectory(2.8, 4.8, min_outage_s=2.4)
-        crashes = SimpleNamespace(
-            record_end=lambda endpoint: None,
-            record_restart=lambda old, current: None,
-            observe_list=lambda listed, read_at, reliable_since: None,
-        )
-        cold = SimpleNamespace(record_list=lambda listed, started, now: None)
         self.source = ScriptedSource()
-        sync = EndpointSync(
-            self.source,
-            self.directory,
-            EndpointHealth(),
-            crashes,
-            cold,
-            GatewaySettings("", "", "", "", drain_s=DRAIN_S).endpoint_poll_s,
-            time.monotonic,
-        )
+        self.directory, sync = make_sync(self.source)
         task = asyncio.create_task(sync.run())
         self.addAsyncCleanup(asyncio.wait, {task})
         self.addCleanup(task.cancel)
@@ -134,6 +177,51 @@
         self.assertLess(await self.seconds_until_one_is_left(), DRAIN_S)
 
 
+class OutageTests(unittest.IsolatedAsyncioTestCase):
+    #: Seconds of the outage, in which rows expire, and after which the next reads are
+    #: due at different times.
+    OUTAGES_S = (3.0, 3.1, 3.2, 3.3, 3.4, 3.5, 3.6, 3.7)
+
+    async def removal_s(self, outage_s: float, silence_s: float) -> float:
+        """Return the seconds from the end of an outage until e2 gets no requests."""
+        down_from = time.monotonic() + 0.1
+        source = OutageSource(down_from, down_from + outage_s, silence_s)
+        directory, sync = make_sync(source)
+        task = asyncio.create_task(sync.run())
+        async with asyncio.timeout(outage_s + 2 * CONTACT_S):
+            while (
+                time.monotonic() < source.up_from
+                or len(directory.of_service("app")) != 1
+            ):
+                await asyncio.sleep(0.005)
+        removed_at = time.monotonic()
+        task.cancel()
+        await asyncio.wait({task})
+        return removed_at - source.up_from
+
+    async def removals_s(self) -> list[float]:
+        """Return the results for outages that refuse reads, and that leave them open."""
+        return await asyncio.gather(
+            *(
+                self.removal_s(outage_s, silence_s)
+                for outage_s in self.OUTAGES_S
+                for silence_s in (0.0, CALL_TIMEOUT_S)
+            )
+        )
+
+    # Guards against requests to a server that left during an outage of the store, sent
+    # later than `CONTACT_S` after the outage: the server was kept until a read that was
+    # due after the time in which expired servers list themselves again.
+    async def test_server_that_left_in_an_outage_is_removed_within_contact_time(self):
+        removals_s = await self.removals_s()
+        self.assertLessEqual(max(removals_s), CONTACT_S - CONNECT_TIMEOUT_S)
+
+    # Guards against refused requests while servers whose rows expired in an outage have
+    # not listed themselves again.
+    async def test_server_that_expired_in_an_outage_is_kept_for_the_relist_time(self):
+        self.assertGreaterEqual(min(await self.removals_s()), ENDPOINT_RELIST_S)
+
+
 class OverdueListTests(unittest.IsolatedAsyncioTestCase):
     def make_world(self) -> ReplyWorld:
         reply = ScriptedReply(b"whole", "length")
