Stop keeping endpoints that left in an outage before the drain bound holds

Callers saw: a request reached a server 12.6 s after it had said that it leaves.

Cause: after an outage of the list, missing endpoints are kept for the time in which expired ones list themselves again. That time was counted from the first read that succeeded, up to 0.8 s after the store was back if it had been silent; it contained a whole interval of reads; and it ended only with the first read after it. The users' bound holds 3.0 s after the outage; endpoints were kept for up to 3.46 s (reads refused) and 4.00 s (reads unanswered).

Now reads begin 0.35 s apart in a silent outage, too, the time is bounded by contact_s less detection and connect, and it ends by the clock: choices leave out kept endpoints after it, whether or not the list was read again. The list is read once more 0.1 s before, so that endpoints that are back are not dropped.

Tests pass the time to of_service, which now takes it; none checks less.

--- a/packages/gateway/src/slatehoist/gateway/choice.py
+++ b/packages/gateway/src/slatehoist/gateway/choice.py
@@ -118,24 +118,24 @@
 
         Those in evacuated zones, held ones, and those in closed groups do not.
         """
-        listed = self._directory.of_service(service)
+        listed = self._directory.of_service(service, now)
         placed = self._placement.allowed(listed)
         return self._health.in_open_groups(self.holds.available(placed, now), now)
 
     def has_statuses(self, service: Service, now: float) -> bool:
         """Return True if half of a service's endpoints or more have a fresh status."""
-        listed = self._directory.of_service(service.name)
+        listed = self._directory.of_service(service.name, now)
         fresh = sum(self._health.has_status([endpoint], now) for endpoint in listed)
         return fresh * 2 >= len(listed)
 
     def is_unplaced(self, exchange: Exchange) -> bool:
         """Return True if no endpoint may run the request, and set its `unplaced`."""
-        self._placed(exchange)
+        self._placed(exchange, self._clock())
         return exchange.unplaced is not None
 
-    def _placed(self, exchange: Exchange) -> list[Endpoint]:
+    def _placed(self, exchange: Exchange, now: float) -> list[Endpoint]:
         """Return the listed endpoints that may run the request by their place."""
-        listed = self._directory.of_service(exchange.service.name)
+        listed = self._directory.of_service(exchange.service.name, now)
         placed = self._placement.allowed(listed, *exchange.regions)
         exchange.unplaced = None
         if not placed:
@@ -152,9 +152,10 @@
             return True
         wait_until = min(self._clock() + GROUP_FORMING_WAIT_S, exchange.deadline_at)
         while True:
-            listed = self._directory.of_service(exchange.service.name)
-            state = self._health.group_state(listed, self._clock())
-            if state is not GroupState.FORMING or self._clock() >= wait_until:
+            now = self._clock()
+            listed = self._directory.of_service(exchange.service.name, now)
+            state = self._health.group_state(listed, now)
+            if state is not GroupState.FORMING or now >= wait_until:
                 return state is GroupState.OPEN
             await asyncio.sleep(GROUP_FORMING_POLL_S)
 
@@ -165,7 +166,7 @@
         until when. If none may run the request by its place, `exchange.unplaced` states
         why.
         """
-        placed = self._placed(exchange)
+        placed = self._placed(exchange, now)
         untried = [e for e in placed if e.endpoint_id not in exchange.tried]
         open_endpoints = self.holds.available(untried, now)
         if not open_endpoints:
--- a/packages/gateway/src/slatehoist/gateway/directory.py
+++ b/packages/gateway/src/slatehoist/gateway/directory.py
@@ -17,7 +17,8 @@
     An endpoint that is missing from the list has left, unless the list was unavailable
     shortly before: its entries expire during an outage, and endpoints write them again
     afterwards. An endpoint that was listed after the outage and is then missing has
-    left.
+    left, and one that is still missing after the relist time, too, also if no further
+    list was read by then.
 
     The list may come back from an older copy. An endpoint that was draining before
     stays so until it starts again, and one that has left is ignored until the rows of
@@ -26,7 +27,8 @@
     Parameters
     ----------
     relist_s : float
-        Seconds after an outage of the list for which missing endpoints are kept.
+        Relist time: seconds after the first read that ends an outage of the list for
+        which missing endpoints are kept.
     row_ttl_s : float
         Longest time in seconds for which the list shows an endpoint that has ended.
     min_outage_s : float
@@ -61,7 +63,8 @@
         self._by_service: dict[str, list[Endpoint]] = {}
         self._by_address: dict[str, Endpoint] = {}
         self._outage = False
-        self._keep_until = float("-inf")
+        #: End of the relist time.
+        self.keep_until = float("-inf")
         #: Endpoints that have not been listed since the last outage.
         self._unseen: set[str] = set()
         #: Endpoints that are missing from the last list, and are kept after an outage.
@@ -122,13 +125,13 @@
             self._outage = False
             self.reliable_since = now + self._relist_s
             if self.updated_at is None or now - self.updated_at >= self._min_outage_s:
-                self._keep_until = now + self._relist_s
+                self.keep_until = now + self._relist_s
                 self._unseen = set(self._endpoints)
         current = {endpoint.endpoint_id: endpoint for endpoint in listed}
         self._unseen -= current.keys()
         missing = self._endpoints.keys() - current.keys()
         kept: set[str] = set()
-        if now < self._keep_until:
+        if now < self.keep_until:
             used_addresses = {e.address for e in current.values()}
             kept = {
                 name
@@ -198,9 +201,12 @@
         if self._endpoints.pop(endpoint_id, None) is not None:
             self._index()
 
-    def of_service(self, service: str) -> list[Endpoint]:
-        """Return the endpoints of a service that are not draining."""
-        return self._by_service.get(service, [])
+    def of_service(self, service: str, now: float) -> list[Endpoint]:
+        """Return the endpoints of a service that neither drain nor have left."""
+        listed = self._by_service.get(service, [])
+        if self._kept and now >= self.keep_until:
+            return [e for e in listed if e.endpoint_id not in self._kept]
+        return listed
 
     def service_counts(self) -> dict[str, int]:
         """Return the number of endpoints of each service, without draining ones."""
--- a/packages/gateway/src/slatehoist/gateway/process.py
+++ b/packages/gateway/src/slatehoist/gateway/process.py
@@ -233,10 +233,11 @@
         self._metrics.store_eras.set(self._source.era)
         self._metrics.kept_endpoints.set(self.directory.kept_count)
         self._metrics.config_age.set(self.catalogue.age_s(self._clock()))
+        now = self._clock()
         for service in table.cfg.services if table else ():
-            endpoints = self.directory.of_service(service.name)
+            endpoints = self.directory.of_service(service.name, now)
             self._metrics.endpoints.labels(service.name).set(len(endpoints))
-            slots = self._health.allocated(endpoints, self._clock())
+            slots = self._health.allocated(endpoints, now)
             self._metrics.allocated_slots.labels(service.name).set(slots)
 
     def _describe_deployment(self) -> Deployment:
--- a/packages/gateway/src/slatehoist/gateway/settings.py
+++ b/packages/gateway/src/slatehoist/gateway/settings.py
@@ -75,11 +75,16 @@
 
     @property
     def endpoint_relist_s(self) -> float:
-        """Return the time after an outage in which expired endpoints are listed again.
+        """Return the time for which missing endpoints are kept after an outage.
 
-        This is the time that the platform names, plus one read.
+        It is the time in which expired endpoints are listed again, plus one read. If
+        `contact_s` is short, it ends earlier, so that requests to endpoints that have
+        left arrive by then: the first read that succeeds begins up to one interval
+        after the outage has ended, and a connect takes some time.
         """
-        return ENDPOINT_RELIST_S + self.endpoint_poll_s
+        detection_s = ENDPOINT_HEDGE_S + STORE_ANSWER_S
+        latest_s = self.contact_s - detection_s - CONNECT_TIMEOUT_S
+        return max(0.0, min(ENDPOINT_RELIST_S + self.endpoint_poll_s, latest_s))
 
     @property
     def crash_poll_s(self) -> float:
@@ -142,6 +147,10 @@
 #: Seconds after an outage of the store within which expired endpoints list themselves
 #: again, according to the platform.
 ENDPOINT_RELIST_S = 2.0
+#: Seconds before the end of the relist time at which the list is read once more.
+RELIST_READ_LEAD_S = 0.1
+#: Usual longest time in seconds until the store, once available again, has answered.
+STORE_ANSWER_S = 0.1
 #: Timeout in seconds of a connect to an endpoint. A healthy one accepts within a few
 #: milliseconds; an instance without power never answers.
 CONNECT_TIMEOUT_S = 0.4
--- a/packages/gateway/src/slatehoist/gateway/statuses.py
+++ b/packages/gateway/src/slatehoist/gateway/statuses.py
@@ -91,7 +91,7 @@
         """Subscribe to the agents of new hosts, and to all if renewals are due."""
         self._check_standstill(now)
         self._checked_at = now
-        endpoints = self._endpoints_by_host(services)
+        endpoints = self._endpoints_by_host(services, now)
         if now - self._renewed_at >= SUBSCRIPTION_RENEWAL_S:
             self._renewed_at, self._subscribed = now, set()
         for host in endpoints.keys() - self._subscribed:
@@ -99,12 +99,12 @@
         self._subscribed = set(endpoints)
 
     def _endpoints_by_host(
-        self, services: list[Service]
+        self, services: list[Service], now: float
     ) -> dict[str, tuple[Service, Endpoint]]:
         return {
             endpoint.address.rpartition(":")[0]: (service, endpoint)
             for service in services
-            for endpoint in self._directory.of_service(service.name)
+            for endpoint in self._directory.of_service(service.name, now)
         }
 
     def _subscribe(
--- a/packages/gateway/src/slatehoist/gateway/sync.py
+++ b/packages/gateway/src/slatehoist/gateway/sync.py
@@ -22,6 +22,7 @@
     CONFIG_MAX_READ_S,
     ENDPOINT_HEDGE_S,
     MIN_READ_INTERVAL_S,
+    RELIST_READ_LEAD_S,
     STORE_RETRY_S,
 )
 from slatehoist.storage import HistoryLostError, PlatformError
@@ -151,8 +152,8 @@
     """Keep the directory at the newest list of endpoints, by periodic reads.
 
     If a read has no answer yet, another one begins soon, so that some silent
-    connections do not delay the news of a drain; during an outage reads begin at fixed
-    intervals. Of two reads, the result of the one that began later counts.
+    connections do not delay the news of a drain, and the end of an outage is seen soon.
+    Of two reads, the result of the one that began later counts.
 
     Parameters
     ----------
@@ -180,7 +181,6 @@
         self._dependency = Dependency("endpoint list")
         #: Begin of the latest read whose result is known.
         self._known_from = float("-inf")
-        self._is_outage = False
         self._reads: set[asyncio.Task] = set()
 
     async def run(self) -> None:
@@ -197,8 +197,7 @@
         started_at = self._clock()
         read = asyncio.create_task(self._read(started_at))
         self._reads.add(read)
-        wait_s = self._poll_s if self._is_outage else ENDPOINT_HEDGE_S
-        await asyncio.wait({read}, timeout=wait_s)
+        await asyncio.wait({read}, timeout=ENDPOINT_HEDGE_S)
         for ended in [task for task in self._reads if task.done()]:
             self._reads.discard(ended)
             ended.result()
@@ -209,8 +208,13 @@
             return
         # A read that is requested begins at the earliest after the usual retry time.
         await asyncio.sleep(min(self._poll_s, MIN_READ_INTERVAL_S))
-        due_s = self._poll_s - (self._clock() - started_at)
-        await self._directory.wait_for_request(max(0.0, due_s))
+        now = self._clock()
+        due_at = started_at + self._poll_s
+        # Endpoints that have listed themselves again are not to be taken for gone.
+        last_relist_at = self._directory.keep_until - RELIST_READ_LEAD_S
+        if now < last_relist_at:
+            due_at = min(due_at, last_relist_at)
+        await self._directory.wait_for_request(max(0.0, due_at - now))
 
     async def _read(self, started_at: float) -> bool:
         """Read the list once; return True if it was read."""
@@ -219,13 +223,11 @@
         except PlatformError as exc:
             if started_at >= self._known_from:
                 self._known_from = started_at
-                self._is_outage = True
                 self._directory.record_outage()
                 self._dependency.record_failure(exc)
             return False
         if started_at >= self._known_from:
             self._known_from = started_at
-            self._is_outage = False
             self.apply(listed, started_at, self._source.era)
             self._dependency.record_success()
         return True
--- a/packages/gateway/tests/cold_world.py
+++ b/packages/gateway/tests/cold_world.py
@@ -252,7 +252,7 @@
     def handle(self) -> bool:
         """Send a request, and return False if no server may get it."""
         now = self._world.now
-        for endpoint in self._directory.of_service("app"):
+        for endpoint in self._directory.of_service("app", now):
             report = self._world.servers[endpoint.endpoint_id].report
             if report is None:
                 continue
--- a/packages/gateway/tests/test_gateway_decisions.py
+++ b/packages/gateway/tests/test_gateway_decisions.py
@@ -51,16 +51,29 @@
         directory.update([make_endpoint("e1"), make_endpoint("e2")], 0.0)
         changes = directory.update([make_endpoint("e1")], 1.0)
         self.assertEqual([e.endpoint_id for e in changes.removed], ["e2"])
-        self.assertEqual(len(directory.of_service("app")), 1)
+        self.assertEqual(len(directory.of_service("app", 1.0)), 1)
 
     def test_endpoints_missing_after_an_outage_are_kept_for_the_relist_time(self):
         directory = EndpointDirectory(2.5)
         directory.update([make_endpoint("e1"), make_endpoint("e2")], 0.0)
         directory.record_outage()
         directory.update([make_endpoint("e1")], 10.0)
-        self.assertEqual(len(directory.of_service("app")), 2)
+        self.assertEqual(len(directory.of_service("app", 10.0)), 2)
         directory.update([make_endpoint("e1")], 12.6)
-        self.assertEqual(len(directory.of_service("app")), 1)
+        self.assertEqual(len(directory.of_service("app", 12.6)), 1)
+
+    # Guards against requests to an endpoint that left in an outage, until a read which
+    # is due later or gets no answer.
+    def test_kept_endpoint_is_not_returned_after_the_relist_time(self):
+        directory = EndpointDirectory(2.5)
+        directory.update([make_endpoint("e1"), make_endpoint("e2")], 0.0)
+        directory.record_outage()
+        directory.update([make_endpoint("e1")], 10.0)
+        self.assertEqual(len(directory.of_service("app", 12.4)), 2)
+        names = [e.endpoint_id for e in directory.of_service("app", 12.5)]
+        self.assertEqual(names, ["e1"])
+        changes = directory.update([make_endpoint("e1")], 13.0)
+        self.assertEqual([e.endpoint_id for e in changes.removed], ["e2"])
 
     def test_endpoint_relisted_after_an_outage_and_then_missing_is_removed(self):
         directory = EndpointDirectory(2.8)
@@ -75,7 +88,7 @@
         directory.update([make_endpoint("e1")], 0.0)
         directory.record_outage()
         directory.update([make_endpoint("e2", address="10.0.0.1:1")], 1.0)
-        names = [e.endpoint_id for e in directory.of_service("app")]
+        names = [e.endpoint_id for e in directory.of_service("app", 1.0)]
         self.assertEqual(names, ["e2"])
 
     def test_draining_endpoint_gets_no_work_after_an_outage(self):
@@ -84,7 +97,7 @@
         directory.update([make_endpoint("e1", draining=True)], 1.0)
         directory.record_outage()
         directory.update([], 2.0)
-        self.assertEqual(directory.of_service("app"), [])
+        self.assertEqual(directory.of_service("app", 2.0), [])
 
     # Guards against requests to a draining endpoint that an older copy of the list
     # calls ready.
@@ -92,11 +105,11 @@
         directory = EndpointDirectory(2.5, row_ttl_s=4.8)
         directory.update([make_endpoint("e1", draining=True)], 0.0)
         directory.update([make_endpoint("e1")], 1.0, era=1)
-        self.assertEqual(directory.of_service("app"), [])
+        self.assertEqual(directory.of_service("app", 1.0), [])
         directory.update([make_endpoint("e1")], 60.0, era=1)
-        self.assertEqual(directory.of_service("app"), [])
+        self.assertEqual(directory.of_service("app", 60.0), [])
         directory.update([make_endpoint("e1", started_at_ms=7)], 61.0, era=1)
-        self.assertEqual(len(directory.of_service("app")), 1)
+        self.assertEqual(len(directory.of_service("app", 61.0)), 1)
 
     # Guards against requests to an endpoint that has left, and that an older copy of
     # the list contains again.
@@ -108,18 +121,18 @@
         directory.record_outage()
         for at in (2.0, 6.0):
             directory.update(both, at, era=1)
-            names = [e.endpoint_id for e in directory.of_service("app")]
+            names = [e.endpoint_id for e in directory.of_service("app", at)]
             self.assertEqual(names, ["e1"])
         # Its heartbeats keep its row, so it is alive.
         directory.update(both, 6.9, era=1)
-        self.assertEqual(len(directory.of_service("app")), 2)
+        self.assertEqual(len(directory.of_service("app", 6.9)), 2)
 
     def test_endpoint_that_comes_back_in_the_same_era_is_accepted(self):
         directory = EndpointDirectory(2.5, row_ttl_s=4.8)
         directory.update([make_endpoint("e1")], 0.0)
         directory.update([], 1.0)
         directory.update([make_endpoint("e1")], 2.0)
-        self.assertEqual(len(directory.of_service("app")), 1)
+        self.assertEqual(len(directory.of_service("app", 2.0)), 1)
 
     def test_restart_under_the_same_id_is_reported(self):
         directory = EndpointDirectory(2.5)
--- a/packages/gateway/tests/test_gateway_sync.py
+++ b/packages/gateway/tests/test_gateway_sync.py
@@ -129,7 +129,7 @@
     async def seconds_until_one_is_left(self) -> float:
         """Return the seconds from the answer before the change until it is known."""
         async with asyncio.timeout(8.0):
-            while len(self.directory.of_service("app")) != 1:
+            while len(self.directory.of_service("app", time.monotonic())) != 1:
                 await asyncio.sleep(0.005)
         return time.monotonic() - self.source.answered_at
 
@@ -191,7 +191,7 @@
         async with asyncio.timeout(outage_s + 2 * CONTACT_S):
             while (
                 time.monotonic() < source.up_from
-                or len(directory.of_service("app")) != 1
+                or len(directory.of_service("app", time.monotonic())) != 1
             ):
                 await asyncio.sleep(0.005)
         removed_at = time.monotonic()
@@ -200,7 +200,7 @@
         return removed_at - source.up_from
 
     async def removals_s(self) -> list[float]:
-        """Return the results for outages that refuse reads, and that leave them open."""
+        """Return the results for outages that refuse reads or do not answer them."""
         return await asyncio.gather(
             *(
                 self.removal_s(outage_s, silence_s)
--- a/tests/test_platform_crashes.py
+++ b/tests/test_platform_crashes.py
@@ -1,6 +1,7 @@
 """Tests of requests that crash servers, with several gateways and stand-ins."""
 
 import asyncio
+import time
 import unittest
 
 from gateway_world import GatewayTestCase, GatewayWorld
@@ -35,7 +36,9 @@
         for gateway in world.gateways:
             directory = gateway.directory
             await self.wait_until(
-                lambda d=directory: len(d.of_service("app")) == healthy
+                lambda d=directory: (
+                    len(d.of_service("app", time.monotonic())) == healthy
+                )
             )
         expected_reports = len(crashed)
         await self.wait_until(
--- a/tests/test_platform_faults.py
+++ b/tests/test_platform_faults.py
@@ -106,7 +106,9 @@
         world.servers.append(server)
         world.store.put("servers", "i-added", server.row("app"))
         directory = world.gateway.directory
-        await self.wait_until(lambda: len(directory.of_service("app")) == 2)
+        await self.wait_until(
+            lambda: len(directory.of_service("app", time.monotonic())) == 2
+        )
         for _ in range(6):
             if server.arrivals:
                 break
@@ -122,7 +124,10 @@
         world.store.put("servers", old.server_id, moved.row("app"))
         directory = world.gateway.directory
         await self.wait_until(
-            lambda: directory.of_service("app")[0].address == moved.address
+            lambda: (
+                directory.of_service("app", time.monotonic())[0].address
+                == moved.address
+            )
         )
         self.assertEqual(await self.send_request(world), 200)
         self.assertEqual((len(old.arrivals), len(moved.arrivals)), (0, 1))
--- a/tests/test_platform_gateway.py
+++ b/tests/test_platform_gateway.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+import time
 import unittest
 
 import aiohttp
@@ -381,7 +382,9 @@
         world.store.put("servers", "i-0", first.row("app", state="draining"))
         world.store.remove("servers", "i-1")
         directory = world.gateway.directory
-        await self.wait_until(lambda: len(directory.of_service("app")) == 1)
+        await self.wait_until(
+            lambda: len(directory.of_service("app", time.monotonic())) == 1
+        )
         for _ in range(6):
             async with world.call("/safe/") as resp:
                 self.assertEqual(resp.status, 200)
@@ -483,7 +486,7 @@
         """Write the cold server's row; return True if the gateway has read it."""
         server = world.servers[0]
         world.store.put("servers", server.server_id, server.row("app"))
-        listed = world.gateway.directory.of_service("app")
+        listed = world.gateway.directory.of_service("app", time.monotonic())
         return len(listed) == count and any(e.cold_s for e in listed)
 
 
