Keep an endpoint draining until it starts again, in the same era, too

The test test_draining_endpoint_stays_so_if_a_late_heartbeat_calls_it_ready failed before. A run that was listed as draining now stays so until its id or its start time changes; `undrained` in endpoints_changed names each once.

--- a/packages/gateway/src/slatehoist/gateway/directory.py
+++ b/packages/gateway/src/slatehoist/gateway/directory.py
@@ -7,7 +7,7 @@
 
 from slatehoist.gateway.model import Endpoint
 
-#: Endpoints that are remembered as having left.
+#: Endpoints that are remembered as draining, and as having left.
 _MAX_LEFT = 4096
 
 
@@ -20,9 +20,10 @@
     left, and one that is still missing after the relist time, too, also if no further
     list was read by then.
 
-    The list may come back from an older copy. An endpoint that was draining before
-    stays so until it starts again, and one that has left is ignored until the rows of
-    endpoints that have ended are gone from the copy.
+    An endpoint that was listed as draining stays so until it starts again: an earlier
+    heartbeat may be written late, and the list may come back from an older copy. After
+    that, an endpoint that has left is ignored until the rows of endpoints that have
+    ended are gone from the copy.
 
     Parameters
     ----------
@@ -55,8 +56,9 @@
         self._row_ttl_s = row_ttl_s
         #: Runs of endpoints that have left, with the time at which that was seen.
         self._left: OrderedDict[str, float] = OrderedDict()
-        #: For each run of an endpoint, the era in which it was last listed as draining.
-        self._draining_eras: dict[str, int] = {}
+        #: Runs of endpoints that were listed as draining, with True if they were listed
+        #: as ready since.
+        self._draining: OrderedDict[str, bool] = OrderedDict()
         self._era = 0
         self._era_began_at = float("-inf")
         self._endpoints: dict[str, Endpoint] = {}
@@ -120,7 +122,7 @@
             self.reliable_since = now
         if era != self._era:
             self._era, self._era_began_at = era, now
-        listed = self._without_undone_changes(listed, now)
+        listed, undrained = self._without_undone_changes(listed, now)
         if self._outage:
             self._outage = False
             self.reliable_since = now + self._relist_s
@@ -159,17 +161,10 @@
                 and e.started_at_ms != self._endpoints[name].started_at_ms
             ],
             kept=[self._endpoints[name] for name in newly_kept],
-            undrained=[
-                e
-                for name, e in current.items()
-                if not e.draining
-                and name in self._endpoints
-                and self._endpoints[name].draining
-            ],
+            undrained=undrained,
         )
         for endpoint in changes.removed:
             self._left[endpoint.run_id] = now
-            self._draining_eras.pop(endpoint.run_id, None)
             if len(self._left) > _MAX_LEFT:
                 self._left.popitem(last=False)
         self._endpoints = current
@@ -180,21 +175,35 @@
 
     def _without_undone_changes(
         self, listed: Iterable[Endpoint], now: float
-    ) -> list[Endpoint]:
-        """Return the listed endpoints without the changes that an older copy undid."""
+    ) -> tuple[list[Endpoint], list[Endpoint]]:
+        """Return the listed endpoints without changes that undo a departure.
+
+        Returns
+        -------
+        tuple of list of Endpoint and list of Endpoint
+            The endpoints, and those that are listed as ready for the first time since
+            they were listed as draining.
+        """
         is_copy = now - self._era_began_at < self._row_ttl_s
-        endpoints = []
+        endpoints, undrained = [], []
         for endpoint in listed:
             run_id = endpoint.run_id
             left_at = self._left.get(run_id, float("inf"))
             if is_copy and left_at <= self._era_began_at:
                 continue
             if endpoint.draining:
-                self._draining_eras[run_id] = self._era
-            elif self._draining_eras.get(run_id, self._era) != self._era:
+                self._draining[run_id] = False
+                self._draining.move_to_end(run_id)
+            elif run_id in self._draining:
                 endpoint = endpoint._replace(draining=True)
+                if not self._draining[run_id]:
+                    undrained.append(endpoint)
+                self._draining[run_id] = True
+                self._draining.move_to_end(run_id)
             endpoints.append(endpoint)
-        return endpoints
+        while len(self._draining) > _MAX_LEFT:
+            self._draining.popitem(last=False)
+        return endpoints, undrained
 
     def remove(self, endpoint_id: str) -> None:
         """Remove an endpoint that is known to have left."""
@@ -252,7 +261,8 @@
     kept : list of Endpoint
         Endpoints that are missing from this list for the first time, and are kept.
     undrained : list of Endpoint
-        Endpoints that were draining, and are listed as ready.
+        Endpoints that were listed as draining, and are now listed as ready; they stay
+        draining.
     """
 
     def __init__(
--- a/packages/gateway/tests/test_gateway_decisions.py
+++ b/packages/gateway/tests/test_gateway_decisions.py
@@ -111,6 +111,19 @@
         directory.update([make_endpoint("e1", started_at_ms=7)], 61.0, era=1)
         self.assertEqual(len(directory.of_service("app", 61.0)), 1)
 
+    # Guards against requests to a draining endpoint of which an earlier heartbeat, which
+    # calls it ready, is written late.
+    def test_draining_endpoint_stays_so_if_a_late_heartbeat_calls_it_ready(self):
+        directory = EndpointDirectory(2.5)
+        directory.update([make_endpoint("e1", draining=True)], 0.0)
+        directory.update([make_endpoint("e1")], 1.0)
+        self.assertEqual(directory.of_service("app", 1.0), [])
+        directory.update([], 2.0)
+        directory.update([make_endpoint("e1")], 3.0)
+        self.assertEqual(directory.of_service("app", 3.0), [])
+        directory.update([make_endpoint("e1", started_at_ms=7)], 4.0)
+        self.assertEqual(len(directory.of_service("app", 4.0)), 1)
+
     # Guards against requests to an endpoint that has left, and that an older copy of
     # the list contains again.
     def test_endpoint_that_left_is_ignored_while_a_copy_may_contain_it(self):
