Check drains in the soak from 3 s after a fault, and let servers leave in outages

The soak excused a gateway from a drain for good if the store or the gateway was disturbed at any time between the drain and the request. The users' rule excuses it for 3.0 s after the disturbance. The check now says that, so it is stricter.

New fault leave_in_outage: a row is removed, without a drain, while one gateway cannot read the list, and the server serves on.

--- a/packages/gateway/tests/test_gateway_decisions.py
+++ b/packages/gateway/tests/test_gateway_decisions.py
@@ -111,8 +111,8 @@
         directory.update([make_endpoint("e1", started_at_ms=7)], 61.0, era=1)
         self.assertEqual(len(directory.of_service("app", 61.0)), 1)
 
-    # Guards against requests to a draining endpoint of which an earlier heartbeat, which
-    # calls it ready, is written late.
+    # Guards against requests to a draining endpoint that an earlier heartbeat, which is
+    # written late, calls ready.
     def test_draining_endpoint_stays_so_if_a_late_heartbeat_calls_it_ready(self):
         directory = EndpointDirectory(2.5)
         directory.update([make_endpoint("e1", draining=True)], 0.0)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -18,10 +18,11 @@
     108: "a gateway was not ready 20 s after a kill; see KNOWN-RED.txt",
     401: "an HTTP/1.0 caller got the end of its stream only after its deadline",
     702: "servers got requests 3 s after their drain; reads of the list were lost",
+    801: "a server that left in an outage got requests 3 s after it; incident DRAIN",
     504: "servers that turned requests away got more, after they had started again",
 }
 #: Faults that a seed draws from, for seeds that do not draw from all.
-FAULTS = {504: ["turn_away"], 702: ["lose_read"]}
+FAULTS = {504: ["turn_away"], 702: ["lose_read"], 801: ["leave_in_outage"]}
 
 
 class SoakTests(unittest.IsolatedAsyncioTestCase):
--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -8,7 +8,7 @@
 from collections.abc import Awaitable, Callable, Iterator, Sequence
 
 from soak.servers import RateLimit, SoakServer
-from soak.world import COLD_S, GRACE_S, REVOKE_S, Gateway, World
+from soak.world import COLD_S, GRACE_S, REVOKE_S, SETTLE_S, Gateway, World
 
 #: Number of series of faults that run concurrently.
 SERIES = 3
@@ -27,6 +27,8 @@
 
 #: Seconds for which a server that leaves still serves.
 SERVES_ON_S = 4.0
+#: Shortest outage in seconds in which gateways expect rows to expire.
+MIN_OUTAGE_S = 2.5
 
 #: Characters of a process's log that a finding contains.
 LOG_TAIL_CHARS = 600
@@ -272,6 +274,18 @@
     await injector.rng.choice([drain_server, remove_server])(injector, gateway)
 
 
+async def leave_in_outage(injector: FaultInjector, gateway: Gateway) -> None:
+    """Remove a server that serves on while a gateway cannot read the list."""
+    world = injector.world
+    server = await replace_oldest_server(world)
+    with disconnect_store(gateway, injector.rng.choice(["cut", "hole"])):
+        world.store.remove("servers", server.server_id)
+        server.draining_since = time.monotonic()
+        await asyncio.sleep(MIN_OUTAGE_S + injector.draw_duration_s() / 3)
+    await asyncio.sleep(SERVES_ON_S + SETTLE_S)
+    server.crash()
+
+
 async def replace_oldest_server(world: World) -> SoakServer:
     """Add a server, and return the oldest one, which is no longer kept up."""
     await world.add_server()
@@ -365,6 +379,7 @@
         drain_server,
         remove_server,
         lose_read,
+        leave_in_outage,
         leave_server,
         turn_away,
         limit_rate,
--- a/tools/soak/guarantees.py
+++ b/tools/soak/guarantees.py
@@ -15,6 +15,7 @@
     COLD_EXCESS,
     COLD_RATE,
     COLD_SLACK,
+    CONTACT_S,
     DRAIN_S,
     EVACUATION_S,
     REVOKE_S,
@@ -119,7 +120,8 @@
         since = draining_since.get(run.server)
         if since is None or run.at - since <= DRAIN_S:
             continue
-        if world.was_undisturbed(result.gateway, since, run.at):
+        # Earlier faults are no excuse: the gateway has read the list since.
+        if world.was_undisturbed(result.gateway, run.at, run.at, CONTACT_S):
             yield (
                 f"{result.kind} {result.request_id} at {result.gateway}: "
                 f"ran at {run.server}, {run.at - since:.1f} s after its drain began"
--- a/tools/soak/world.py
+++ b/tools/soak/world.py
@@ -37,6 +37,8 @@
 COLD_RATE = 10.0
 COLD_EXCESS = 1.5
 COLD_SLACK = 5.0
+#: Seconds after a fault of a gateway or the store from which drains bind the gateway.
+CONTACT_S = 3.0
 #: Seconds after a fault or a planned stop for which a gateway counts as disturbed.
 SETTLE_S = 4.0
 #: Seconds between heartbeats of a server, and the number of missing ones after which
@@ -80,9 +82,9 @@
         finally:
             span[1] = time.monotonic()
 
-    def overlap(self, start: float, end: float) -> bool:
-        """Return True if a span, extended by `SETTLE_S`, overlaps the given time."""
-        return any(a <= end and b + SETTLE_S >= start for a, b in self._spans)
+    def overlap(self, start: float, end: float, settle_s: float = SETTLE_S) -> bool:
+        """Return True if a span, extended by `settle_s`, overlaps the given time."""
+        return any(a <= end and b + settle_s >= start for a, b in self._spans)
 
 
 class Gateway:
@@ -323,20 +325,30 @@
         variable = f"SLATEHOIST_BOOT={path}"
         self.spawn(name, ["env", variable, sys.executable, str(LAUNCHER), "gateway"])
 
-    def had_no_fault(self, name: str, start: float, end: float) -> bool:
-        """Return True if no fault affected a gateway or the store in a time span."""
+    def had_no_fault(
+        self, name: str, start: float, end: float, settle_s: float = SETTLE_S
+    ) -> bool:
+        """Return True if no fault affected a gateway or the store in a time span.
+
+        Parameters
+        ----------
+        settle_s : float
+            Seconds after a fault for which it still affects them.
+        """
         gateway = next(g for g in self.gateways if g.name == name)
         return not (
-            gateway.fault_spans.overlap(start, end)
-            or self.store_fault_spans.overlap(start, end)
+            gateway.fault_spans.overlap(start, end, settle_s)
+            or self.store_fault_spans.overlap(start, end, settle_s)
         )
 
-    def was_undisturbed(self, name: str, start: float, end: float) -> bool:
+    def was_undisturbed(
+        self, name: str, start: float, end: float, settle_s: float = SETTLE_S
+    ) -> bool:
         """Return True if no fault or planned stop affected a gateway in a time span."""
         gateway = next(g for g in self.gateways if g.name == name)
-        return self.had_no_fault(name, start, end) and not gateway.stop_spans.overlap(
-            start, end
-        )
+        return self.had_no_fault(
+            name, start, end, settle_s
+        ) and not gateway.stop_spans.overlap(start, end, settle_s)
 
     async def wait_ready(self, gateway: Gateway, timeout_s: float = 20.0) -> None:
         """Wait until a gateway reports that it is ready.
