Let the servers of a crash test end a drain by a restart

The servers now start again. What the test checks is unchanged: three crashes of draining servers block the request.

--- a/packages/gateway/tests/gateway_fleet.py
+++ b/packages/gateway/tests/gateway_fleet.py
@@ -205,6 +205,10 @@
             started_at_ms=self._born,
         )
 
+    def restart(self, now: float) -> None:
+        """Start again, which ends a drain."""
+        self._start(now)
+
     def crash(self, now: float) -> None:
         self.is_up = False
         self.crashed_at.append(now)
--- a/packages/gateway/tests/test_gateway_crashes.py
+++ b/packages/gateway/tests/test_gateway_crashes.py
@@ -130,7 +130,8 @@
                     server.row = server.row._replace(draining=True)
             await fleet.advance(6.0)
             for server in fleet.servers:
-                server.draining = False
+                if server.is_up:
+                    server.restart(fleet.now)
             await fleet.advance(2.0)
         self.assertTrue((await gateway.send()).blocked)
 
