Let the last available endpoint use the whole deadline of a request

Callers saw: 502 for a request whose server would have answered in time.

Cause: an attempt that can be repeated ends at the latency objective, so that time is left for another endpoint. If none was left (one endpoint, or all others tried, held, or cold with used up shares), the attempt was cut all the same, and the request was given up as "the outcome is unknown".

Now the attempt ends early only if another endpoint may get the request at that time. Evidence: test_slow_answer_of_the_only_server_is_delivered and test_slow_answer_is_delivered_if_only_a_cold_server_is_left fail before (502), and pass now; that a slow answer is not awaited if another server can be tried passes before and after.

--- a/packages/gateway/src/slatehoist/gateway/attempts.py
+++ b/packages/gateway/src/slatehoist/gateway/attempts.py
@@ -80,9 +80,18 @@
         self._buffers = BufferBudget(MAX_BUFFERED_BYTES)
 
     async def run(
-        self, exchange: Exchange, endpoint: Endpoint
+        self,
+        exchange: Exchange,
+        endpoint: Endpoint,
+        has_alternative: Callable[[Exchange], bool],
     ) -> tuple[Outcome, web.StreamResponse | None]:
-        """Send the request to one endpoint, and pass on its response if it is valid."""
+        """Send the request to one endpoint, and pass on its response if it is valid.
+
+        Parameters
+        ----------
+        has_alternative : callable
+            Returns True if another endpoint may get the request now.
+        """
         exchange.tried.add(endpoint.endpoint_id)
         exchange.sent_at = exchange.last_data_at = self._clock()
         exchange.framing = None
@@ -91,8 +100,11 @@
         record = self._health.get_record(endpoint.endpoint_id)
         record.inflight += 1
         reply: aiohttp.ClientResponse | None = None
+        early_end: asyncio.TimerHandle | None = None
         try:
-            async with asyncio.timeout(self._attempt_timeout_s(exchange)):
+            remaining_s = exchange.deadline_at - self._clock()
+            async with asyncio.timeout(remaining_s) as timeout:
+                early_end = _schedule_early_end(exchange, timeout, has_alternative)
                 reply = await self._upstream.send(
                     self._build_request(exchange, endpoint)
                 )
@@ -115,21 +127,11 @@
             return Outcome.BROKEN, None
         finally:
             record.record_end(self._clock())
+            if early_end is not None:
+                early_end.cancel()
             if reply is not None:
                 reply.close()
 
-    def _attempt_timeout_s(self, exchange: Exchange) -> float:
-        """Return the seconds within which one attempt must end.
-
-        An attempt that can be repeated ends early, at the latency objective, so that
-        time is left for another endpoint. All others may use the whole deadline.
-        """
-        remaining_s = exchange.deadline_at - self._clock()
-        is_last = exchange.attempts + 1 >= exchange.route.max_attempts
-        if exchange.is_stream or not exchange.route.repeatable or is_last:
-            return remaining_s
-        return min(remaining_s, exchange.route.objective_s * ATTEMPT_TIMEOUT_OBJECTIVES)
-
     def _build_request(self, exchange: Exchange, endpoint: Endpoint) -> UpstreamRequest:
         forwarding = Forwarding(
             endpoint.endpoint_id,
@@ -222,3 +224,25 @@
                 "endpoint_ejected",
                 extra={"endpoint": endpoint.endpoint_id, "address": endpoint.address},
             )
+
+
+def _schedule_early_end(
+    exchange: Exchange,
+    timeout: asyncio.Timeout,
+    has_alternative: Callable[[Exchange], bool],
+) -> asyncio.TimerHandle | None:
+    """End an attempt that can be repeated at the latency objective.
+
+    Time is left for another endpoint then. If there is none at that time, and for all
+    other attempts, the endpoint may use the whole deadline.
+    """
+    is_last = exchange.attempts + 1 >= exchange.route.max_attempts
+    if exchange.is_stream or not exchange.route.repeatable or is_last:
+        return None
+    loop = asyncio.get_running_loop()
+
+    def end() -> None:
+        if not timeout.expired() and has_alternative(exchange):
+            timeout.reschedule(loop.time())
+
+    return loop.call_later(exchange.route.objective_s * ATTEMPT_TIMEOUT_OBJECTIVES, end)
--- a/packages/gateway/src/slatehoist/gateway/choice.py
+++ b/packages/gateway/src/slatehoist/gateway/choice.py
@@ -159,6 +159,16 @@
                 return state is GroupState.OPEN
             await asyncio.sleep(GROUP_FORMING_POLL_S)
 
+    def has_alternative(self, exchange: Exchange) -> bool:
+        """Return True if an endpoint that was not tried may get the request now."""
+        now = self._clock()
+        untried = self._untried(exchange, self._placed(exchange, now))
+        open_endpoints = self.holds.available(untried, now)
+        return bool(self.cold.available(exchange.service, open_endpoints, now))
+
+    def _untried(self, exchange: Exchange, endpoints: list[Endpoint]) -> list[Endpoint]:
+        return [e for e in endpoints if e.endpoint_id not in exchange.tried]
+
     def choose(self, exchange: Exchange, now: float) -> Endpoint | None:
         """Return the endpoint for the next attempt, or None if none is available.
 
@@ -167,7 +177,7 @@
         why.
         """
         placed = self._placed(exchange, now)
-        untried = [e for e in placed if e.endpoint_id not in exchange.tried]
+        untried = self._untried(exchange, placed)
         open_endpoints = self.holds.available(untried, now)
         if not open_endpoints:
             exchange.hold = self.holds.find_hold(placed, now)
--- a/packages/gateway/src/slatehoist/gateway/forwarding.py
+++ b/packages/gateway/src/slatehoist/gateway/forwarding.py
@@ -137,7 +137,9 @@
             selection = self.choice.log_fields(exchange, endpoint, now)
             outcome, resp = Outcome.ABANDONED, None
             try:
-                outcome, resp = await self.attempts.run(exchange, endpoint)
+                outcome, resp = await self.attempts.run(
+                    exchange, endpoint, self.choice.has_alternative
+                )
             finally:
                 self._record_attempt(exchange, outcome)
                 if outcome.lost:
--- a/tests/test_platform_gateway.py
+++ b/tests/test_platform_gateway.py
@@ -112,6 +112,25 @@
                     self.assertEqual(await resp.read(), PLAIN_BODY)
                 self.assertEqual(world.count_arrivals(), 2)
 
+    # Guards against a 502 for a request that its only server would have answered: the
+    # attempt ended at the latency objective, to leave time for another server.
+    async def test_slow_answer_of_the_only_server_is_delivered(self):
+        world = await self.start_world(["ok"])
+        world.servers[0].delay_s = 0.6
+        async with world.call("/safe/") as resp:
+            self.assertEqual(resp.status, 200)
+        self.assertEqual(world.count_arrivals(), 1)
+
+    async def test_slow_answer_is_not_awaited_if_another_server_can_be_tried(self):
+        world = await self.start_world(["ok"], ["ok"])
+        world.servers[0].delay_s = 0.8
+        began_at = time.monotonic()
+        for _ in range(4):
+            async with world.call("/safe/") as resp:
+                self.assertEqual(resp.status, 200)
+        self.assertLess(time.monotonic() - began_at, 4 * 0.8)
+        self.assertGreater(world.count_arrivals(), 4)
+
     async def test_unsafe_request_is_not_retried_after_a_failure(self):
         for behaviour in ("close", "reset", "truncate", "garbage", "unframed_reset"):
             with self.subTest(behaviour=behaviour):
@@ -463,6 +482,16 @@
         self.assertEqual(world.servers[0].cold_crashes, 0)
         self.assertLessEqual(len(world.servers[0].arrivals), 6)
 
+    # Guards against a 502 for a request whose server is slow, while only a cold server
+    # with a used up share is left: the attempt ended at the latency objective.
+    async def test_slow_answer_is_delivered_if_only_a_cold_server_is_left(self):
+        world = await self.start_cold_world()
+        await self.wait_until(lambda: self.is_listed_cold(world))
+        world.servers[1].delay_s = 0.6
+        statuses = await self.call_at_once(world, 60)
+        self.assertEqual(set(statuses), {200})
+        self.assertEqual(world.servers[0].cold_crashes, 0)
+
     # Guards against a cold server that crashes, as no other one is left.
     async def test_callers_are_refused_if_only_a_cold_server_is_left(self):
         world = await self.start_cold_world()
