--- a/review/1/case.py
+++ b/review/1/case.py
@@ -8,8 +8,10 @@
 from harness.deployment import NotRunError, Record, run_script
 from harness.group import SIZE, GroupDeployment
 
-#: Rounds of one run; each kills the agents of a new group once.
-ROUNDS = 7
+#: Rounds of one run at most; each kills the agents of a new group once.
+ROUNDS = 12
+#: Seconds after which no further round begins.
+LAST_ROUND_S = 90.0
 #: Seconds in which a round waits for the first switch.
 SWITCH_TIMEOUT_S = 15.0
 #: Seconds from the kill until each agent is started again. The agent of rank 0, which
@@ -56,7 +58,10 @@
 
 async def case(record: Record, is_troubled: bool) -> bool:
     """Return True if the rule held in all rounds."""
+    began_at = time.monotonic()
     for number in range(ROUNDS):
+        if time.monotonic() - began_at > LAST_ROUND_S:
+            break
         record.write("round begins", number=number)
         if not await run_round(record, is_troubled):
             return False
