--- a/review/3/case.py
+++ b/review/3/case.py
@@ -56,8 +56,8 @@
     """Return True if the rule counts a request.
 
     Its channel ended without a complete answer after it was passed on, before its
-    deadline and timeout, and it was sent later than 3 s after the SIGTERM, so that the excuse for
-    the last sixth of the grace time does not apply.
+    deadline and the timeout of its route, and it was sent later than 3 s after the
+    SIGTERM, so that the excuse for the last sixth of the grace time does not apply.
     """
     took_s = reply.ended_at - since - sent_s
     was_passed_on = reply.status == 200
