Log what the retry budget knew when a retry was charged, and how long ago

A retry's `attempt` now has charged_ms, retries, retry_limit and retry_instances, and slatehoist_retries counts the retries that are charged and those over the budget.

--- a/packages/gateway/src/slatehoist/gateway/forwarding.py
+++ b/packages/gateway/src/slatehoist/gateway/forwarding.py
@@ -23,7 +23,7 @@
 from slatehoist.gateway.crash_reports import CrashReports
 from slatehoist.gateway.directory import EndpointDirectory
 from slatehoist.gateway.evacuations import EvacuationState
-from slatehoist.gateway.exchange import Exchange, Outcome
+from slatehoist.gateway.exchange import Exchange, Outcome, RetryCharge
 from slatehoist.gateway.health import EndpointHealth
 from slatehoist.gateway.holds import EndpointHolds
 from slatehoist.gateway.model import Endpoint, Service
@@ -38,7 +38,7 @@
 )
 from slatehoist.gateway.streams import StreamRelay
 from slatehoist.gateway.upstream import Upstream
-from slatehoist.observe import GatewayMetrics
+from slatehoist.observe import GatewayMetrics, milliseconds
 from slatehoist.routing import (
     AllowanceShare,
     Chooser,
@@ -181,7 +181,13 @@
         if exchange.attempts >= exchange.route.max_attempts:
             return False
         now = self._clock()
-        return budget.spend(now, self._allowance_share.fraction(now))
+        fraction = self._allowance_share.fraction(now)
+        is_charged = budget.spend(now, fraction)
+        self._metrics.retries.labels("charged" if is_charged else "over_budget").inc()
+        if is_charged:
+            use = budget.use(now, fraction)
+            exchange.retry_charge = RetryCharge(now, use.retries, use.limit)
+        return is_charged
 
     def _retry_budget(self, service: str) -> SharedRetryBudget:
         budget = self._budgets.get(service)
@@ -193,6 +199,18 @@
             )
         return budget
 
+    def _retry_log_fields(self, exchange: Exchange, now: float) -> dict[str, object]:
+        """Return what the retry budget knew when it was charged, as log fields."""
+        charge = exchange.retry_charge
+        if charge is None:
+            return {}
+        return {
+            "charged_ms": milliseconds(now - charge.at),
+            "retries": charge.retries,
+            "retry_limit": round(charge.limit, 1),
+            "retry_instances": self.instances,
+        }
+
     def _log_attempt(
         self,
         exchange: Exchange,
@@ -217,6 +235,7 @@
                 "reply_bytes": exchange.reply_bytes,
                 "partial_event_bytes": exchange.partial_event_bytes,
                 "took_ms": round((self._clock() - started_at) * 1000),
+                **self._retry_log_fields(exchange, started_at),
                 "left_ms": round((exchange.deadline_at - self._clock()) * 1000),
                 **selection,
             },
--- a/packages/observe/src/slatehoist/observe/metrics.py
+++ b/packages/observe/src/slatehoist/observe/metrics.py
@@ -33,6 +33,13 @@
             ["outcome"],
             **kwargs,
         )
+        self.retries = Counter(
+            "slatehoist_retries",
+            "Retries that routes allow, by result (charged to the retry budget of the"
+            " service, or over_budget and not sent).",
+            ["result"],
+            **kwargs,
+        )
         self.answers = Counter(
             "slatehoist_answers",
             "Final answers to callers, by status and by source (endpoint or gateway).",
--- a/packages/routing/src/slatehoist/routing/retries.py
+++ b/packages/routing/src/slatehoist/routing/retries.py
@@ -176,6 +176,13 @@
         return STEADY_RATIO / known.instances
 
 
+class RetryUse(NamedTuple):
+    """Retries that an instance has sent within the window, and its limit for them."""
+
+    retries: int
+    limit: float
+
+
 class SharedRetryBudget:
     """Budget that limits the retries of all instances to a service in any window.
 
@@ -212,11 +219,16 @@
         fraction : float
             Fraction of the allowance that this instance may use.
         """
+        use = self.use(now, fraction)
+        if use.retries + 1 > use.limit:
+            return False
+        self._retries.append(now)
+        return True
+
+    def use(self, now: float, fraction: float) -> RetryUse:
+        """Return how much of its limit this instance has used; see `spend`."""
         for times in (self._first_attempts, self._retries):
             while times and now - times[0] > self._window_s:
                 times.popleft()
         limit = len(self._first_attempts) * self._ratio + self._allowance * fraction
-        if len(self._retries) + 1 > limit:
-            return False
-        self._retries.append(now)
-        return True
+        return RetryUse(len(self._retries), limit)
