--- a/packages/gateway/src/slatehoist/gateway/attempts.py
+++ b/packages/gateway/src/slatehoist/gateway/attempts.py
@@ -153,6 +153,8 @@
         self, exchange: Exchange, endpoint: Endpoint, reply: aiohttp.ClientResponse
     ) -> tuple[Outcome, web.StreamResponse | None]:
         exchange.last_data_at = self._clock()
+        if exchange.retry is not None:
+            exchange.retry.record_arrival(exchange.last_data_at)
         info = self._codec.read_reply(reply.status, reply.headers)
         exchange.framing = response_framing(
             exchange.req.method, reply.status, reply.headers
--- a/packages/gateway/src/slatehoist/gateway/exchange.py
+++ b/packages/gateway/src/slatehoist/gateway/exchange.py
@@ -10,7 +10,7 @@
 from slatehoist.gateway.model import Kind, RequestInfo, Route, Service
 from slatehoist.http import Framing, RelayedResponse
 from slatehoist.observe import GatewayMetrics
-from slatehoist.routing import PromptPart, Unplaced
+from slatehoist.routing import PromptPart, RetryReservation, Unplaced
 
 
 class CallerLeftError(Exception):
@@ -72,24 +72,6 @@
     framing: Framing
 
 
-class RetryCharge(NamedTuple):
-    """Charge of a retry to the retry budget of its service.
-
-    Attributes
-    ----------
-    at : float
-        Time of the charge.
-    retries : int
-        Retries within the window of the budget, this one included.
-    limit : float
-        Limit of this instance for them.
-    """
-
-    at: float
-    retries: int
-    limit: float
-
-
 class Exchange:
     """One caller's request and the state of its attempts."""
 
@@ -131,8 +113,8 @@
         #: Ids of the endpoints that were tried; none is tried twice.
         self.tried: set[str] = set()
         self.may_have_run = False
-        #: Last charge for a retry; None before the first one.
-        self.retry_charge: RetryCharge | None = None
+        #: Reservation of the last retry in the retry budget; None before the first.
+        self.retry: RetryReservation | None = None
         #: Parts of the prompt that other requests may share.
         self.parts = tuple(PromptPart(service.name, part) for part in info.prompt_parts)
         #: Convicted parts that block the request, except as their next trial.
--- a/packages/gateway/src/slatehoist/gateway/forwarding.py
+++ b/packages/gateway/src/slatehoist/gateway/forwarding.py
@@ -23,7 +23,7 @@
 from slatehoist.gateway.crash_reports import CrashReports
 from slatehoist.gateway.directory import EndpointDirectory
 from slatehoist.gateway.evacuations import EvacuationState
-from slatehoist.gateway.exchange import Exchange, Outcome, RetryCharge
+from slatehoist.gateway.exchange import Exchange, Outcome
 from slatehoist.gateway.health import EndpointHealth
 from slatehoist.gateway.holds import EndpointHolds
 from slatehoist.gateway.model import Endpoint, Service
@@ -112,6 +112,15 @@
         """
         budget = self._retry_budget(exchange.service.name)
         budget.record_first_attempt(self._clock())
+        try:
+            return await self._attempt_until_answered(exchange, budget)
+        finally:
+            if exchange.retry is not None:
+                exchange.retry.cancel()
+
+    async def _attempt_until_answered(
+        self, exchange: Exchange, budget: SharedRetryBudget
+    ) -> web.StreamResponse | None:
         while True:
             if self._guard.is_blocked(exchange):
                 return None
@@ -141,6 +150,8 @@
                     exchange, endpoint, self.choice.has_alternative
                 )
             finally:
+                if exchange.retry is not None and outcome is not Outcome.NOT_SENT:
+                    exchange.retry.record_arrival(self._clock())
                 self._record_attempt(exchange, outcome)
                 if outcome.lost:
                     self._guard.record_loss(exchange, endpoint, outcome, now)
@@ -165,10 +176,10 @@
     def _should_retry(
         self, exchange: Exchange, outcome: Outcome, budget: SharedRetryBudget
     ) -> bool:
-        """Return True if the request is sent again, and charge the retry.
+        """Return True if the request is sent again, and reserve the retry.
 
         After a failed connect, only the number of endpoints tried is limited. Any other
-        retry must be safe and is charged to the service's retry budget. An attempt that
+        retry must be safe and needs room in the service's retry budget. An attempt that
         made a connection counts towards the route's limit, unless another endpoint has
         taken over the address.
         """
@@ -182,12 +193,13 @@
             return False
         now = self._clock()
         fraction = self._allowance_share.fraction(now)
-        is_charged = budget.spend(now, fraction)
-        self._metrics.retries.labels("charged" if is_charged else "over_budget").inc()
-        if is_charged:
-            use = budget.use(now, fraction)
-            exchange.retry_charge = RetryCharge(now, use.retries, use.limit)
-        return is_charged
+        retry = budget.reserve(now, fraction)
+        result = "over_budget" if retry is None else "reserved"
+        self._metrics.retries.labels(result).inc()
+        if retry is None:
+            return False
+        exchange.retry = retry
+        return True
 
     def _retry_budget(self, service: str) -> SharedRetryBudget:
         budget = self._budgets.get(service)
@@ -200,14 +212,14 @@
         return budget
 
     def _retry_log_fields(self, exchange: Exchange, now: float) -> dict[str, object]:
-        """Return what the retry budget knew when it was charged, as log fields."""
-        charge = exchange.retry_charge
-        if charge is None:
+        """Return what the retry budget knew when it allowed a retry, as log fields."""
+        retry = exchange.retry
+        if retry is None:
             return {}
         return {
-            "charged_ms": milliseconds(now - charge.at),
-            "retries": charge.retries,
-            "retry_limit": round(charge.limit, 1),
+            "reserved_ms": milliseconds(now - retry.made_at),
+            "retries": retry.use.retries,
+            "retry_limit": round(retry.use.limit, 1),
             "retry_instances": self.instances,
         }
 
--- a/packages/gateway/tests/gateway_builders.py
+++ b/packages/gateway/tests/gateway_builders.py
@@ -10,6 +10,7 @@
     Target,
     Team,
 )
+from slatehoist.routing import SharedRetryBudget
 
 
 def make_endpoint(name: str, **fields) -> Endpoint:
@@ -47,3 +48,12 @@
 def make_engine(report_lag_ms: float | None = None) -> EngineSpec:
     """Build the cost model of an engine."""
     return EngineSpec(6, 5.0, 0.4, 0.01, 74_000.0, 512, 7, 700.0, 150.0, report_lag_ms)
+
+
+def send_retry(budget: SharedRetryBudget, now: float, fraction: float) -> bool:
+    """Send a retry that arrives at once; return False if the budget has no room."""
+    retry = budget.reserve(now, fraction)
+    if retry is None:
+        return False
+    retry.record_arrival(now)
+    return True
--- a/packages/gateway/tests/retry_world.py
+++ b/packages/gateway/tests/retry_world.py
@@ -244,6 +244,10 @@
         for rank in ranks:
             self.health.observe_status(rank.endpoint_id, group.is_open(now), 1.0, now)
 
+    def count_reserved(self) -> int:
+        """Return the retries that the process has reserved and not sent."""
+        return sum(budget.reserved for budget in self.forwarder._budgets.values())
+
     def kill(self) -> None:
         """End the process; what it has sent and what has not arrived is lost."""
         self.is_up = False
@@ -281,7 +285,8 @@
         #: Seconds that a connect to a server takes.
         self.connect_s = 0.0
         self.sent_at: list[float] = []
-        self._processes = 0
+        #: All processes of gateways that were started.
+        self.processes: list[RetryGateway] = []
         self._tasks: list[asyncio.Task] = []
         self.gateways = [self._start(f"gateway-{n}") for n in range(gateways)]
 
@@ -289,8 +294,9 @@
         return asyncio.get_running_loop().time()
 
     def _start(self, name: str) -> RetryGateway:
-        self._processes += 1
-        return RetryGateway(name, self, self._processes)
+        gateway = RetryGateway(name, self, len(self.processes) + 1)
+        self.processes.append(gateway)
+        return gateway
 
     async def run(self, events: list[tuple[float, Callable[[], None]]]) -> None:
         """Send requests until the last event, and call each event at its time."""
--- a/packages/gateway/tests/test_gateway_decisions.py
+++ b/packages/gateway/tests/test_gateway_decisions.py
@@ -3,7 +3,12 @@
 import random
 import unittest
 
-from gateway_builders import make_configuration, make_endpoint, make_route
+from gateway_builders import (
+    make_configuration,
+    make_endpoint,
+    make_route,
+    send_retry,
+)
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -213,7 +218,7 @@
             if now < 20.0:
                 budget.record_first_attempt(now)
                 first.append(now)
-            if budget.spend(now, 1 / instances):
+            if send_retry(budget, now, 1 / instances):
                 retries.append(now)
             recent = sum(now - 10.0 <= t for t in retries)
             # The first attempts that permit these retries were sent in the same window,
--- a/packages/gateway/tests/test_gateway_exploration.py
+++ b/packages/gateway/tests/test_gateway_exploration.py
@@ -11,7 +11,7 @@
 from typing import NamedTuple
 from unittest import mock
 
-from gateway_builders import make_configuration
+from gateway_builders import make_configuration, send_retry
 
 from slatehoist.gateway.catalogue import Catalogue
 from slatehoist.gateway.registry import InstanceRegistry
@@ -49,7 +49,7 @@
             await self.registry.refresh()
             self.next_count_at = now + REGISTRY_POLL_S
         spent = 0
-        while self.budget.spend(now, self.share.fraction(now)):
+        while send_retry(self.budget, now, self.share.fraction(now)):
             spent += 1
         return spent
 
--- a/packages/gateway/tests/test_gateway_fleet_sizes.py
+++ b/packages/gateway/tests/test_gateway_fleet_sizes.py
@@ -9,6 +9,7 @@
 import random
 import unittest
 
+from gateway_builders import send_retry
 from gateway_fleet import SharedTable
 
 from slatehoist.gateway.registry import GATEWAYS, STALE_RENEWALS, InstanceRegistry
@@ -71,7 +72,7 @@
             await self.registry.refresh()
             self.next_count_at = now + REGISTRY_POLL_S
         retries = requests = 0
-        while self.budget.spend(now, self.allowance.fraction(now)):
+        while send_retry(self.budget, now, self.allowance.fraction(now)):
             retries += 1
         while self.rates.free_at("e", now) <= now:
             self.rates.record_sent("e", now)
--- a/packages/gateway/tests/test_gateway_retries.py
+++ b/packages/gateway/tests/test_gateway_retries.py
@@ -90,6 +90,8 @@
 
     def check(self, world: RetryWorld) -> None:
         self.assertIsNone(world.find_excess())
+        # All requests have ended, so none may keep room in a budget.
+        self.assertEqual(sum(g.count_reserved() for g in world.processes), 0)
 
     # Guards against two waves of retries in one window, of which the first waited for
     # the group to form.
--- a/packages/observe/src/slatehoist/observe/metrics.py
+++ b/packages/observe/src/slatehoist/observe/metrics.py
@@ -35,7 +35,7 @@
         )
         self.retries = Counter(
             "slatehoist_retries",
-            "Retries that routes allow, by result (charged to the retry budget of the"
+            "Retries that routes allow, by result (reserved in the retry budget of the"
             " service, or over_budget and not sent).",
             ["result"],
             **kwargs,
--- a/packages/routing/src/slatehoist/routing/retries.py
+++ b/packages/routing/src/slatehoist/routing/retries.py
@@ -177,12 +177,44 @@
 
 
 class RetryUse(NamedTuple):
-    """Retries that an instance has sent within the window, and its limit for them."""
+    """Retries of an instance that are in the window, and its limit for them."""
 
     retries: int
     limit: float
 
 
+class RetryReservation:
+    """Retry that a budget has allowed, until it has arrived at an endpoint.
+
+    Attributes
+    ----------
+    made_at : float
+        Time at which the budget allowed it.
+    use : RetryUse
+        Use of the budget at that time, this retry included.
+    """
+
+    def __init__(
+        self, budget: "SharedRetryBudget", made_at: float, use: RetryUse
+    ) -> None:
+        self._budget = budget
+        self._is_open = True
+        self.made_at = made_at
+        self.use = use
+
+    def record_arrival(self, now: float) -> None:
+        """Record that the retry has arrived by now; only the first call counts."""
+        if self._is_open:
+            self._is_open = False
+            self._budget.end_reservation(now)
+
+    def cancel(self) -> None:
+        """Give the retry back if it has not arrived, since it is not sent."""
+        if self._is_open:
+            self._is_open = False
+            self._budget.end_reservation(None)
+
+
 class SharedRetryBudget:
     """Budget that limits the retries of all instances to a service in any window.
 
@@ -190,6 +222,11 @@
     of the allowance; see `AllowanceShare`. Over all instances, these limits add up
     to at most the limit of the service.
 
+    The limit holds for the times at which retries arrive, which are not known exactly:
+    between the decision and the arrival, a retry waits for an endpoint, a connection or
+    a link. It therefore counts from the decision until `window_s` after it has
+    certainly arrived.
+
     Parameters
     ----------
     ratio : float
@@ -198,6 +235,11 @@
         Retries allowed beyond that, by all instances together.
     window_s : float
         Length of the sliding window in seconds.
+
+    Attributes
+    ----------
+    reserved : int
+        Retries that were decided and have not arrived yet, as far as is known.
     """
 
     def __init__(self, ratio: float, allowance: float, window_s: float) -> None:
@@ -205,30 +247,37 @@
         self._allowance = allowance
         self._window_s = window_s
         self._first_attempts: deque[float] = deque()
-        self._retries: deque[float] = deque()
+        self.reserved = 0
+        #: Times by which the other retries had arrived.
+        self._arrivals: deque[float] = deque()
 
     def record_first_attempt(self, now: float) -> None:
         """Count the first attempt of a request."""
         self._first_attempts.append(now)
 
-    def spend(self, now: float, fraction: float) -> bool:
-        """Take one retry; return False if the window has no room for it.
+    def reserve(self, now: float, fraction: float) -> RetryReservation | None:
+        """Allow one retry; return None if the window has no room for it.
 
         Parameters
         ----------
         fraction : float
             Fraction of the allowance that this instance may use.
         """
-        use = self.use(now, fraction)
-        if use.retries + 1 > use.limit:
-            return False
-        self._retries.append(now)
-        return True
-
-    def use(self, now: float, fraction: float) -> RetryUse:
-        """Return how much of its limit this instance has used; see `spend`."""
-        for times in (self._first_attempts, self._retries):
+        retries, limit = self._use(now, fraction)
+        if retries + 1 > limit:
+            return None
+        self.reserved += 1
+        return RetryReservation(self, now, RetryUse(retries + 1, limit))
+
+    def end_reservation(self, arrived_at: float | None) -> None:
+        """End a reservation, whose retry has arrived unless the time is None."""
+        self.reserved -= 1
+        if arrived_at is not None:
+            self._arrivals.append(arrived_at)
+
+    def _use(self, now: float, fraction: float) -> RetryUse:
+        for times in (self._first_attempts, self._arrivals):
             while times and now - times[0] > self._window_s:
                 times.popleft()
         limit = len(self._first_attempts) * self._ratio + self._allowance * fraction
-        return RetryUse(len(self._retries), limit)
+        return RetryUse(len(self._arrivals) + self.reserved, limit)
--- a/packages/routing/tests/test_routing_limits.py
+++ b/packages/routing/tests/test_routing_limits.py
@@ -9,6 +9,7 @@
     QuotaHolder,
     QuotaHome,
     RetryBudget,
+    SharedRetryBudget,
     TokenBucket,
     choose_subset,
     home_entry,
@@ -69,6 +70,33 @@
         self.assertEqual(home_entry("t", entries), home_entry("t", entries[::-1]))
 
 
+class SharedRetryBudgetTests(unittest.TestCase):
+    def setUp(self):
+        self.budget = SharedRetryBudget(0.0, 1.0, 10.0)
+
+    # Guards against retries that arrive in one window although they were allowed in
+    # two.
+    def test_retry_counts_until_a_window_after_its_arrival(self):
+        retry = self.budget.reserve(100.0, 1.0)
+        self.assertIsNone(self.budget.reserve(115.0, 1.0))
+        retry.record_arrival(115.0)
+        self.assertIsNone(self.budget.reserve(124.9, 1.0))
+        self.assertIsNotNone(self.budget.reserve(125.1, 1.0))
+
+    def test_retry_that_is_not_sent_leaves_its_room_to_another(self):
+        self.budget.reserve(100.0, 1.0).cancel()
+        self.assertIsNotNone(self.budget.reserve(100.0, 1.0))
+
+    def test_retry_that_has_arrived_cannot_be_cancelled(self):
+        retry = self.budget.reserve(100.0, 1.0)
+        retry.record_arrival(100.0)
+        retry.record_arrival(104.0)
+        retry.cancel()
+        self.assertEqual(self.budget.reserved, 0)
+        self.assertIsNone(self.budget.reserve(109.9, 1.0))
+        self.assertIsNotNone(self.budget.reserve(110.1, 1.0))
+
+
 class RetryBudgetTests(unittest.TestCase):
     def test_retries_are_a_fraction_of_first_attempts(self):
         budget = RetryBudget(0.1, 5.0)
