Take a refusal for the answer to a request only if it names the request

Reported by operators of a similar system: a faulty server writes an earlier refusal once more on a kept connection. Here callers got 503 for requests that the server ran (REFUSED), and the gateway sent such requests to a second server (TWICE), if the repeated refusal has no Request-Id. Cause: only a Request-Id that differs was rejected, and one that is missing was accepted for all statuses but success.

A response must now name its request. The HTTP client closes a connection with a second response instead of keeping it for the next request, and does not use a connection again that led to the wrong server. The stand-in's refusals name their requests, as servers do.

--- a/packages/gateway/src/slatehoist/gateway/attempts.py
+++ b/packages/gateway/src/slatehoist/gateway/attempts.py
@@ -14,7 +14,7 @@
 from slatehoist.gateway.exchange import Exchange, Outcome, Reply
 from slatehoist.gateway.health import EndpointHealth
 from slatehoist.gateway.holds import EndpointHolds
-from slatehoist.gateway.model import Endpoint
+from slatehoist.gateway.model import Endpoint, ReplyInfo
 from slatehoist.gateway.settings import (
     ATTEMPT_TIMEOUT_OBJECTIVES,
     MAX_BUFFERED_BYTES,
@@ -159,10 +159,7 @@
         exchange.framing = response_framing(
             exchange.req.method, reply.status, reply.headers
         )
-        if info.request_id and info.request_id != exchange.info.request_id:
-            raise BrokenReplyError(
-                f"{endpoint.address}: response belongs to another request"
-            )
+        _check_request_id(exchange, endpoint, info)
         if info.running is not None:
             self._health.observe_load(
                 endpoint.endpoint_id, info.running, info.waiting or 0, self._clock()
@@ -177,9 +174,9 @@
         self._cold.record_reply(exchange.service, endpoint, info, now, exchange.sent_at)
         if reply.status in _SUCCESS_STATUSES:
             exchange.succeeded = True
-            if not (info.authentic and info.request_id):
+            if not info.authentic:
                 raise BrokenReplyError(
-                    f"{endpoint.address}: response lacks request id or proof of origin"
+                    f"{endpoint.address}: response lacks proof of origin"
                 )
             if exchange.is_stream:
                 await self.streams.relay(exchange, endpoint, reply)
@@ -228,6 +225,22 @@
             )
 
 
+def _check_request_id(exchange: Exchange, endpoint: Endpoint, info: ReplyInfo) -> None:
+    """Raise BrokenReplyError unless a response names the request that was sent.
+
+    On a kept connection, a response to an earlier request may arrive once more. A
+    refusal is valid only if it names its request: without an id of the caller's, it
+    cannot be told whether the endpoint refused this request or an earlier one.
+    """
+    if info.request_id != exchange.info.request_id:
+        raise BrokenReplyError(
+            f"{endpoint.address}: response to request {info.request_id!r}"
+        )
+    is_refusal = info.not_run or info.wrong_instance
+    if is_refusal and not info.request_id:
+        raise BrokenReplyError(f"{endpoint.address}: refusal of an unnamed request")
+
+
 def _schedule_early_end(
     exchange: Exchange,
     timeout: asyncio.Timeout,
--- a/packages/http/src/slatehoist/http/client.py
+++ b/packages/http/src/slatehoist/http/client.py
@@ -14,6 +14,7 @@
 #: Informational responses (status below 200) that are accepted before the final one.
 MAX_INFORMATIONAL = 16
 _SWITCHING_PROTOCOLS = 101
+_MISDIRECTED = 421
 _FIRST_FINAL_STATUS = 200
 #: Bytes of a response that are accepted besides its body: head, chunk sizes, chunk
 #: extensions and trailers. More are accepted with a body, whose chunks may be small.
@@ -26,19 +27,24 @@
 
     aiohttp takes any end of the connection for the end of a response without a length,
     also a reset. It also reads informational responses and chunk extensions without
-    end; a connection with too many of them is closed.
+    end; a connection with too many of them is closed. So is one with a second response
+    to a request, which aiohttp would take for the response to the next one. After a
+    request that was sent to the wrong server, the connection is not used again.
     """
 
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
         super().__init__(loop=loop)
         self._received_bytes = 0
         self._informational = 0
+        #: True if the response to the last request has begun.
+        self._has_response = False
         #: Body of the response before.
         self._last_payload: object = None
 
     def set_response_params(self, **params) -> None:
         """Prepare for a response."""
         self._received_bytes = self._informational = 0
+        self._has_response = False
         self._last_payload = self._payload
         super().set_response_params(**params)
 
@@ -49,8 +55,15 @@
             # No request asks for another protocol.
             self._give_up(f"status {status}")
             return
+        if self._has_response:
+            self._give_up(f"second response, with status {status}")
+            return
         if status < _FIRST_FINAL_STATUS:
             self._informational += 1
+        else:
+            self._has_response = True
+        if status == _MISDIRECTED:
+            self.force_close()
         super().feed_data(data, size)
 
     def data_received(self, data: bytes) -> None:
--- a/standins/src/slatehoist_standins/deployment_server.py
+++ b/standins/src/slatehoist_standins/deployment_server.py
@@ -62,6 +62,10 @@
     ),
 }
 _BARE = frozenset({"endless_status", "endless_informational", "endless_upgrade"})
+#: Behaviours of which the first answer refuses the request.
+_REFUSALS = frozenset(
+    {"shed", "shed_again", "shed_again_without_id", "shed_twice", "misdirect_again"}
+)
 #: Request body, or part of one, that crashes every server which begins to run it.
 CRASH_MARKER = b"crashes the server"
 #: Part of a prompt that crashes every server which begins to run a request with it.
@@ -93,6 +97,14 @@
         Send the whole response.
     ``shed``
         Refuse with status 503 and the header ``Not-Run``.
+    ``shed_again``, ``shed_again_without_id``
+        Do the same, and write the refusal once more when the next request arrives on
+        the connection, before that request is run. The second one leaves out the
+        header ``Request-Id``.
+    ``shed_twice``
+        Refuse, and write the refusal once more at once.
+    ``misdirect_again``
+        Do what ``shed_again_without_id`` does, with status 421.
     ``error``
         Send status 500 with a body.
     ``early``
@@ -126,6 +138,8 @@
     ----------
     arrivals : list of Arrival
         Requests received, in order.
+    run_ids : list of str
+        Ids of the requests that were run, in order.
     cancelled : int
         Connections that the gateway closed, including idle ones.
     crashes : int
@@ -152,6 +166,9 @@
         self.server_id = server_id
         self.behaviours = behaviours or ["ok"]
         self.arrivals: list[Arrival] = []
+        self.run_ids: list[str] = []
+        #: Refusals that are written once more, by the connection of their request.
+        self._repeated: dict[asyncio.StreamWriter, bytes] = {}
         self.cancelled = 0
         self.crashes = 0
         #: Requests with the behaviour ``hang`` whose connection the gateway reset.
@@ -271,13 +288,12 @@
     ) -> bool:
         """Respond to a request; return False if the connection cannot be reused."""
         behaviour = self._next_behaviour()
+        writer.write(self._repeated.pop(writer, b""))
         if self.delay_s:
             await asyncio.sleep(self.delay_s)
         expected = arrival.headers.get("Expect-Instance")
         if expected not in (None, self.server_id):
-            writer.write(
-                b"HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n"
-            )
+            writer.write(_make_misdirection(arrival))
             return True
         if self._exceeds_cold_limit():
             self.cold_crashes += 1
@@ -301,9 +317,10 @@
             return False
         if behaviour in ENDLESS:
             return await self._send_endless(arrival, behaviour, writer)
-        if behaviour == "shed" or self.turns_away_for_s:
-            writer.write(self._make_refusal(arrival))
+        if behaviour in _REFUSALS or self.turns_away_for_s:
+            self._refuse(arrival, behaviour, writer)
             return True
+        self.run_ids.append(arrival.headers["Request-Id"])
         if "text/event-stream" in arrival.headers.get("Accept", ""):
             return await self._send_stream(arrival, behaviour, reader, writer)
         return await self._send_plain(arrival, behaviour, writer)
@@ -333,8 +350,29 @@
         writer.close()
         return False
 
+    def _refuse(
+        self, arrival: Arrival, behaviour: str, writer: asyncio.StreamWriter
+    ) -> None:
+        refusal = self._make_refusal(arrival)
+        writer.write(refusal)
+        if behaviour == "shed_twice":
+            writer.write(refusal)
+        if not behaviour.endswith(("_again", "_again_without_id")):
+            return
+        if behaviour == "misdirect_again":
+            refusal = _make_misdirection(arrival)
+        if behaviour != "shed_again":
+            id_line = f"Request-Id: {arrival.headers['Request-Id']}\r\n"
+            refusal = refusal.replace(id_line.encode(), b"")
+        self._repeated[writer] = refusal
+
     def _make_refusal(self, arrival: Arrival) -> bytes:
-        lines = ["HTTP/1.1 503 Service Unavailable", "Not-Run: 1", "Content-Length: 0"]
+        lines = [
+            "HTTP/1.1 503 Service Unavailable",
+            f"Request-Id: {arrival.headers['Request-Id']}",
+            "Not-Run: 1",
+            "Content-Length: 0",
+        ]
         if self.turns_away_for_s:
             lines.append(f"Retry-After: {self.turns_away_for_s:g}")
         return "\r\n".join([*lines, *self._notices(arrival), "", ""]).encode()
@@ -433,6 +471,17 @@
         return behaviour == "ends_within_event"
 
 
+def _make_misdirection(arrival: Arrival) -> bytes:
+    """Return the answer to a request that is meant for another server."""
+    lines = [
+        "HTTP/1.1 421 Misdirected Request",
+        f"Request-Id: {arrival.headers['Request-Id']}",
+        "Not-Run: 1",
+        "Content-Length: 0",
+    ]
+    return "\r\n".join([*lines, "", ""]).encode()
+
+
 def encode_chunk(data: bytes) -> bytes:
     """Return data as one chunk of a chunked body."""
     return f"{len(data):x}\r\n".encode() + data + b"\r\n"
--- a/tests/test_platform_gateway.py
+++ b/tests/test_platform_gateway.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+import random
 import time
 import unittest
 
@@ -204,6 +205,45 @@
         self.assertEqual(world.count_arrivals(), 2)
 
 
+class RepeatedRefusalTests(GatewayTestCase):
+    """A server writes an earlier refusal once more on a kept connection."""
+
+    async def send(self, world, path: str = "/unsafe/") -> tuple[str, int]:
+        """Send a request, and return its id and the status of its answer."""
+        request_id = f"{random.getrandbits(64):016x}"
+        headers = {"Request-Id": request_id}
+        async with world.call(path, "POST", data=b"x", headers=headers) as resp:
+            return request_id, resp.status
+
+    async def check_answers(self, behaviour: str, path: str = "/unsafe/") -> None:
+        world = await self.start_world([behaviour, "ok"], copies=2)
+        answers = [await self.send(world, path) for _ in range(8)]
+        runs = [request_id for server in world.servers for request_id in server.run_ids]
+        self.assertEqual(len(runs), len(set(runs)), "a request ran twice")
+        for request_id, status in answers:
+            if status != 200:
+                self.assertEqual(status == 503, request_id not in runs, status)
+        statuses = [status for _, status in answers]
+        # The first request is refused, and the gateway may lose one more by the answer
+        # that it cannot assign.
+        self.assertGreaterEqual(statuses.count(200), len(answers) - 2)
+
+    # Guards against "not run" for a request that ran (REFUSED), and against a second
+    # run of it (TWICE), if a server repeats an earlier refusal.
+    async def test_repeated_refusal_is_not_taken_for_an_answer_to_the_next_request(
+        self,
+    ):
+        for path in ("/unsafe/", "/twice/"):
+            for behaviour in (
+                "shed_again",
+                "shed_again_without_id",
+                "misdirect_again",
+                "shed_twice",
+            ):
+                with self.subTest(behaviour=behaviour, path=path):
+                    await self.check_answers(behaviour, path)
+
+
 class StreamTests(GatewayTestCase):
     async def test_cut_resumable_stream_is_resumed_at_another_server(self):
         world = await self.start_world(["cut", "ok"], copies=2)
