Do not pass on a status that promises "not run" unless the server states it

A server that ran an unsafe request and answered 503 without Not-Run had its 503 passed on, by which callers may send the request again (REFUSED); the same for 408, 421 and 429. Such an answer now ends in 502, unless the request can be repeated. The new test failed before on both kinds of routes (503 instead of 502).

--- a/packages/gateway/src/slatehoist/gateway/attempts.py
+++ b/packages/gateway/src/slatehoist/gateway/attempts.py
@@ -191,7 +191,10 @@
             # An endpoint that states when it takes requests again is not failing.
             if info.retry_after_s is None:
                 self._record_failure(endpoint)
-            exchange.failure_reply = whole_reply
+            if not _promises_too_much(exchange, reply.status):
+                exchange.failure_reply = whole_reply
+            return Outcome.FAILED, None
+        if _promises_too_much(exchange, reply.status):
             return Outcome.FAILED, None
         self._health.record_success(endpoint.endpoint_id)
         exchange.record_first_byte(self._metrics, self._clock())
@@ -241,6 +244,15 @@
         raise BrokenReplyError(f"{endpoint.address}: refusal of an unnamed request")
 
 
+def _promises_too_much(exchange: Exchange, status: int) -> bool:
+    """Return True if a status, passed on, states that a request has not run.
+
+    It may have run, since the endpoint did not state the contrary. A second run of a
+    request that can be repeated does no harm.
+    """
+    return status in _NOT_RUN_STATUSES and not exchange.may_repeat(Outcome.FAILED)
+
+
 def _schedule_early_end(
     exchange: Exchange,
     timeout: asyncio.Timeout,
--- a/standins/src/slatehoist_standins/deployment_server.py
+++ b/standins/src/slatehoist_standins/deployment_server.py
@@ -105,6 +105,8 @@
         Refuse, and write the refusal once more at once.
     ``misdirect_again``
         Do what ``shed_again_without_id`` does, with status 421.
+    ``false_promise``
+        Run the request and send status 503 without the header ``Not-Run``.
     ``error``
         Send status 500 with a body.
     ``early``
@@ -321,6 +323,10 @@
             self._refuse(arrival, behaviour, writer)
             return True
         self.run_ids.append(arrival.headers["Request-Id"])
+        if behaviour == "false_promise":
+            head = self._make_head(arrival, behaviour, 503)
+            writer.write(head + b"Content-Length: 0\r\n\r\n")
+            return True
         if "text/event-stream" in arrival.headers.get("Accept", ""):
             return await self._send_stream(arrival, behaviour, reader, writer)
         return await self._send_plain(arrival, behaviour, writer)
--- a/tests/test_platform_gateway.py
+++ b/tests/test_platform_gateway.py
@@ -243,6 +243,16 @@
                 with self.subTest(behaviour=behaviour, path=path):
                     await self.check_answers(behaviour, path)
 
+    # Guards against a status that promises "not run" without the server's statement
+    # (REFUSED).
+    async def test_503_of_a_server_that_ran_the_request_is_not_passed_on(self):
+        for path in ("/unsafe/", "/once/"):
+            with self.subTest(path=path):
+                world = await self.start_world(["false_promise"])
+                request_id, status = await self.send(world, path)
+                self.assertEqual(world.servers[0].run_ids, [request_id])
+                self.assertEqual(status, 502)
+
 
 class StreamTests(GatewayTestCase):
     async def test_cut_resumable_stream_is_resumed_at_another_server(self):
