--- a/packages/gateway/src/slatehoist/gateway/upstream.py
+++ b/packages/gateway/src/slatehoist/gateway/upstream.py
@@ -77,7 +77,10 @@
         BrokenReplyError
             If the response is missing or malformed; the request may have run.
         """
-        url = URL(f"http://{req.address}{req.target}", encoded=True)
+        try:
+            url = URL(f"http://{req.address}{req.target}", encoded=True)
+        except ValueError as exc:
+            raise NotSentError(f"{req.address}: {exc}", refused=False) from exc
         try:
             return await self._session.request(
                 req.method,
@@ -104,7 +107,7 @@
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 _, writer = await asyncio.open_connection(host, int(port))
-        except (TimeoutError, OSError) as exc:
+        except (TimeoutError, OSError, ValueError) as exc:
             refused = isinstance(exc, ConnectionRefusedError)
             raise NotSentError(f"{address}: {exc!r}", refused) from exc
         writer.transport.abort()
