Continue a stream only with a response of its status and media type

Reported by operators of a similar system: a stream broke off, the next server answered with an error, and callers found the error's text in their stream, or a stream that looked complete. Here error statuses never got into a stream, but any answer 2xx did: a text, a JSON document or an empty 204 of the next server was appended, and the stream was ended as complete (MIXED, ORDER). Cause: only the status class decided whether a response continues the stream. It must now have the status and the media type of the stream's first response; any other counts as broken.

The new test sends 30 kinds of answers with four bodies, three framings and two versions of HTTP after a break. The world of scripted replies takes the number of endpoints; the fakes of test_gateway_stream_progress state the status and type of the stream that they continue.

--- a/packages/gateway/src/slatehoist/gateway/exchange.py
+++ b/packages/gateway/src/slatehoist/gateway/exchange.py
@@ -148,6 +148,8 @@
         self.failure_reply: Reply | None = None
         #: Response of which a part may already have been sent to the caller.
         self.stream: RelayedResponse | None = None
+        #: Media type that the first response of `stream` states, or an empty text.
+        self.stream_media_type = ""
         self.last_event_id = info.last_event_id
 
     @property
--- a/packages/gateway/src/slatehoist/gateway/streams.py
+++ b/packages/gateway/src/slatehoist/gateway/streams.py
@@ -15,6 +15,7 @@
     RelayedResponse,
     has_content,
     is_event_stream,
+    media_type,
 )
 from slatehoist.observe import GatewayMetrics
 
@@ -68,8 +69,11 @@
         ------
         BrokenReplyError
             If the stream ends within an event or, without a proved end, before any. It
-            was broken off then.
+            was broken off then. Also if the response cannot continue a stream of which
+            the caller has got a part.
         """
+        if exchange.stream is not None:
+            _check_continuation(exchange, endpoint, reply)
         splitter = EventSplitter()
         has_events = is_event_stream(reply.headers, default=True)
         loop = asyncio.get_running_loop()
@@ -138,6 +142,7 @@
     ) -> None:
         headers = self._codec.reply_headers(reply.headers)
         exchange.stream = RelayedResponse(reply.status, headers, exchange.framing)
+        exchange.stream_media_type = media_type(reply.headers)
         if self.draining:
             exchange.stream.force_close()
         await exchange.stream.prepare(exchange.req)
@@ -185,6 +190,21 @@
         raise BrokenReplyError(f"{endpoint.address}: {exc}") from exc
 
 
+def _check_continuation(
+    exchange: Exchange, endpoint: Endpoint, reply: aiohttp.ClientResponse
+) -> None:
+    """Raise BrokenReplyError unless a response has the form of the one it continues.
+
+    Any other is an error or a response of its own, whatever its status.
+    """
+    expected = exchange.stream.status, exchange.stream_media_type
+    found = reply.status, media_type(reply.headers)
+    if found != expected:
+        raise BrokenReplyError(
+            f"{endpoint.address}: response {found} does not continue {expected}"
+        )
+
+
 def _check_end(exchange: Exchange, endpoint: Endpoint, splitter: EventSplitter) -> None:
     """Raise BrokenReplyError if the end of an event stream shows that it is cut.
 
--- a/packages/gateway/tests/reply_world.py
+++ b/packages/gateway/tests/reply_world.py
@@ -149,7 +149,7 @@
 
 
 class ReplyWorld:
-    """One gateway and two endpoints whose replies are scripted.
+    """One gateway and some endpoints whose replies are scripted.
 
     Parameters
     ----------
@@ -159,6 +159,8 @@
         Region of each zone.
     configured : bool
         False if the gateway has not read a configuration.
+    endpoints : int
+        Number of endpoints.
     """
 
     def __init__(
@@ -169,6 +171,7 @@
         zone_regions: dict[str, str] | None = None,
         configured: bool = True,
         service: Service = _SERVICE,
+        endpoints: int = 2,
         **route_fields,
     ) -> None:
         self.now = 100.0
@@ -190,8 +193,8 @@
             self.clock,
         )
         directory = self.directory = EndpointDirectory(1.0, max_age_s=max_list_age_s)
-        endpoints = [make_endpoint("e1"), make_endpoint("e2")]
-        directory.update(endpoints, self.now)
+        listed = [make_endpoint(f"e{n}") for n in range(1, endpoints + 1)]
+        directory.update(listed, self.now)
         self.health = EndpointHealth()
         self.evacuations = EvacuationState(
             cfg.max_zones_age_s, directory, metrics, self.clock
--- a/packages/gateway/tests/test_gateway_reply_ends.py
+++ b/packages/gateway/tests/test_gateway_reply_ends.py
@@ -4,6 +4,7 @@
 import unittest
 
 from reply_world import (
+    EVENT_STREAM,
     FRAMINGS,
     ReplyWorld,
     ScriptedReply,
@@ -164,6 +165,70 @@
         self.assertEqual(answer.content, make_events(1, 2))
 
 
+class ErrorAfterBreakTests(unittest.IsolatedAsyncioTestCase):
+    """A stream has begun and breaks off; the next server answers with an error."""
+
+    #: Bytes of the error, which look like an event or like a head.
+    BODIES = (
+        b'{"error": "no such stream"}',
+        b"id: 3\ndata: error\n\n",
+        b"HTTP/1.1 500 X\r\n\r\n",
+        b"",
+    )
+    PLAIN = {"Content-Type": "text/plain"}
+    JSON = {"Content-Type": "application/json"}
+    STATUSES = (201, 204, 206, 302, 400, 404, 408, 410, 429, 500, 502, 503, 504)
+
+    def errors(self) -> list[tuple[int, dict[str, str]]]:
+        """Return statuses and headers of answers that are no stream."""
+        found = [(200, self.PLAIN), (200, self.JSON), (200, {})]
+        for status in self.STATUSES:
+            found += [(status, self.PLAIN), (status, EVENT_STREAM)]
+        return [*found, (503, {**self.PLAIN, "Not-Run": "1"})]
+
+    async def call(self, *replies: ScriptedReply, version: str = "1.1"):
+        broken = ScriptedReply(make_events(1, 2) + b"id: 3\nda", "chunked", True)
+        world = ReplyWorld(
+            broken,
+            *replies,
+            kind=Kind.STREAM,
+            resumable=True,
+            max_attempts=1 + len(replies),
+            endpoints=1 + len(replies),
+        )
+        return await world.call(version)
+
+    # Guards against the text or the head of an error in the middle of a stream
+    # (MIXED), and against a stream that ends as if it were complete (ORDER).
+    async def test_error_is_not_passed_on_within_a_stream(self):
+        for status, headers in self.errors():
+            for body in self.BODIES:
+                for framing in FRAMINGS:
+                    for version in ("1.0", "1.1"):
+                        with self.subTest(
+                            status=status,
+                            headers=headers,
+                            body=body,
+                            framing=framing,
+                            version=version,
+                        ):
+                            error = ScriptedReply(body, framing, False, status, headers)
+                            answer = await self.call(error, version=version)
+                            self.assertFalse(answer.looks_complete)
+                            self.assertEqual(answer.content, make_events(1, 2))
+
+    async def test_stream_is_resumed_after_an_error_if_a_third_attempt_is_allowed(
+        self,
+    ):
+        for status, headers in self.errors():
+            with self.subTest(status=status, headers=headers):
+                error = ScriptedReply(self.BODIES[0], "length", False, status, headers)
+                rest = ScriptedReply(make_events(3, 4), "chunked")
+                answer = await self.call(error, rest)
+                self.assertTrue(answer.looks_complete)
+                self.assertEqual(answer.content, make_events(1, 4))
+
+
 class LearningTests(unittest.IsolatedAsyncioTestCase):
     # Guards against an endpoint that is ejected, and a stream that is sent again,
     # because its caller's connection was lost.
--- a/packages/gateway/tests/test_gateway_stream_progress.py
+++ b/packages/gateway/tests/test_gateway_stream_progress.py
@@ -28,6 +28,8 @@
 class SlowCaller:
     """Response that takes each write after a pause."""
 
+    status = 200
+
     def __init__(self, pause_s: float) -> None:
         self._pause_s = pause_s
         self.received = b""
@@ -50,6 +52,7 @@
             route=SimpleNamespace(resumable=True, max_attempts=1),
             attempts=0,
             stream=caller,
+            stream_media_type="text/event-stream",
             framing=Framing.CHUNKED,
             reply_bytes=0,
             partial_event_bytes=0,
@@ -58,6 +61,7 @@
             info=SimpleNamespace(request_id="r"),
         )
         reply = SimpleNamespace(
+            status=200,
             content=SlowContent(pieces, pause_s),
             headers={"Content-Type": "text/event-stream"},
         )
--- a/packages/http/src/slatehoist/http/__init__.py
+++ b/packages/http/src/slatehoist/http/__init__.py
@@ -12,6 +12,7 @@
     OversizedEventError,
     has_content,
     is_event_stream,
+    media_type,
 )
 from slatehoist.http.framing import Framing, response_framing
 from slatehoist.http.responses import RelayedResponse, reset_on_close
@@ -28,6 +29,7 @@
     "StrictResponseHandler",
     "has_content",
     "is_event_stream",
+    "media_type",
     "read_body",
     "reset_on_close",
     "response_framing",
--- a/packages/http/src/slatehoist/http/events.py
+++ b/packages/http/src/slatehoist/http/events.py
@@ -25,10 +25,13 @@
     default : bool
         Result if the headers do not state a type.
     """
-    content_type = headers.get("Content-Type")
-    if content_type is None:
-        return default
-    return content_type.partition(";")[0].strip().lower() == _MEDIA_TYPE
+    stated = media_type(headers)
+    return stated == _MEDIA_TYPE if stated else default
+
+
+def media_type(headers: Mapping[str, str]) -> str:
+    """Return the media type of a body in lower case; empty if it is not stated."""
+    return headers.get("Content-Type", "").partition(";")[0].strip().lower()
 
 
 def has_content(events: bytes) -> bool:
