Look up the address of a rank with each order of a settlement (RECOVER)

Cause: the clients of a settlement were created once, with the addresses that were known then. An agent that has just started knows only the ranks whose agents it has heard, and repeats its orders to the others for ever.

test_maps_agent_restarts kills all agents after each of twelve orders of a switch, with four patterns of restarts, in virtual time. The simulated group can kill and start agents, and treats an unknown address as the HTTP client does.

--- a/packages/maps/src/slatehoist/maps/orders.py
+++ b/packages/maps/src/slatehoist/maps/orders.py
@@ -37,7 +37,13 @@
     agent_address,
 )
 from slatehoist.maps.placement import Placement
-from slatehoist.maps.rank import Answer, RankClient, RankCounts, RankReport
+from slatehoist.maps.rank import (
+    Answer,
+    RankClient,
+    RankCounts,
+    RankReport,
+    RankUnreachableError,
+)
 
 log = logging.getLogger(__name__)
 
@@ -203,10 +209,16 @@
 
     def clients(self) -> list["RelayedRank"]:
         """Return a client of each rank of the group."""
-        return [
-            RelayedRank(self, rank, self._connect(self._group.address(rank)))
-            for rank in range(self._group.size)
-        ]
+        return [RelayedRank(self, rank) for rank in range(self._group.size)]
+
+    def direct_client(self, rank: int) -> RankClient:
+        """Return a client that reaches a rank without its agent.
+
+        An agent that has just started knows the addresses of the ranks whose agents it
+        has heard.
+        """
+        address = self._group.address(rank)
+        return UnknownRank(rank) if address is None else self._connect(address)
 
     def _send_s(self, order: MapOrder) -> float:
         """Return the seconds that a map takes to reach all agents."""
@@ -338,18 +350,41 @@
     return [(hosts[i], list(hosts[i + relays :: relays])) for i in range(relays)]
 
 
+class UnknownRank:
+    """Client of a rank whose address is not known; see `RankClient`."""
+
+    def __init__(self, rank: int) -> None:
+        self._rank = rank
+
+    async def report(self) -> RankReport:
+        """Raise `RankUnreachableError`."""
+        raise RankUnreachableError(f"the address of rank {self._rank} is not known")
+
+    counts = experts = report
+
+    async def prepare(self, *args) -> Answer:
+        """Return `Answer.UNKNOWN`; the order is not sent."""
+        return Answer.UNKNOWN
+
+    arm = disarm = hold = release = prepare
+
+
 class RelayedRank:
     """Client of one rank whose orders take the way through the rank's agent.
 
-    Every second try of an order is sent to the rank directly; so are queries.
+    Every second try of an order is sent to the rank directly; so are queries. The
+    rank's address is looked up each time: it may become known after the first try.
     """
 
-    def __init__(self, orders: GroupOrders, rank: int, direct: RankClient) -> None:
+    def __init__(self, orders: GroupOrders, rank: int) -> None:
         self._orders = orders
         self._rank = rank
-        self._direct = direct
         self._failed = False
 
+    @property
+    def _direct(self) -> RankClient:
+        return self._orders.direct_client(self._rank)
+
     async def report(self) -> RankReport:
         """Return the rank's state; see `RankClient`."""
         return await self._direct.report()
--- a/packages/maps/tests/group_world.py
+++ b/packages/maps/tests/group_world.py
@@ -6,7 +6,10 @@
 
 import asyncio
 import contextlib
+import contextvars
 import random
+from collections import defaultdict
+from collections.abc import Callable, Coroutine
 from typing import NamedTuple
 
 import msgspec
@@ -19,6 +22,7 @@
     GroupSpec,
     RankCounts,
     RankStatus,
+    RankUnreachableError,
     Subscription,
 )
 from slatehoist.maps.placement import initial_placement, skew
@@ -92,10 +96,24 @@
         self._world.sockets.pop(self._host, None)
 
 
+#: Rank whose agent runs the current task; None for others.
+_agent_rank: contextvars.ContextVar[int | None] = contextvars.ContextVar(
+    "agent_rank", default=None
+)
+
+
 class _WorldLoop(VirtualLoop):
     def __init__(self) -> None:
         super().__init__()
         self.world: GroupWorld | None = None
+        #: Tasks of the agents by rank.
+        self.agent_tasks: defaultdict[int | None, set[asyncio.Task]] = defaultdict(set)
+        self.set_task_factory(self._make_task)
+
+    def _make_task(self, loop, coro: Coroutine, **fields) -> asyncio.Task:
+        task = asyncio.Task(coro, loop=loop, **fields)
+        self.agent_tasks[_agent_rank.get()].add(task)
+        return task
 
     async def create_datagram_endpoint(self, protocol_factory, local_addr=None, **_):
         protocol = protocol_factory()
@@ -191,7 +209,23 @@
         await self._exchange(size, 40)
         if self._world.host(self._rank) != self._host:
             self._world.remote_orders += 1
-        return self._world.engine.carry_out(self._rank, order, epoch, args)
+        answer = self._world.engine.carry_out(self._rank, order, epoch, args)
+        self._world.on_order(self._rank, order, answer)
+        return answer
+
+
+class UnreachableRank:
+    """Client of a rank whose address is not known."""
+
+    async def report(self):
+        raise RankUnreachableError("no address")
+
+    counts = experts = report
+
+    async def prepare(self, *args):
+        return Answer.UNKNOWN
+
+    arm = disarm = hold = release = prepare
 
 
 class Subscriber(asyncio.DatagramProtocol):
@@ -243,6 +277,8 @@
         }
         self.remote_orders = 0
         self.list_reads = 0
+        #: Called after each order with the rank, the order and the answer.
+        self.on_order: Callable[[int, str, Answer], None] = lambda *order: None
         #: Hosts that neither send nor receive, and calls at given times, in order.
         self.stopped_hosts: set[str] = set()
         self.events: list[tuple[float, object]] = []
@@ -282,17 +318,35 @@
 
     async def _main(self, seconds: float) -> None:
         loop = asyncio.get_running_loop()
-        stopping = asyncio.Event()
-        self.agents = [self._agent(rank, loop.time) for rank in range(self.size.ranks)]
-        tasks = [asyncio.create_task(agent.run(stopping)) for agent in self.agents]
+        self._stopping = asyncio.Event()
+        self.agents: list[Agent] = [None] * self.size.ranks
+        self._runs: list[asyncio.Task] = [None] * self.size.ranks
+        for rank in range(self.size.ranks):
+            self.start_agent(rank)
         for at, event in self.events:
             loop.call_at(at, event)
         passes = asyncio.create_task(self._run_passes())
         await asyncio.sleep(seconds)
-        stopping.set()
-        await asyncio.gather(*tasks)
+        self._stopping.set()
+        await asyncio.gather(*self._runs, return_exceptions=True)
         passes.cancel()
 
+    def start_agent(self, rank: int) -> None:
+        """Start the agent of a rank, which knows nothing of the one before."""
+        loop = asyncio.get_running_loop()
+        agent = self.agents[rank] = self._agent(rank, loop.time)
+        token = _agent_rank.set(rank)
+        self._runs[rank] = asyncio.create_task(agent.run(self._stopping))
+        _agent_rank.reset(token)
+
+    def kill_agents(self) -> None:
+        """Kill all agents; orders that have not reached a rank are lost."""
+        loop = asyncio.get_running_loop()
+        for rank in range(self.size.ranks):
+            self.sockets.pop(self.host(rank), None)
+            for task in loop.agent_tasks.pop(rank, set()):
+                task.cancel()
+
     def _agent(self, rank: int, clock) -> Agent:
         host = self.host(rank)
         cfg = AgentSettings(
@@ -301,9 +355,13 @@
             link_mbps=self.size.link_mbps,
         )
         ranks = {f"{self.host(r)}:8000": r for r in range(self.size.ranks)}
-        return Agent(
-            cfg, self, lambda address: _Client(self, host, ranks[address]), clock
-        )
+
+        def connect(address: str | None) -> _Client | UnreachableRank:
+            if address is None:
+                return UnreachableRank()
+            return _Client(self, host, ranks[address])
+
+        return Agent(cfg, self, connect, clock)
 
     async def group_spec(self):
         """Return the dimensions of the group; see `GroupSource`."""
