Assume the grants of a predecessor when an agent starts at a held rank (MAP)

The restarted agent of the holder undid the switch and released the group, while the coordinator's rank was still armed: all later passes ran with different maps. Cause: the record of a grant is in memory, and a restarted agent took the lack of one for the lack of a grant. An agent that finds its rank held when it first sees it now assumes that the switch was granted, and waits for the coordinator's rank. If the rank is not held then, no earlier grant matters.

--- a/packages/maps/src/slatehoist/maps/agent.py
+++ b/packages/maps/src/slatehoist/maps/agent.py
@@ -267,6 +267,7 @@
         if self._state is None:
             log.info("rank_found", extra={"group": report.group, "rank": report.rank})
             self._peers_interval_s = PEERS_RETRY_INTERVAL_S
+        self._grants.record_report(report)
         self._state = make_state(self._cfg.rank_address, report, experts)
         now = self._clock()
         known = self._group.report(report.rank)
--- a/packages/maps/src/slatehoist/maps/coordinator.py
+++ b/packages/maps/src/slatehoist/maps/coordinator.py
@@ -219,13 +219,13 @@
         self._grants.settling = True
         try:
             settlement = await self._make_switch().settle(
-                self._own_state.epoch,
+                own.epoch,
                 reports,
                 holders,
                 placement,
                 # If another rank is a holder, its agent may have granted the switch.
-                granted=holders != [self._own_state.rank]
-                or self._grants.granted == (version, self._own_state.held),
+                granted=holders != [own.rank]
+                or self._grants.may_have_granted(own.epoch, version, own.held),
             )
         finally:
             self._grants.settling = False
--- a/packages/maps/src/slatehoist/maps/grants.py
+++ b/packages/maps/src/slatehoist/maps/grants.py
@@ -4,6 +4,10 @@
 the group is held; see `switch` for the protocol. The holder's agent records what it
 granted. If it later settles the switch and has granted nothing, it knows that the
 coordinator's rank is not armed, even if that rank is unreachable.
+
+The record is lost when the agent ends. An agent that finds its rank held when it starts
+therefore assumes that its predecessor has granted the switch. If the rank is not held,
+the predecessor's grants are of no effect any more: their switches have ended.
 """
 
 import asyncio
@@ -18,7 +22,7 @@
     Message,
     PeerState,
 )
-from slatehoist.maps.rank import RankClient, RankUnreachableError
+from slatehoist.maps.rank import RankClient, RankReport, RankUnreachableError
 from slatehoist.maps.switch import may_grant
 
 log = logging.getLogger(__name__)
@@ -54,9 +58,21 @@
         self._tasks: set[asyncio.Task] = set()
         #: Version and step that this agent last granted.
         self.granted: tuple[int, int] | None = None
+        #: Epoch and step at which the own rank was held when it was first seen; the
+        #: step is None if it was not held. None before.
+        self._first_hold: tuple[int, int | None] | None = None
         #: True while this agent settles a switch; it makes no new grants meanwhile.
         self.settling = False
 
+    def record_report(self, report: RankReport) -> None:
+        """Record a report of the own rank; only the first one counts."""
+        if self._first_hold is None:
+            self._first_hold = (report.epoch, report.held)
+
+    def may_have_granted(self, epoch: int, version: int, step: int) -> bool:
+        """Return True if this agent or its predecessor may have granted a switch."""
+        return (version, step) == self.granted or (epoch, step) == self._first_hold
+
     def handle_message(
         self, message: GrantRequest | GrantResponse, sender: Address
     ) -> None:
--- a/packages/maps/src/slatehoist/maps/switch.py
+++ b/packages/maps/src/slatehoist/maps/switch.py
@@ -24,7 +24,8 @@
 - The coordinator arms its own rank last, and only with a grant of the holder's agent.
   If the holder's agent has granted nothing, the coordinator's rank is not armed. So the
   holder's agent can undo the switch while the coordinator's instance is frozen and the
-  coordinator's rank unreachable.
+  coordinator's rank unreachable. An agent that was started while the group was held
+  does not know that, and waits for the coordinator's rank.
 - An order without an answer may still be carried out seconds later. A late arm is
   fenced off by preparing a newer version at that rank: a rank has a single prepared
   version, it can be armed for no other one, and it refuses to prepare while it is
@@ -412,9 +413,9 @@
         placement : list
             Map in use.
         granted : bool
-            False if the own rank is the only holder, and its agent has not allowed the
-            coordinator to arm the coordinator's rank. True if it has, or if another
-            rank is a holder, whose agent may have.
+            False if the own rank is the only holder, and its agent has certainly not
+            allowed the coordinator to arm the coordinator's rank. True if it may have,
+            or if another rank is a holder, whose agent may have.
         """
         holder = holders[0]
         step = reports[holder].held
--- a/packages/maps/tests/test_maps_agent_restarts.py
+++ b/packages/maps/tests/test_maps_agent_restarts.py
@@ -73,6 +73,15 @@
         self.assertIsNotNone(world.killed_at, "the group was not held")
         return world
 
+    # Guards against a restarted agent that undoes a switch which its predecessor has
+    # granted, so that passes begin with different maps (MAP).
+    def test_no_pass_begins_with_different_maps_after_all_agents_were_killed(self):
+        for name, delays in RESTARTS.items():
+            for orders in KILLS:
+                with self.subTest(restarts=name, orders=orders):
+                    world = self.play(orders, delays)
+                    self.assertEqual(world.engine.violations, [])
+
     # Guards against a group that stays held since the agent that settles its switch
     # does not learn the address of a rank whose agent started later (RECOVER).
     def test_group_is_released_after_all_agents_were_killed(self):
