Refuse late requests that may outlast a planned stop (LOST)

Cause: a stopping gateway serves idle connections until 3.7 s after the signal, whatever the deadline of a request, and ends all requests 0.7 s before the grace time does. The new test failed before: 200 instead of 503.

--- a/packages/gateway/src/slatehoist/gateway/gateway.py
+++ b/packages/gateway/src/slatehoist/gateway/gateway.py
@@ -102,12 +102,23 @@
         self._rng = rng
         self._clock = clock
         self.draining = False
+        #: Time from which requests must end by `_ends_at`, the end of the drain.
+        self._late_from = self._ends_at = float("inf")
         #: Connections on which a request is being answered.
         self.busy_connections: set[object] = set()
 
-    def drain(self) -> None:
-        """Announce on each further response that its connection will be closed."""
+    def drain(self, late_from: float, ends_at: float) -> None:
+        """Announce on each further response that its connection will be closed.
+
+        Parameters
+        ----------
+        late_from : float
+            Time from which requests are refused that may last longer than the drain.
+        ends_at : float
+            Time at which the drain ends, and all requests with it.
+        """
         self.draining = True
+        self._late_from, self._ends_at = late_from, ends_at
         self._forwarder.attempts.streams.draining = True
 
     async def handle(self, req: web.BaseRequest) -> web.StreamResponse:
@@ -141,6 +152,9 @@
         limit_s = route.timeout_s
         if info.deadline_s is not None:
             limit_s = min(limit_s, info.deadline_s)
+        deadline_at = arrived_at + limit_s
+        if self._clock() >= self._late_from and deadline_at > self._ends_at:
+            raise _unavailable_here("this instance stops before the request's deadline")
         exchange = Exchange(
             req,
             body,
@@ -149,7 +163,7 @@
             service,
             team.name if team else "",
             arrived_at,
-            arrived_at + limit_s,
+            deadline_at,
             team.regions if team else (),
             table.urgency(route, team),
         )
--- a/packages/gateway/src/slatehoist/gateway/process.py
+++ b/packages/gateway/src/slatehoist/gateway/process.py
@@ -25,6 +25,7 @@
 from slatehoist.gateway.settings import (
     ACCEPTED_WAIT_S,
     GRACE_MARGIN_S,
+    LATE_REQUEST_S,
     LEAVE_ROTATION_S,
     MOVE_STREAMS_PACE,
     READY_MAX_AGE_S,
@@ -274,13 +275,13 @@
         the rotation. The wait for requests ends shortly before the grace time does.
         """
         started_at = self._clock()
+        drain_until = started_at + self._cfg.grace_s - GRACE_MARGIN_S
         self._lifecycle.drain()
-        self._gateway.drain()
+        self._gateway.drain(started_at + LATE_REQUEST_S, drain_until)
         log.info("draining", extra={"active": len(self._gateway.busy_connections)})
         await asyncio.sleep(LEAVE_ROTATION_S)
         for site in list(self._caller_runner.sites):
             await site.stop()
-        drain_until = started_at + self._cfg.grace_s - GRACE_MARGIN_S
         # The first request of a connection that was just accepted is on its way.
         await asyncio.sleep(ACCEPTED_WAIT_S)
         await self._close_idle_connections()
--- a/packages/gateway/src/slatehoist/gateway/settings.py
+++ b/packages/gateway/src/slatehoist/gateway/settings.py
@@ -182,6 +182,9 @@
 #: Seconds after SIGTERM for which new connections are still served: the platform checks
 #: readiness each second and removes an instance after two failed checks.
 LEAVE_ROTATION_S = 3.2
+#: Seconds after SIGTERM from which a request is served only if it certainly ends before
+#: this process does. What is sent until then may be cut at the end of the grace time.
+LATE_REQUEST_S = 3.0
 #: Seconds after the last accepted connection for which idle connections stay open, for
 #: requests that are on their way on it.
 ACCEPTED_WAIT_S = 0.5
--- a/tests/test_platform_gateway.py
+++ b/tests/test_platform_gateway.py
@@ -14,7 +14,7 @@
     make_configuration,
     make_route,
 )
-from slatehoist.gateway.settings import LEAVE_ROTATION_S
+from slatehoist.gateway.settings import LATE_REQUEST_S, LEAVE_ROTATION_S
 from slatehoist.http import strict_connector
 from slatehoist_standins.deployment_server import (
     CUT_BEHAVIOURS,
@@ -607,6 +607,37 @@
         writer.close()
         await drain_task
 
+    # Guards against a request on a kept connection that is sent late in a planned stop,
+    # is passed on, and is cut when the process ends (LOST).
+    async def test_request_sent_late_in_a_drain_is_served_only_if_it_ends_in_time(self):
+        world = await self.start_world(["ok"])
+        routes = [
+            make_route("stream", "/stream/", "stream", "app", timeoutMs=8000),
+            make_route("unsafe", "/unsafe/", "unsafe", "app"),
+        ]
+        world.store.put("op", "config", make_configuration(2, routes=routes))
+        await self.wait_until(lambda: world.gateway.catalogue.version == 2)
+        world.servers[0].event_pause_s = 0.02
+        # Two connections to the gateway are kept.
+        answers = [self.send_stream(world), self.send_stream(world)]
+        statuses = [status for status, _ in await asyncio.gather(*answers)]
+        self.assertEqual(statuses, [200, 200])
+        drain_task = asyncio.create_task(world.gateway.drain())
+        await asyncio.sleep(LATE_REQUEST_S + 0.15)
+        status, headers = await self.send_stream(world)
+        self.assertEqual(status, 503)
+        self.assertGreater(float(headers["Retry-After"]), 0)
+        self.assertEqual(headers["Connection"], "close")
+        self.assertEqual((await self.send_request(world))[0], 200)
+        self.assertEqual(world.count_arrivals(), 3)
+        await drain_task
+
+    async def send_stream(self, world):
+        headers = {"Deadline-Ms": "8050"}
+        async with world.call("/stream/", "POST", headers=headers) as resp:
+            await resp.read()
+            return resp.status, resp.headers
+
     async def send_request(self, world):
         async with world.call("/unsafe/", "POST", data=b"x") as resp:
             await resp.read()
