End a stalled stream only if another endpoint may continue it (LOST)

Cause: a stream without progress for stall_s + 0.3 s was given up also on its last attempt, where nothing could continue it.

Ends of time-outs no longer read the loop's clock.

--- a/packages/gateway/src/slatehoist/gateway/attempts.py
+++ b/packages/gateway/src/slatehoist/gateway/attempts.py
@@ -1,6 +1,7 @@
 """Attempts: send a request to one endpoint, and pass on its response if it is valid."""
 
 import asyncio
+import functools
 import logging
 from collections.abc import Callable
 
@@ -108,7 +109,9 @@
                 reply = await self._upstream.send(
                     self._build_request(exchange, endpoint)
                 )
-                return await self._handle_reply(exchange, endpoint, reply)
+                return await self._handle_reply(
+                    exchange, endpoint, reply, has_alternative
+                )
         except NotSentError as exc:
             self._record_failure(endpoint)
             if exc.refused:
@@ -150,7 +153,11 @@
         )
 
     async def _handle_reply(
-        self, exchange: Exchange, endpoint: Endpoint, reply: aiohttp.ClientResponse
+        self,
+        exchange: Exchange,
+        endpoint: Endpoint,
+        reply: aiohttp.ClientResponse,
+        has_alternative: Callable[[Exchange], bool],
     ) -> tuple[Outcome, web.StreamResponse | None]:
         exchange.last_data_at = self._clock()
         if exchange.retry is not None:
@@ -179,7 +186,13 @@
                     f"{endpoint.address}: response lacks proof of origin"
                 )
             if exchange.is_stream:
-                await self.streams.relay(exchange, endpoint, reply)
+                await self.streams.relay(
+                    exchange,
+                    endpoint,
+                    reply,
+                    has_alternative,
+                    functools.partial(self._record_failure, endpoint),
+                )
                 self._health.record_success(endpoint.endpoint_id)
                 return Outcome.DELIVERED, exchange.stream
         body = await read_body(reply, MAX_REPLY_BYTES, self._buffers)
@@ -266,10 +279,10 @@
     is_last = exchange.attempts + 1 >= exchange.route.max_attempts
     if exchange.is_stream or not exchange.route.repeatable or is_last:
         return None
-    loop = asyncio.get_running_loop()
 
     def end() -> None:
         if not timeout.expired() and has_alternative(exchange):
-            timeout.reschedule(loop.time())
+            timeout.reschedule(0.0)
 
+    loop = asyncio.get_running_loop()
     return loop.call_later(exchange.route.objective_s * ATTEMPT_TIMEOUT_OBJECTIVES, end)
--- a/packages/gateway/src/slatehoist/gateway/forwarding.py
+++ b/packages/gateway/src/slatehoist/gateway/forwarding.py
@@ -147,7 +147,7 @@
             outcome, resp = Outcome.ABANDONED, None
             try:
                 outcome, resp = await self.attempts.run(
-                    exchange, endpoint, self.choice.has_alternative
+                    exchange, endpoint, self._has_alternative
                 )
             finally:
                 if exchange.retry is not None and outcome is not Outcome.NOT_SENT:
@@ -167,6 +167,16 @@
             if not self._should_retry(exchange, outcome, budget):
                 return None
 
+    def _has_alternative(self, exchange: Exchange) -> bool:
+        """Return True if the request may be retried at another endpoint now.
+
+        Otherwise an end of its attempt would leave the caller without an answer.
+        """
+        now = self._clock()
+        budget = self._retry_budget(exchange.service.name)
+        fraction = self._allowance_share.fraction(now)
+        return budget.has_room(now, fraction) and self.choice.has_alternative(exchange)
+
     def _record_attempt(self, exchange: Exchange, outcome: Outcome) -> None:
         self._metrics.attempts.labels(outcome.value).inc()
         if exchange.framing is not None:
--- a/packages/gateway/src/slatehoist/gateway/streams.py
+++ b/packages/gateway/src/slatehoist/gateway/streams.py
@@ -21,6 +21,8 @@
 
 #: Bytes of an event that is not whole yet which count as progress of its stream.
 MIN_PROGRESS_BYTES = 1024
+#: Seconds between checks whether a stalled stream can be continued elsewhere.
+STALL_RECHECK_S = 0.25
 
 
 class StreamRelay:
@@ -29,7 +31,7 @@
     Parameters
     ----------
     idle_timeout_s : float
-        Seconds without progress after which a stream counts as lost; see `_Progress`.
+        Seconds without progress after which a stream is stalled; see `_Progress`.
 
     Attributes
     ----------
@@ -55,15 +57,27 @@
         self.on_pause: Callable[[Exchange, float, float], None] | None = None
 
     async def relay(
-        self, exchange: Exchange, endpoint: Endpoint, reply: aiohttp.ClientResponse
+        self,
+        exchange: Exchange,
+        endpoint: Endpoint,
+        reply: aiohttp.ClientResponse,
+        has_alternative: Callable[[Exchange], bool],
+        on_stall: Callable[[], None],
     ) -> None:
         """Pass the stream on to the caller as it arrives, until its end.
 
         On a resumable route only whole events are passed on until the stream ends, so
         that another endpoint can continue after the last of them. The rest is passed on
         at the end of the stream. The attempt times out if the stream makes no progress
-        for too long, or if `move_streams` ends it. The time in which the caller does
-        not take what was sent does not count.
+        for too long and can be continued elsewhere, or if `move_streams` ends it. The
+        time in which the caller does not take what was sent does not count.
+
+        Parameters
+        ----------
+        has_alternative : callable
+            Returns True if another endpoint may get the request now.
+        on_stall : callable
+            Called if the stream makes no progress for too long and is not ended.
 
         Raises
         ------
@@ -79,10 +93,17 @@
         loop = asyncio.get_running_loop()
         timeouts = self._timeouts.setdefault(endpoint.endpoint_id, set())
         try:
-            async with asyncio.timeout(self._idle_timeout_s) as timeout:
+            async with asyncio.timeout(None) as timeout:
                 if _is_movable(exchange):
                     timeouts.add(timeout)
                 progress = _Progress(loop.time())
+                watch = _StallWatch(
+                    timeout,
+                    progress,
+                    self._idle_timeout_s,
+                    lambda: _is_movable(exchange) and has_alternative(exchange),
+                    on_stall,
+                )
                 event_at: float | None = None
                 while chunk := await reply.content.readany():
                     exchange.last_data_at = self._clock()
@@ -99,11 +120,12 @@
                             self.on_pause(exchange, now - event_at, now)
                         event_at = now
                     if data:
-                        timeout.reschedule(None)
+                        watch.stop()
                         await self._write_to_caller(exchange, reply, data)
                         progress.at += loop.time() - arrived_at
-                    timeout.reschedule(progress.at + self._idle_timeout_s)
+                    watch.restart()
         finally:
+            watch.stop()
             timeouts.discard(timeout)
             exchange.partial_event_bytes = len(splitter.rest)
             exchange.last_event_id = splitter.last_event_id or exchange.last_event_id
@@ -154,9 +176,8 @@
         Return the number of streams that were moved.
         """
         timeouts = self._timeouts.pop(endpoint_id, set())
-        now = asyncio.get_running_loop().time()
         for timeout in timeouts:
-            timeout.reschedule(now)
+            timeout.reschedule(0.0)
         self._metrics.moved_streams.inc(len(timeouts))
         return len(timeouts)
 
@@ -182,6 +203,55 @@
             self._bytes = 0
 
 
+class _StallWatch:
+    """Watch that ends a stream without progress, once it can be continued elsewhere.
+
+    Until then the endpoint may still go on, and an end would only lose the rest.
+    """
+
+    def __init__(
+        self,
+        timeout: asyncio.Timeout,
+        progress: _Progress,
+        idle_timeout_s: float,
+        can_move: Callable[[], bool],
+        on_stall: Callable[[], None],
+    ) -> None:
+        self._loop = asyncio.get_running_loop()
+        self._timeout = timeout
+        self._progress = progress
+        self._idle_timeout_s = idle_timeout_s
+        self._can_move = can_move
+        self._on_stall = on_stall
+        self._is_stalled = False
+        self._handle: asyncio.TimerHandle | None = None
+        self.restart()
+
+    def restart(self) -> None:
+        """Watch for a stall since the last progress."""
+        self.stop()
+        self._is_stalled = False
+        due_at = self._progress.at + self._idle_timeout_s
+        self._handle = self._loop.call_at(due_at, self._expire)
+
+    def stop(self) -> None:
+        """Cease to watch."""
+        if self._handle is not None:
+            self._handle.cancel()
+            self._handle = None
+
+    def _expire(self) -> None:
+        if self._timeout.expired():
+            return
+        if self._can_move():
+            self._timeout.reschedule(0.0)
+            return
+        if not self._is_stalled:
+            self._is_stalled = True
+            self._on_stall()
+        self._handle = self._loop.call_later(STALL_RECHECK_S, self._expire)
+
+
 def _split_events(endpoint: Endpoint, splitter: EventSplitter, chunk: bytes) -> bytes:
     """Return the events that a chunk completes; raise BrokenReplyError if large."""
     try:
--- a/packages/routing/src/slatehoist/routing/retries.py
+++ b/packages/routing/src/slatehoist/routing/retries.py
@@ -263,11 +263,15 @@
         fraction : float
             Fraction of the allowance that this instance may use.
         """
-        retries, limit = self._use(now, fraction)
-        if retries + 1 > limit:
+        if not self.has_room(now, fraction):
             return None
         self.reserved += 1
-        return RetryReservation(self, now, RetryUse(retries + 1, limit))
+        return RetryReservation(self, now, self._use(now, fraction))
+
+    def has_room(self, now: float, fraction: float) -> bool:
+        """Return True if `reserve` would allow a retry."""
+        retries, limit = self._use(now, fraction)
+        return retries + 1 <= limit
 
     def end_reservation(self, arrived_at: float | None) -> None:
         """End a reservation, whose retry has arrived unless the time is None."""
--- a/packages/routing/tests/test_routing_limits.py
+++ b/packages/routing/tests/test_routing_limits.py
@@ -78,6 +78,7 @@
     # two.
     def test_retry_counts_until_a_window_after_its_arrival(self):
         retry = self.budget.reserve(100.0, 1.0)
+        self.assertFalse(self.budget.has_room(115.0, 1.0))
         self.assertIsNone(self.budget.reserve(115.0, 1.0))
         retry.record_arrival(115.0)
         self.assertIsNone(self.budget.reserve(124.9, 1.0))
