Record a stalled stream once, and require the usual form of addresses

Found while the change was read again. Comments of a stalled stream on its last attempt each counted as a stall, so that one stream ejected its endpoint; the new test saw 38 stalls instead of 1. An IPv6 address without brackets, and an IPv4 address with one, name no server. The stand-in of a server forgets repeated refusals with their connection.

--- a/packages/gateway/src/slatehoist/gateway/streams.py
+++ b/packages/gateway/src/slatehoist/gateway/streams.py
@@ -192,6 +192,8 @@
 
     def __init__(self, now: float) -> None:
         self.at = now
+        #: How often the stream made progress.
+        self.count = 0
         self._bytes = 0
 
     def record(self, chunk: bytes, events: bytes, has_events: bool, now: float) -> None:
@@ -200,6 +202,7 @@
         is_progress = has_content(events) if has_events else True
         if is_progress or self._bytes >= MIN_PROGRESS_BYTES:
             self.at = now
+            self.count += 1
             self._bytes = 0
 
 
@@ -223,14 +226,14 @@
         self._idle_timeout_s = idle_timeout_s
         self._can_move = can_move
         self._on_stall = on_stall
-        self._is_stalled = False
+        #: Count of progress before the last stall that was reported.
+        self._reported_after: int | None = None
         self._handle: asyncio.TimerHandle | None = None
         self.restart()
 
     def restart(self) -> None:
         """Watch for a stall since the last progress."""
         self.stop()
-        self._is_stalled = False
         due_at = self._progress.at + self._idle_timeout_s
         self._handle = self._loop.call_at(due_at, self._expire)
 
@@ -246,8 +249,8 @@
         if self._can_move():
             self._timeout.reschedule(0.0)
             return
-        if not self._is_stalled:
-            self._is_stalled = True
+        if self._reported_after != self._progress.count:
+            self._reported_after = self._progress.count
             self._on_stall()
         self._handle = self._loop.call_later(STALL_RECHECK_S, self._expire)
 
--- a/packages/gateway/tests/test_gateway_stream_progress.py
+++ b/packages/gateway/tests/test_gateway_stream_progress.py
@@ -134,6 +134,15 @@
                 self.assertTrue(caller.is_whole)
                 self.assertEqual(self.stalls, 2)
 
+    # Guards against an endpoint that is ejected for one stream, whose comments were
+    # taken for stalls of their own.
+    async def test_stall_with_comments_is_recorded_once(self):
+        self.has_alternative = False
+        pieces = [*[b": keep-alive\n\n"] * 40, b"id: 1\ndata: x\n\n"]
+        caller = await self.relay(pieces, IDLE_S / 4)
+        self.assertTrue(caller.is_whole)
+        self.assertEqual(self.stalls, 1)
+
     async def test_stalled_stream_ends_once_another_endpoint_can_continue_it(self):
         self.has_alternative = False
         loop = asyncio.get_running_loop()
--- a/standins/src/slatehoist_standins/deployment_server.py
+++ b/standins/src/slatehoist_standins/deployment_server.py
@@ -251,6 +251,7 @@
         except (ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError):
             self.cancelled += 1
         finally:
+            self._repeated.pop(writer, None)
             writer.close()
 
     async def _respond_early(
--- a/standins/src/slatehoist_standins/odd_rows.py
+++ b/standins/src/slatehoist_standins/odd_rows.py
@@ -30,6 +30,8 @@
         "host with an empty label": make_server_row(addr="a..b:80"),
         "host with a path": make_server_row(addr="127.0.0.1/x:80"),
         "host with a long label": make_server_row(addr="h" * 300 + ":80"),
+        "host with one bracket": make_server_row(addr="[127.0.0.1:80"),
+        "host without brackets": make_server_row(addr="::1:80"),
         "unspecified host": make_server_row(addr="0.0.0.0:80"),
     }
     encoded = {name: json.dumps(row).encode() for name, row in rows.items()}
