Draw versions of maps at random, so that a restarted agent uses none again (MAP)

Versions of switches that are still being copied are in no report, so a coordinator remembered its last version in memory. Restarted while a rank copied, or before a late order to prepare was carried out, it gave the same version to another map. A rank with the earlier one refuses the order, reports the version as prepared and is armed: passes would begin with maps of different content.

A version is now drawn from 65,536 counters above all known ones, so two processes that know the same choose different versions.

--- a/packages/maps/src/slatehoist/maps/agent.py
+++ b/packages/maps/src/slatehoist/maps/agent.py
@@ -141,7 +141,7 @@
     connect : callable
         Returns the client of the rank at an address.
     rng : random.Random or None
-        Draws the order in which gateways get allocated slots.
+        Draws the order in which gateways get allocated slots, and versions of maps.
     """
 
     def __init__(
@@ -170,7 +170,8 @@
         #: Times at which the subscriptions of the gateways expire, by address, the one
         #: whose last status is oldest first.
         self._subscribers: dict[Address, float] = {}
-        self._allocator = CapacityAllocator(rng or random.Random())
+        self._rng = rng or random.Random()
+        self._allocator = CapacityAllocator(self._rng)
         #: Requests that the own rank runs at once; 0 until known.
         self._slots = 0
         self._known_maps = KnownMaps(self._group)
@@ -475,6 +476,7 @@
             self._client,
             self._metrics,
             self._clock,
+            self._rng,
         )
 
     async def _coordinate_and_sleep(self) -> None:
--- a/packages/maps/src/slatehoist/maps/coordinator.py
+++ b/packages/maps/src/slatehoist/maps/coordinator.py
@@ -9,6 +9,7 @@
 import functools
 import logging
 import math
+import random
 from collections.abc import Callable
 from typing import NamedTuple
 
@@ -148,7 +149,9 @@
         connect: Callable[[str], RankClient],
         metrics: AgentMetrics,
         clock: Callable[[], float],
+        rng: random.Random,
     ) -> None:
+        self._rng = rng
         self._cfg = cfg
         self._spec = spec
         self._group = group
@@ -391,7 +394,9 @@
         # Ranks report a prepared version only when its copies are complete, so the
         # versions of cancelled switches may be missing from the reports.
         known.append(self._last_version)
-        version = self._last_version = next_version(known, self._own_state.rank)
+        version = self._last_version = next_version(
+            known, self._own_state.rank, self._rng
+        )
         log.info(
             "switch_begun",
             extra={
--- a/packages/maps/src/slatehoist/maps/switch.py
+++ b/packages/maps/src/slatehoist/maps/switch.py
@@ -32,11 +32,14 @@
   armed. So the fence succeeds only at a rank that is not armed. If it succeeds at the
   coordinator's rank, the switch is undone; if not, that rank is armed, and the switch
   is finished.
-- A version is used by one coordinator only, and contains that coordinator's rank.
+- A version is used by one coordinator only, and contains that coordinator's rank. It
+  is drawn at random, since an agent that was started again does not know all versions
+  of its predecessor: orders to prepare them may still be carried out.
 """
 
 import asyncio
 import logging
+import random
 from collections.abc import Awaitable, Callable, Iterable, Mapping, Sequence
 from enum import StrEnum
 from typing import NamedTuple, Protocol
@@ -49,6 +52,9 @@
 #: A version is a counter times this stride, plus the rank of the coordinator. Groups
 #: have fewer ranks than this.
 VERSION_STRIDE = 4096
+#: Number of counters that a new version is drawn from. With one switch a second,
+#: versions stay exact in JSON (below 2**53) for two years.
+VERSION_SPREAD = 65536
 #: Seconds between retries of an order that got no answer.
 RETRY_INTERVAL_S = 0.01
 #: Passes that one switch tries to hold before it fails with `Result.NOT_HELD`. A hold
@@ -65,9 +71,22 @@
 PREPARE_TIMEOUT_MARGIN_S = 1.0
 
 
-def next_version(known: Sequence[int], coordinator: int) -> int:
-    """Return a version above all known ones that no other coordinator uses."""
-    return (max(known, default=0) // VERSION_STRIDE + 1) * VERSION_STRIDE + coordinator
+def next_version(
+    known: Sequence[int], coordinator: int, rng: random.Random | None = None
+) -> int:
+    """Return a version above all known ones that no other coordinator uses.
+
+    Parameters
+    ----------
+    rng : Random or None
+        Draws how far above. An earlier process of the coordinator's agent may have
+        given the next version to another map, of which no report tells yet. If None,
+        the next version is returned, for maps that do not differ between processes.
+    """
+    counter = max(known, default=0) // VERSION_STRIDE + 1
+    if rng is not None:
+        counter += rng.randrange(VERSION_SPREAD)
+    return counter * VERSION_STRIDE + coordinator
 
 
 def coordinator_of(version: int) -> int:
--- a/packages/maps/tests/group_world.py
+++ b/packages/maps/tests/group_world.py
@@ -130,23 +130,44 @@
         super().__init__(size.ranks)
         self._dims = size
         placement = initial_placement(size.sets, size.ranks, size.experts)
-        #: Map of each version.
+        #: Map of each version, and the one that each rank has for it.
         self.placements = {0: placement}
+        self.rank_maps = [{0: placement} for _ in range(size.ranks)]
+        #: Maps that ranks were ordered to prepare, by version.
+        self.ordered_maps: defaultdict[int, list] = defaultdict(list)
+        #: Newest version that each rank has been sent.
+        self._newest = [0] * size.ranks
         self.counts = [[0] * (size.sets * size.experts) for _ in range(size.ranks)]
         self.prepares = 0
         #: Time at which the first rank began to prepare a version.
         self.prepared_from: dict[int, float] = {}
 
+    def begin_pass(self, now: float) -> None:
+        """Begin the next pass; maps of one version may differ in content, too."""
+        step = self.step
+        super().begin_pass(now)
+        maps = [
+            known[version]
+            for known, version in zip(self.rank_maps, self.maps, strict=True)
+        ]
+        if self.step != step and any(other != maps[0] for other in maps):
+            self.violations.append((self.step, list(self.maps)))
+
     def _prepare(self, rank: int, version: int, placement) -> Answer:
+        if placement not in self.ordered_maps[version]:
+            self.ordered_maps[version].append(placement)
+        is_copying = self.prepared[rank] is None and version <= self._newest[rank]
         answer = super()._prepare(rank, version, placement)
-        if answer is not Answer.BEGUN:
-            return answer
+        if is_copying or answer is not Answer.BEGUN:
+            return Answer.REFUSED if is_copying else answer
+        self._newest[rank] = version
+        self.rank_maps[rank][version] = placement
         self.prepares += 1
         now = asyncio.get_running_loop().time()
         self.prepared_from.setdefault(version, now)
         self.placements[version] = placement
         self.prepared[rank] = None
-        before = self.placements[self.maps[rank]]
+        before = self.rank_maps[rank][self.maps[rank]]
         copies = sum(
             len(set(new[rank]) - set(old[rank]))
             for old, new in zip(before, placement, strict=True)
@@ -186,7 +207,7 @@
     async def experts(self):
         await self._exchange(0, 400)
         version = self._world.engine.maps[self._rank]
-        placement = self._world.engine.placements[version]
+        placement = self._world.engine.rank_maps[self._rank][version]
         return version, [list(ranks[self._rank]) for ranks in placement]
 
     async def prepare(self, epoch, version, placement):
@@ -275,6 +296,8 @@
         self.links = {
             self.host(rank): _Link(size.link_mbps) for rank in range(size.ranks)
         }
+        #: Agents that were started, each of which draws differently.
+        self._starts = 0
         self.remote_orders = 0
         self.list_reads = 0
         #: Called after each order with the rank, the order and the answer.
@@ -361,7 +384,8 @@
                 return UnreachableRank()
             return _Client(self, host, ranks[address])
 
-        return Agent(cfg, self, connect, clock)
+        self._starts += 1
+        return Agent(cfg, self, connect, clock, random.Random(self._starts))
 
     async def group_spec(self):
         """Return the dimensions of the group; see `GroupSource`."""
--- a/packages/maps/tests/test_maps_agent_restarts.py
+++ b/packages/maps/tests/test_maps_agent_restarts.py
@@ -13,6 +13,10 @@
 from slatehoist.maps import Answer
 
 SIZE = GroupSize(4, 1, 8, 4, link_mbps=10.0)
+#: Group whose copies last until restarted agents have planned again, and the seconds
+#: until other experts are in demand there: before that plan.
+SLOW_COPY_SIZE = SIZE._replace(copy_s=1.2)
+SLOW_COPY_SHIFT_S = 0.45
 #: Seconds of calm until other experts are in demand.
 SHIFT_S = 2.0
 #: Seconds from the kill until each agent is started again.
@@ -66,6 +70,29 @@
             loop.call_later(delay_s, self.start_agent, rank)
 
 
+class SlowCopyWorld(GroupWorld):
+    """Group whose agents restart as soon as one rank has begun to copy experts.
+
+    Attributes
+    ----------
+    restarted_at : float or None
+    """
+
+    def __init__(self, seed: int) -> None:
+        super().__init__(SLOW_COPY_SIZE, SLOW_COPY_SHIFT_S, seed)
+        self.restarted_at: float | None = None
+        self.on_order = self._observe
+
+    def _observe(self, rank: int, order: str, answer: Answer) -> None:
+        if order != "prepare" or self.restarted_at is not None:
+            return
+        loop = asyncio.get_running_loop()
+        self.restarted_at = loop.time()
+        loop.call_soon(self.kill_agents)
+        for started in range(self.size.ranks):
+            loop.call_later(0.1, self.start_agent, started)
+
+
 class AgentRestartTests(unittest.TestCase):
     def play(self, orders: int, delays: tuple[float, ...]) -> RestartWorld:
         world = RestartWorld(orders, delays)
@@ -93,6 +120,19 @@
                     late = [at for at, _ in world.passes if at > recovered_at]
                     self.assertGreater(len(late), 10)
 
+    # Guards against a restarted coordinator that gives a version of its predecessor,
+    # which ranks still copy, to another map, so that ranks use both (MAP).
+    def test_restarted_coordinator_gives_no_version_to_a_second_map(self):
+        for seed in range(1, 9):
+            with self.subTest(seed=seed):
+                world = SlowCopyWorld(seed)
+                world.run(6.0)
+                self.assertIsNotNone(world.restarted_at)
+                ordered = world.engine.ordered_maps
+                self.assertGreater(len(ordered), 1)
+                shared = [version for version, maps in ordered.items() if maps[1:]]
+                self.assertEqual(shared, [])
+
 
 if __name__ == "__main__":
     unittest.main()
