--- a/standins/src/slatehoist_standins/deployment_server.py
+++ b/standins/src/slatehoist_standins/deployment_server.py
@@ -133,6 +133,8 @@
         chunks nor a length; for streams only.
     ``ends_within_event``
         End a stream within an event by its last chunk; for streams only.
+    ``cut_head``, ``reset_head``
+        Close or reset the connection after `head_bytes` bytes of the head.
     ``endless_...``
         Send a response without end until the connection closes; a key of `ENDLESS`.
 
@@ -148,6 +150,10 @@
         Crashes caused by `CRASH_MARKER` and `CRASH_PART`.
     event_pause_s : float
         Seconds between the events of a stream.
+    head_bytes : int
+        Bytes of the head that ``cut_head`` and ``reset_head`` send.
+    head_prefix : bytes
+        Bytes that they send before it.
     delay_s : float
         Seconds from a request until its response.
     zone : str
@@ -178,6 +184,8 @@
         #: Bytes of responses without end that were sent.
         self.endless_bytes = 0
         self.event_pause_s = 0.0
+        self.head_bytes = 0
+        self.head_prefix = b""
         self.delay_s = 0.0
         self.zone = "a"
         self.leaving = False
@@ -328,7 +336,9 @@
             head = self._make_head(arrival, behaviour, 503)
             writer.write(head + b"Content-Length: 0\r\n\r\n")
             return True
-        if "text/event-stream" in arrival.headers.get("Accept", ""):
+        if behaviour in ("cut_head", "reset_head"):
+            return await self._cut_head(arrival, behaviour, writer)
+        if _wants_stream(arrival):
             return await self._send_stream(arrival, behaviour, reader, writer)
         return await self._send_plain(arrival, behaviour, writer)
 
@@ -350,6 +360,14 @@
             await asyncio.sleep(0)
         return False
 
+    async def _cut_head(
+        self, arrival: Arrival, behaviour: str, writer: asyncio.StreamWriter
+    ) -> bool:
+        writer.write(self.head_prefix + self.make_head(arrival)[: self.head_bytes])
+        await writer.drain()
+        await asyncio.sleep(0)
+        return self._close(writer, behaviour == "reset_head")
+
     def _close(self, writer: asyncio.StreamWriter, reset: bool) -> bool:
         """Close or reset the connection; return False, as `_respond` does."""
         if reset:
@@ -456,6 +474,13 @@
             writer.write(LAST_CHUNK)
         return not unframed
 
+    def make_head(self, arrival: Arrival) -> bytes:
+        """Return the head of a whole response with its blank line."""
+        if _wants_stream(arrival):
+            return self._make_stream_head(arrival, "ok")
+        length = f"Content-Length: {len(self.make_body(arrival))}\r\n\r\n"
+        return self._make_head(arrival, "ok") + length.encode()
+
     def _make_stream_head(self, arrival: Arrival, behaviour: str) -> bytes:
         head = self._make_head(arrival, behaviour)
         head += b"Content-Type: text/event-stream\r\n"
@@ -478,6 +503,10 @@
         return behaviour == "ends_within_event"
 
 
+def _wants_stream(arrival: Arrival) -> bool:
+    return "text/event-stream" in arrival.headers.get("Accept", "")
+
+
 def _make_misdirection(arrival: Arrival) -> bytes:
     """Return the answer to a request that is meant for another server."""
     lines = [
--- a/tools/soak/servers.py
+++ b/tools/soak/servers.py
@@ -123,6 +123,8 @@
         All runs by request id, shared by all servers.
     draw_behaviour : callable
         Returns the behaviour for the next response.
+    draw_size : callable
+        Returns a number below the one that it is called with.
     draw_ending : callable
         Returns how the server ends when it runs a poison request: ``reset`` resets its
         connections, ``hang`` leaves them open, and ``unframed`` ends the body of the
@@ -137,6 +139,7 @@
         super().__init__(server_id)
         self.runs = runs
         self.draw_behaviour = draw_behaviour
+        self.draw_size = lambda size: size // 2
         self.draw_ending = lambda: "reset"
         self.on_poison = lambda server, request_id: None
         self.is_up = True
@@ -236,6 +239,13 @@
             self._writers.discard(writer)
             self._unframed_writers.discard(writer)
 
+    async def _cut_head(
+        self, arrival: Arrival, behaviour: str, writer: asyncio.StreamWriter
+    ) -> bool:
+        self._record_run(arrival)
+        self.head_bytes = self.draw_size(len(self.make_head(arrival)))
+        return await super()._cut_head(arrival, behaviour, writer)
+
     async def _send_plain(
         self, arrival: Arrival, behaviour: str, writer: asyncio.StreamWriter
     ) -> bool:
--- a/tools/soak/world.py
+++ b/tools/soak/world.py
@@ -67,13 +67,16 @@
 
 
 #: Behaviours of servers that write a refusal once more for the next request on its
-#: connection, or that break a stream off and answer its continuation with a text.
+#: connection, that break a stream off and answer its continuation with a text, or that
+#: end the connection within the head of a response.
 CONFUSING_BEHAVIOURS = (
     "shed_again",
     "shed_again_without_id",
     "misdirect_again",
     "shed_twice",
     "text_after_cut",
+    "cut_head",
+    "reset_head",
 )
 #: Bound on the retries of all gateways together: in any window, `RETRY_RATIO` times the
 #: requests and `RETRY_EXTRA` more.
@@ -304,6 +307,7 @@
         server = SoakServer(name, self.runs, self._draw_behaviour)
         server.zone = min(ZONES, key=[s.zone for s in self.servers].count)
         server.draw_ending = lambda: self.rng.choice(ENDINGS)
+        server.draw_size = self.rng.randrange
         server.on_poison = self._on_poison
         await server.start()
         if self.gateways:
