--- a/tests/test_platform_cut_heads.py
+++ b/tests/test_platform_cut_heads.py
@@ -85,11 +85,10 @@
             shared[:] = ["cut", "cut_head"]
             for server in world.servers:
                 server.head_bytes = size
-            with self.subTest(bytes=size):
-                with self.assertRaises(aiohttp.ClientError):
-                    async with world.call("/stream/") as resp:
-                        self.assertEqual(resp.status, 200)
-                        await resp.read()
+            with self.subTest(bytes=size), self.assertRaises(aiohttp.ClientError):
+                async with world.call("/stream/") as resp:
+                    self.assertEqual(resp.status, 200)
+                    await resp.read()
 
 
 if __name__ == "__main__":
