Answer requests that a planned stop ends, and end them in the last sixth of its time (LOST)

Reported by operators of a similar system: requests that came late in the grace time of a planned stop were passed on and cut at its end with no answer, among them some that may not be repeated. Three related paths were left:

- Requests in progress at the end were cut.
They now get what is known: 502 if they may have run, 503 otherwise; a stream that has begun is broken off.
The new test failed before: no answer at the end of the drain (504 at the deadline, as the test's process goes on; a real one is gone by then).
The margin is an eighth of the grace time at most.
- Requests count as late from 2.7 s on instead of 3.0 s: a busy process notices SIGTERM later than the platform sends it, and served what was sent after three seconds.

--- a/packages/gateway/src/slatehoist/gateway/forwarding.py
+++ b/packages/gateway/src/slatehoist/gateway/forwarding.py
@@ -150,6 +150,7 @@
                     exchange, endpoint, self._has_alternative
                 )
             finally:
+                exchange.may_have_run |= outcome.may_have_run
                 if exchange.retry is not None and outcome is not Outcome.NOT_SENT:
                     exchange.retry.record_arrival(self._clock())
                 self._record_attempt(exchange, outcome)
@@ -163,7 +164,6 @@
                 await self._guard.wait_for_probe(endpoint)
             if not outcome.may_have_run:
                 self._guard.release_trials(exchange)
-            exchange.may_have_run |= outcome.may_have_run
             if not self._should_retry(exchange, outcome, budget):
                 return None
 
--- a/packages/gateway/src/slatehoist/gateway/gateway.py
+++ b/packages/gateway/src/slatehoist/gateway/gateway.py
@@ -1,5 +1,6 @@
 """Handling of callers' requests: routing, credentials, deadlines, final answers."""
 
+import asyncio
 import logging
 import random
 from collections.abc import Callable
@@ -34,6 +35,8 @@
 _EVACUATION_WAIT_S = 5.0
 #: Deadline in seconds that is assumed for a refused caller that states none.
 _DEFAULT_DEADLINE_S = 8.0
+#: Seconds within which requests that are ended must have been answered.
+_END_TIMEOUT_S = 0.1
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
@@ -104,8 +107,11 @@
         self.draining = False
         #: Time from which requests must end by `_ends_at`, the end of the drain.
         self._late_from = self._ends_at = float("inf")
-        #: Connections on which a request is being answered.
+        #: Connections on which a request is being answered, and the tasks that do so.
         self.busy_connections: set[object] = set()
+        self._tasks: set[asyncio.Task] = set()
+        #: True once the requests in progress are being ended.
+        self._ending = False
 
     def drain(self, late_from: float, ends_at: float) -> None:
         """Announce on each further response that its connection will be closed.
@@ -121,17 +127,33 @@
         self._late_from, self._ends_at = late_from, ends_at
         self._forwarder.attempts.streams.draining = True
 
+    async def end_requests(self) -> None:
+        """Answer the requests in progress with what is known of them.
+
+        Without an answer, callers could not tell a request that never ran from one that
+        did. A stream that has begun is broken off.
+        """
+        self._ending = True
+        tasks = list(self._tasks)
+        for task in tasks:
+            task.cancel()
+        if tasks:
+            await asyncio.wait(tasks, timeout=_END_TIMEOUT_S)
+
     async def handle(self, req: web.BaseRequest) -> web.StreamResponse:
         """Return the response to one request."""
         arrived_at = self._clock()
         info = self._codec.read_request(req.headers)
         conn = req.protocol
+        task = asyncio.current_task()
         self.busy_connections.add(conn)
+        self._tasks.add(task)
         try:
             resp = await self._answer(req, info, arrived_at)
         except RefusalError as exc:
             resp = self._refuse(req, info, exc, arrived_at)
         finally:
+            self._tasks.discard(task)
             self.busy_connections.discard(conn)
         if self.draining and not resp.prepared:
             resp.force_close()
@@ -172,6 +194,11 @@
         except CallerLeftError:
             exchange.stream.break_off()
             return exchange.stream
+        except asyncio.CancelledError:
+            if not self._ending or req.transport is None:
+                raise
+            asyncio.current_task().uncancel()
+            resp = None
         if resp is None:
             return self._answer_failure(exchange)
         took_s = self._clock() - arrived_at
@@ -267,6 +294,8 @@
             self._log_failed_request(exchange, "outcome_unknown", now)
             raise RefusalError(502, "the outcome is unknown")
         self._log_failed_request(exchange, "not_run", now)
+        if self._ending:
+            raise _unavailable_here("this instance stops")
         if exchange.blocked:
             reason = "this request crashes endpoints"
             if exchange.blocking_parts:
--- a/packages/gateway/src/slatehoist/gateway/process.py
+++ b/packages/gateway/src/slatehoist/gateway/process.py
@@ -24,7 +24,6 @@
 from slatehoist.gateway.registry import InstanceRegistry
 from slatehoist.gateway.settings import (
     ACCEPTED_WAIT_S,
-    GRACE_MARGIN_S,
     LATE_REQUEST_S,
     LEAVE_ROTATION_S,
     MOVE_STREAMS_PACE,
@@ -275,7 +274,7 @@
         the rotation. The wait for requests ends shortly before the grace time does.
         """
         started_at = self._clock()
-        drain_until = started_at + self._cfg.grace_s - GRACE_MARGIN_S
+        drain_until = started_at + self._cfg.drain_limit_s
         self._lifecycle.drain()
         self._gateway.drain(started_at + LATE_REQUEST_S, drain_until)
         log.info("draining", extra={"active": len(self._gateway.busy_connections)})
@@ -288,10 +287,12 @@
         while self._gateway.busy_connections and self._clock() < drain_until:
             await asyncio.sleep(_DRAIN_POLL_S)
             await self._close_idle_connections()
+        active = len(self._gateway.busy_connections)
+        await self._gateway.end_requests()
         log.info(
             "drained",
             extra={
-                "active": len(self._gateway.busy_connections),
+                "active": active,
                 "took_ms": round((self._clock() - started_at) * 1000),
             },
         )
@@ -317,7 +318,8 @@
         for task in self._tasks:
             task.cancel()
         with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(GRACE_MARGIN_S / 2):
+            margin_s = self._cfg.grace_s - self._cfg.drain_limit_s
+            async with asyncio.timeout(margin_s / 2):
                 for runner in self._runners:
                     await runner.cleanup()
                 await self._upstream.close()
--- a/packages/gateway/src/slatehoist/gateway/settings.py
+++ b/packages/gateway/src/slatehoist/gateway/settings.py
@@ -68,6 +68,15 @@
     admits_by_urgency: bool = False
     zone_regions: Mapping[str, str] = MappingProxyType({})
 
+    @property
+    def drain_limit_s(self) -> float:
+        """Return the time from SIGTERM until requests in progress are ended.
+
+        The platform accepts that in the last sixth of the grace time only.
+        """
+        margin_s = min(GRACE_MARGIN_S, self.grace_s * GRACE_MARGIN_RATIO)
+        return self.grace_s - margin_s
+
     @property
     def endpoint_poll_s(self) -> float:
         """Return the time between two reads of the endpoint list."""
@@ -183,13 +192,16 @@
 #: readiness each second and removes an instance after two failed checks.
 LEAVE_ROTATION_S = 3.2
 #: Seconds after SIGTERM from which a request is served only if it certainly ends before
-#: this process does. What is sent until then may be cut at the end of the grace time.
-LATE_REQUEST_S = 3.0
+#: this process does. What callers send in the first three seconds may be ended at the
+#: end of the grace time; a busy process notices the signal some tenths later.
+LATE_REQUEST_S = 2.7
 #: Seconds after the last accepted connection for which idle connections stay open, for
 #: requests that are on their way on it.
 ACCEPTED_WAIT_S = 0.5
-#: Seconds of the grace time that are reserved for the process to exit by itself.
+#: Seconds of the grace time that are reserved for the process to exit by itself, and
+#: their largest fraction of it.
 GRACE_MARGIN_S = 0.7
+GRACE_MARGIN_RATIO = 1 / 8
 #: Seconds between counts of the instances. Counts and renewals are billed calls, and
 #: the number of instances changes only when instances are added or replaced.
 REGISTRY_POLL_S = 10.0
--- a/tests/test_platform_gateway.py
+++ b/tests/test_platform_gateway.py
@@ -14,6 +14,7 @@
     make_configuration,
     make_route,
 )
+from slatehoist.gateway import GatewaySettings
 from slatehoist.gateway.settings import LATE_REQUEST_S, LEAVE_ROTATION_S
 from slatehoist.http import strict_connector
 from slatehoist_standins.deployment_server import (
@@ -645,14 +646,40 @@
         self.assertEqual(world.count_arrivals(), 3)
         await drain_task
 
+    # Guards against a request that may run once and is cut without an answer at the end
+    # of a planned stop, so that its caller cannot tell whether it ran (LOST).
+    async def test_request_in_progress_at_the_end_of_a_drain_is_answered(self):
+        world = await self.start_world(["hang"], grace_s=4.6)
+        routes = [make_route("unsafe", "/unsafe/", "unsafe", "app", timeoutMs=8000)]
+        world.store.put("op", "config", make_configuration(2, routes=routes))
+        await self.wait_until(lambda: world.gateway.catalogue.version == 2)
+        call = asyncio.create_task(self.send_request(world, {"Deadline-Ms": "8050"}))
+        await self.wait_until(lambda: world.count_arrivals() == 1)
+        began = time.monotonic()
+        await world.gateway.drain()
+        self.assertGreater(time.monotonic() - began, 4.6 * 5 / 6)
+        await world.gateway.stop()
+        status, headers = await call
+        self.assertEqual(status, 502)
+        self.assertEqual(headers["Connection"], "close")
+
+    # Guards against requests that end before the last sixth of a short grace time.
+    async def test_drain_ends_requests_in_the_last_sixth_of_the_grace_time_only(self):
+        for grace_s in (1.0, 2.0, 4.0, 4.2, 8.0, 30.0):
+            with self.subTest(grace_s=grace_s):
+                cfg = GatewaySettings("gateway-0", "a", "", "", grace_s=grace_s)
+                self.assertGreater(cfg.drain_limit_s, grace_s * 5 / 6)
+                self.assertLess(cfg.drain_limit_s, grace_s)
+
     async def send_stream(self, world):
         headers = {"Deadline-Ms": "8050"}
         async with world.call("/stream/", "POST", headers=headers) as resp:
             await resp.read()
             return resp.status, resp.headers
 
-    async def send_request(self, world):
-        async with world.call("/unsafe/", "POST", data=b"x") as resp:
+    async def send_request(self, world, headers=None):
+        call = world.call("/unsafe/", "POST", data=b"x", headers=headers or {})
+        async with call as resp:
             await resp.read()
             return resp.status, resp.headers
 
