--- a/standins/src/slatehoist_standins/deployment_server.py
+++ b/standins/src/slatehoist_standins/deployment_server.py
@@ -331,7 +331,7 @@
         if behaviour in _REFUSALS or self.turns_away_for_s:
             self._refuse(arrival, behaviour, writer)
             return True
-        self.run_ids.append(arrival.headers["Request-Id"])
+        self._begin_run(arrival)
         if behaviour == "false_promise":
             head = self._make_head(arrival, behaviour, 503)
             writer.write(head + b"Content-Length: 0\r\n\r\n")
@@ -342,6 +342,10 @@
             return await self._send_stream(arrival, behaviour, reader, writer)
         return await self._send_plain(arrival, behaviour, writer)
 
+    def _begin_run(self, arrival: Arrival) -> None:
+        """Record that the server begins to run a request."""
+        self.run_ids.append(arrival.headers["Request-Id"])
+
     async def _send_endless(
         self, arrival: Arrival, behaviour: str, writer: asyncio.StreamWriter
     ) -> bool:
