Give up an attempt only together with what its successor needs (LOST)

Cause: each asked whether the retry budget and an endpoint had room, was told yes, and ended its attempt; the room was taken in a later step, and there was enough for one. The question and the act were apart.

A retry and an endpoint, with its slot and its shares of a stated rate or of a cold start, are now reserved before the attempt is ended, and given back once if no attempt follows: the answer came meanwhile, the caller left, the request was blocked, the process stopped. Early ends of slow answers do the same. Related paths that had the fault: streams of a straggler were moved without any check, as many as there were, and a request that its crashes block, or whose group is not open, was ended for nothing.

--- a/packages/gateway/src/slatehoist/gateway/attempts.py
+++ b/packages/gateway/src/slatehoist/gateway/attempts.py
@@ -84,14 +84,14 @@
         self,
         exchange: Exchange,
         endpoint: Endpoint,
-        has_alternative: Callable[[Exchange], bool],
+        reserve_successor: Callable[[Exchange], bool],
     ) -> tuple[Outcome, web.StreamResponse | None]:
         """Send the request to one endpoint, and pass on its response if it is valid.
 
         Parameters
         ----------
-        has_alternative : callable
-            Returns True if another endpoint may get the request now.
+        reserve_successor : callable
+            Reserves another attempt; returns False if none is possible now.
         """
         exchange.tried.add(endpoint.endpoint_id)
         exchange.sent_at = exchange.last_data_at = self._clock()
@@ -105,12 +105,12 @@
         try:
             remaining_s = exchange.deadline_at - self._clock()
             async with asyncio.timeout(remaining_s) as timeout:
-                early_end = _schedule_early_end(exchange, timeout, has_alternative)
+                early_end = _schedule_early_end(exchange, timeout, reserve_successor)
                 reply = await self._upstream.send(
                     self._build_request(exchange, endpoint)
                 )
                 return await self._handle_reply(
-                    exchange, endpoint, reply, has_alternative
+                    exchange, endpoint, reply, reserve_successor
                 )
         except NotSentError as exc:
             self._record_failure(endpoint)
@@ -157,7 +157,7 @@
         exchange: Exchange,
         endpoint: Endpoint,
         reply: aiohttp.ClientResponse,
-        has_alternative: Callable[[Exchange], bool],
+        reserve_successor: Callable[[Exchange], bool],
     ) -> tuple[Outcome, web.StreamResponse | None]:
         exchange.last_data_at = self._clock()
         if exchange.retry is not None:
@@ -190,7 +190,7 @@
                     exchange,
                     endpoint,
                     reply,
-                    has_alternative,
+                    reserve_successor,
                     functools.partial(self._record_failure, endpoint),
                 )
                 self._health.record_success(endpoint.endpoint_id)
@@ -269,19 +269,19 @@
 def _schedule_early_end(
     exchange: Exchange,
     timeout: asyncio.Timeout,
-    has_alternative: Callable[[Exchange], bool],
+    reserve_successor: Callable[[Exchange], bool],
 ) -> asyncio.TimerHandle | None:
     """Let an attempt that can be repeated end at the latency objective.
 
-    That leaves time for another endpoint. If there is none at that time, the attempt
-    may use the whole deadline, as all others may.
+    That leaves time for another endpoint. If none can be reserved at that time, the
+    attempt may use the whole deadline, as all others may.
     """
     is_last = exchange.attempts + 1 >= exchange.route.max_attempts
     if exchange.is_stream or not exchange.route.repeatable or is_last:
         return None
 
     def end() -> None:
-        if not timeout.expired() and has_alternative(exchange):
+        if not timeout.expired() and reserve_successor(exchange):
             timeout.reschedule(0.0)
 
     loop = asyncio.get_running_loop()
--- a/packages/gateway/src/slatehoist/gateway/choice.py
+++ b/packages/gateway/src/slatehoist/gateway/choice.py
@@ -11,6 +11,7 @@
 from slatehoist.gateway.health import EndpointHealth, GroupState
 from slatehoist.gateway.holds import EndpointHolds
 from slatehoist.gateway.model import Endpoint, Service
+from slatehoist.gateway.reservations import EndpointReservation
 from slatehoist.gateway.settings import (
     EVEN_CHOICE_INSTANCES,
     GROUP_FORMING_POLL_S,
@@ -159,18 +160,35 @@
                 return state is GroupState.OPEN
             await asyncio.sleep(GROUP_FORMING_POLL_S)
 
-    def has_alternative(self, exchange: Exchange) -> bool:
-        """Return True if an endpoint that was not tried may get the request now."""
-        now = self._clock()
-        untried = self._untried(exchange, self._placed(exchange, now))
-        open_endpoints = self.holds.available(untried, now)
-        return bool(self.cold.available(exchange.service, open_endpoints, now))
+    def reserve_other(
+        self, exchange: Exchange, now: float
+    ) -> EndpointReservation | None:
+        """Reserve an endpoint that was not tried, or return None if none is available.
+
+        The current attempt goes on meanwhile, so that the group must be open already.
+        """
+        listed = self._directory.of_service(exchange.service.name, now)
+        if self._health.group_state(listed, now) is not GroupState.OPEN:
+            return None
+        hold, unplaced = exchange.hold, exchange.unplaced
+        reservation = self.reserve(exchange, now)
+        # They are the reasons of a refusal, and the attempt has not ended.
+        exchange.hold, exchange.unplaced = hold, unplaced
+        return reservation
+
+    def is_usable(self, exchange: Exchange, endpoint: Endpoint, now: float) -> bool:
+        """Return True if an endpoint that was reserved may still get the request.
+
+        Its shares are not compared: the reservation is part of their use.
+        """
+        placed = self._placed(exchange, now)
+        return endpoint in placed and not self.holds.asks_for_none(endpoint, now)
 
     def _untried(self, exchange: Exchange, endpoints: list[Endpoint]) -> list[Endpoint]:
         return [e for e in endpoints if e.endpoint_id not in exchange.tried]
 
-    def choose(self, exchange: Exchange, now: float) -> Endpoint | None:
-        """Return the endpoint for the next attempt, or None if none is available.
+    def reserve(self, exchange: Exchange, now: float) -> EndpointReservation | None:
+        """Reserve the endpoint for the next attempt; None if none is available.
 
         If all endpoints are held, or cold with used up shares, `exchange.hold` states
         until when. If none may run the request by its place, `exchange.unplaced` states
@@ -194,19 +212,25 @@
         is_even = is_even and self._health.has_status(endpoints, now)
         chooser = self._even_chooser if is_even else self._chooser
         chosen = chooser.choose(candidates, self._zone)
-        exchange.chosen_by = ""
         if chosen is None:
             return None
         endpoint = next(e for e in endpoints if e.endpoint_id == chosen.name)
         self.holds.record_sent(endpoint, now)
         self.cold.record_sent(exchange.service, endpoint, now)
-        self._health.record_sent(chosen.name, now)
+        used_slot = self._health.record_sent(chosen.name, now)
+        chosen_by = ""
         if is_even:
-            exchange.chosen_by = "allocated" if chosen.allocated else "estimated"
-            self._metrics.endpoint_choices.labels(exchange.chosen_by).inc()
+            chosen_by = "allocated" if chosen.allocated else "estimated"
+            self._metrics.endpoint_choices.labels(chosen_by).inc()
             demand = self._demands.setdefault(exchange.service.name, ZoneDemand())
             demand.record(chosen.zone != self._zone, now)
-        return endpoint
+
+        def give_back() -> None:
+            self.holds.cancel_sent(endpoint, now)
+            self.cold.cancel_sent(endpoint, now)
+            self._health.cancel_sent(chosen.name, now, used_slot)
+
+        return EndpointReservation(endpoint, chosen_by, give_back)
 
     def log_fields(
         self, exchange: Exchange, endpoint: Endpoint, now: float
--- a/packages/gateway/src/slatehoist/gateway/cold_starts.py
+++ b/packages/gateway/src/slatehoist/gateway/cold_starts.py
@@ -108,6 +108,10 @@
         self._metrics.cold_limited_requests.labels(state).inc()
         self._starts.record_sent(name, limit, now)
 
+    def cancel_sent(self, endpoint: Endpoint, sent_at: float) -> None:
+        """Take back a request that `record_sent` has counted, since it is not sent."""
+        self._starts.cancel_sent(endpoint.endpoint_id, sent_at)
+
     def available(
         self, service: Service, endpoints: list[Endpoint], now: float
     ) -> list[Endpoint]:
--- a/packages/gateway/src/slatehoist/gateway/crash_guard.py
+++ b/packages/gateway/src/slatehoist/gateway/crash_guard.py
@@ -47,6 +47,13 @@
             self._metrics.blocked_requests.inc()
         return exchange.blocked
 
+    def blocks(self, exchange: Exchange) -> bool:
+        """Return True if the request, or a part of its prompt, is blocked by now."""
+        now = self._clock()
+        return self._tally.blocked_for_s(exchange.digest, now) > 0.0 or bool(
+            self._crashes.parts.tally.blocking_parts(exchange.parts, now)
+        )
+
     def _block_by_parts(self, exchange: Exchange, now: float) -> None:
         tally = self._crashes.parts.tally
         waits = [tally.blocked_for_s(part, now) for part in exchange.blocking_parts]
--- a/packages/gateway/src/slatehoist/gateway/exchange.py
+++ b/packages/gateway/src/slatehoist/gateway/exchange.py
@@ -8,6 +8,7 @@
 
 from slatehoist.gateway.holds import Hold
 from slatehoist.gateway.model import Kind, RequestInfo, Route, Service
+from slatehoist.gateway.reservations import Successor
 from slatehoist.http import Framing, RelayedResponse
 from slatehoist.observe import GatewayMetrics
 from slatehoist.routing import PromptPart, RetryReservation, Unplaced
@@ -115,6 +116,8 @@
         self.may_have_run = False
         #: Reservation of the last retry in the retry budget; None before the first.
         self.retry: RetryReservation | None = None
+        #: What the next attempt needs, if the current one ends for it; else None.
+        self.successor: Successor | None = None
         #: Parts of the prompt that other requests may share.
         self.parts = tuple(PromptPart(service.name, part) for part in info.prompt_parts)
         #: Convicted parts that block the request, except as their next trial.
--- a/packages/gateway/src/slatehoist/gateway/forwarding.py
+++ b/packages/gateway/src/slatehoist/gateway/forwarding.py
@@ -28,6 +28,7 @@
 from slatehoist.gateway.holds import EndpointHolds
 from slatehoist.gateway.model import Endpoint, Service
 from slatehoist.gateway.probes import EndpointProbes
+from slatehoist.gateway.reservations import Successor
 from slatehoist.gateway.settings import (
     MAX_LOGGED_PARTS,
     MIN_ATTEMPT_S,
@@ -47,6 +48,7 @@
     Membership,
     Placement,
     RateShares,
+    RetryReservation,
     SharedRetryBudget,
 )
 
@@ -117,6 +119,7 @@
         finally:
             if exchange.retry is not None:
                 exchange.retry.cancel()
+            self._drop_successor(exchange)
 
     async def _attempt_until_answered(
         self, exchange: Exchange, budget: SharedRetryBudget
@@ -137,9 +140,7 @@
             ):
                 return None
             now = self._clock()
-            endpoint = None
-            if exchange.deadline_at - now >= MIN_ATTEMPT_S:
-                endpoint = self.choice.choose(exchange, now)
+            endpoint = self._take_endpoint(exchange, now)
             if endpoint is None:
                 self._guard.release_trials(exchange)
                 return None
@@ -147,7 +148,7 @@
             outcome, resp = Outcome.ABANDONED, None
             try:
                 outcome, resp = await self.attempts.run(
-                    exchange, endpoint, self._has_alternative
+                    exchange, endpoint, self._reserve_successor
                 )
             finally:
                 exchange.may_have_run |= outcome.may_have_run
@@ -167,15 +168,53 @@
             if not self._should_retry(exchange, outcome, budget):
                 return None
 
-    def _has_alternative(self, exchange: Exchange) -> bool:
-        """Return True if the request may be retried at another endpoint now.
+    def _reserve_successor(self, exchange: Exchange) -> bool:
+        """Reserve what another attempt needs; return False if that is not available.
 
-        Otherwise an end of its attempt would leave the caller without an answer.
+        Only then may the current attempt be ended: otherwise several could be ended for
+        the same room, and all callers but one would be left without an answer.
         """
         now = self._clock()
+        if exchange.successor is not None:
+            return True
+        if exchange.deadline_at - now < MIN_ATTEMPT_S or self._guard.blocks(exchange):
+            return False
         budget = self._retry_budget(exchange.service.name)
-        fraction = self._allowance_share.fraction(now)
-        return budget.has_room(now, fraction) and self.choice.has_alternative(exchange)
+        retry = budget.reserve(now, self._allowance_share.fraction(now))
+        if retry is None:
+            return False
+        endpoint = self.choice.reserve_other(exchange, now)
+        if endpoint is None:
+            retry.cancel()
+            return False
+        exchange.successor = Successor(endpoint, retry)
+        return True
+
+    def _drop_successor(self, exchange: Exchange) -> None:
+        """Give back what was reserved for an attempt that is not made."""
+        successor, exchange.successor = exchange.successor, None
+        if successor is not None:
+            successor.cancel()
+
+    def _take_endpoint(self, exchange: Exchange, now: float) -> Endpoint | None:
+        """Return the endpoint for the next attempt, or None if none is available.
+
+        It is the reserved one if that may still get the request.
+        """
+        successor, exchange.successor = exchange.successor, None
+        reservation = None if successor is None else successor.endpoint
+        if reservation is not None and not self.choice.is_usable(
+            exchange, reservation.endpoint, now
+        ):
+            reservation.cancel()
+            reservation = None
+        if reservation is None and exchange.deadline_at - now >= MIN_ATTEMPT_S:
+            reservation = self.choice.reserve(exchange, now)
+        if reservation is None:
+            return None
+        reservation.take()
+        exchange.chosen_by = reservation.chosen_by
+        return reservation.endpoint
 
     def _record_attempt(self, exchange: Exchange, outcome: Outcome) -> None:
         self._metrics.attempts.labels(outcome.value).inc()
@@ -194,6 +233,7 @@
         taken over the address.
         """
         if outcome is Outcome.NOT_SENT:
+            self._drop_successor(exchange)
             return len(exchange.tried) < MAX_CONNECT_ATTEMPTS
         if not exchange.may_repeat(outcome):
             return False
@@ -201,9 +241,7 @@
             exchange.attempts += 1
         if exchange.attempts >= exchange.route.max_attempts:
             return False
-        now = self._clock()
-        fraction = self._allowance_share.fraction(now)
-        retry = budget.reserve(now, fraction)
+        retry = self._reserve_retry(exchange, budget)
         result = "over_budget" if retry is None else "reserved"
         self._metrics.retries.labels(result).inc()
         if retry is None:
@@ -211,6 +249,15 @@
         exchange.retry = retry
         return True
 
+    def _reserve_retry(
+        self, exchange: Exchange, budget: SharedRetryBudget
+    ) -> RetryReservation | None:
+        """Return the reservation for the next attempt, an earlier one if there is."""
+        if exchange.successor is not None:
+            return exchange.successor.retry
+        now = self._clock()
+        return budget.reserve(now, self._allowance_share.fraction(now))
+
     def _retry_budget(self, service: str) -> SharedRetryBudget:
         budget = self._budgets.get(service)
         if budget is None:
--- a/packages/gateway/src/slatehoist/gateway/health.py
+++ b/packages/gateway/src/slatehoist/gateway/health.py
@@ -11,7 +11,7 @@
 
 from slatehoist.gateway.model import Endpoint
 from slatehoist.gateway.settings import POOL_IDLE_S
-from slatehoist.routing import Candidate
+from slatehoist.routing import Candidate, discard_time
 
 #: Consecutive failures after which an endpoint is ejected; a single failure may be
 #: caused by the request.
@@ -176,8 +176,8 @@
         records = (self.get_record(e.endpoint_id) for e in endpoints)
         return sum(r.allocated for r in records if now - r.allocated_at <= ALLOCATION_S)
 
-    def record_sent(self, endpoint_id: str, now: float) -> None:
-        """Record that a request is sent, which uses an allocated slot if there is one.
+    def record_sent(self, endpoint_id: str, now: float) -> bool:
+        """Record that a request is sent; return True if it uses an allocated slot.
 
         The attempt itself is counted in `inflight` while it lasts.
         """
@@ -185,8 +185,19 @@
         record.sent_at.append(now)
         if record.idle_since:
             record.idle_since.pop()
-        if record.allocated > 0:
-            record.allocated -= 1
+        uses_slot = record.allocated > 0
+        record.allocated -= uses_slot
+        return uses_slot
+
+    def cancel_sent(self, endpoint_id: str, sent_at: float, used_slot: bool) -> None:
+        """Take back a request that `record_sent` has counted, since it is not sent.
+
+        An allocated slot is given back unless a newer status has dealt them again.
+        """
+        record = self.get_record(endpoint_id)
+        discard_time(record.sent_at, sent_at)
+        if used_slot and record.allocated_at <= sent_at:
+            record.allocated += 1
 
     def candidate(self, endpoint: Endpoint, now: float) -> Candidate:
         """Return what this instance knows of an endpoint, for the chooser."""
--- a/packages/gateway/src/slatehoist/gateway/holds.py
+++ b/packages/gateway/src/slatehoist/gateway/holds.py
@@ -109,6 +109,14 @@
         """Record that a request is sent to an endpoint."""
         self._rates.record_sent(endpoint.endpoint_id, now)
 
+    def cancel_sent(self, endpoint: Endpoint, sent_at: float) -> None:
+        """Take back a request that `record_sent` has counted, since it is not sent."""
+        self._rates.cancel_sent(endpoint.endpoint_id, sent_at)
+
+    def asks_for_none(self, endpoint: Endpoint, now: float) -> bool:
+        """Return True if an endpoint leaves, or turns requests away for some time."""
+        return self._asked_end(endpoint, now) > now
+
     def rate_log_fields(self, endpoint: Endpoint, now: float) -> dict[str, object]:
         """Return the use of an endpoint's stated rate as log fields."""
         use = self._rates.use(endpoint.endpoint_id, now)
--- a/packages/gateway/src/slatehoist/gateway/streams.py
+++ b/packages/gateway/src/slatehoist/gateway/streams.py
@@ -50,8 +50,8 @@
         self._metrics = metrics
         self._idle_timeout_s = idle_timeout_s
         self._clock = clock
-        #: Timeouts of the movable streams, by endpoint.
-        self._timeouts: dict[str, set[asyncio.Timeout]] = {}
+        #: Watches of the movable streams, by endpoint.
+        self._watches: dict[str, set[_StallWatch]] = {}
         self.draining = False
         #: Called with an exchange, the seconds between two of its events, and `now`.
         self.on_pause: Callable[[Exchange, float, float], None] | None = None
@@ -61,7 +61,7 @@
         exchange: Exchange,
         endpoint: Endpoint,
         reply: aiohttp.ClientResponse,
-        has_alternative: Callable[[Exchange], bool],
+        reserve_successor: Callable[[Exchange], bool],
         on_stall: Callable[[], None],
     ) -> None:
         """Pass the stream on to the caller as it arrives, until its end.
@@ -74,8 +74,8 @@
 
         Parameters
         ----------
-        has_alternative : callable
-            Returns True if another endpoint may get the request now.
+        reserve_successor : callable
+            Reserves another attempt; returns False if none is possible now.
         on_stall : callable
             Called if the stream makes no progress for too long and is not ended.
 
@@ -91,19 +91,19 @@
         splitter = EventSplitter()
         has_events = is_event_stream(reply.headers, default=True)
         loop = asyncio.get_running_loop()
-        timeouts = self._timeouts.setdefault(endpoint.endpoint_id, set())
+        watches = self._watches.setdefault(endpoint.endpoint_id, set())
         try:
             async with asyncio.timeout(None) as timeout:
-                if _is_movable(exchange):
-                    timeouts.add(timeout)
                 progress = _Progress(loop.time())
                 watch = _StallWatch(
                     timeout,
                     progress,
                     self._idle_timeout_s,
-                    lambda: _is_movable(exchange) and has_alternative(exchange),
+                    lambda: _is_movable(exchange) and reserve_successor(exchange),
                     on_stall,
                 )
+                if _is_movable(exchange):
+                    watches.add(watch)
                 event_at: float | None = None
                 while chunk := await reply.content.readany():
                     exchange.last_data_at = self._clock()
@@ -126,7 +126,9 @@
                     watch.restart()
         finally:
             watch.stop()
-            timeouts.discard(timeout)
+            watches.discard(watch)
+            if not watches and self._watches.get(endpoint.endpoint_id) is watches:
+                del self._watches[endpoint.endpoint_id]
             exchange.partial_event_bytes = len(splitter.rest)
             exchange.last_event_id = splitter.last_event_id or exchange.last_event_id
         if has_events:
@@ -173,13 +175,13 @@
     def move_streams(self, endpoint_id: str) -> int:
         """End the movable streams of a straggler, so that other endpoints resume them.
 
-        Return the number of streams that were moved.
+        Those for which nothing can be reserved go on. Return the number of streams that
+        were moved.
         """
-        timeouts = self._timeouts.pop(endpoint_id, set())
-        for timeout in timeouts:
-            timeout.reschedule(0.0)
-        self._metrics.moved_streams.inc(len(timeouts))
-        return len(timeouts)
+        watches = list(self._watches.get(endpoint_id, ()))
+        moved = sum(watch.move() for watch in watches)
+        self._metrics.moved_streams.inc(moved)
+        return moved
 
 
 class _Progress:
@@ -217,14 +219,15 @@
         timeout: asyncio.Timeout,
         progress: _Progress,
         idle_timeout_s: float,
-        can_move: Callable[[], bool],
+        reserve: Callable[[], bool],
         on_stall: Callable[[], None],
     ) -> None:
         self._loop = asyncio.get_running_loop()
         self._timeout = timeout
         self._progress = progress
         self._idle_timeout_s = idle_timeout_s
-        self._can_move = can_move
+        self._reserve = reserve
+        self._is_moved = False
         self._on_stall = on_stall
         #: Count of progress before the last stall that was reported.
         self._reported_after: int | None = None
@@ -243,11 +246,16 @@
             self._handle.cancel()
             self._handle = None
 
+    def move(self) -> bool:
+        """End the stream if it can be continued elsewhere; return True if it ends."""
+        if self._is_moved or self._timeout.expired() or not self._reserve():
+            return False
+        self._is_moved = True
+        self._timeout.reschedule(0.0)
+        return True
+
     def _expire(self) -> None:
-        if self._timeout.expired():
-            return
-        if self._can_move():
-            self._timeout.reschedule(0.0)
+        if self.move() or self._is_moved or self._timeout.expired():
             return
         if self._reported_after != self._progress.count:
             self._reported_after = self._progress.count
--- a/packages/gateway/tests/cold_world.py
+++ b/packages/gateway/tests/cold_world.py
@@ -266,10 +266,11 @@
             regions=(),
             unplaced=None,
         )
-        endpoint = self.choice.choose(exchange, now)
-        if endpoint is None:
+        reservation = self.choice.reserve(exchange, now)
+        if reservation is None:
             self._world.holds.append(exchange.hold)
             return False
+        endpoint = reservation.endpoint
         server = self._world.servers[endpoint.endpoint_id]
         record = self._health.get_record(endpoint.endpoint_id)
         record.inflight += 1
--- a/packages/gateway/tests/reply_world.py
+++ b/packages/gateway/tests/reply_world.py
@@ -241,7 +241,11 @@
         return self.now
 
     async def call(
-        self, version: str = "1.1", method: str = "GET", keep_alive: bool = False
+        self,
+        version: str = "1.1",
+        method: str = "GET",
+        keep_alive: bool = False,
+        wait_s: float = 0.0,
     ) -> Answer:
         """Send a request on a connection of its own, and return the answer."""
         self.caller = RecordedCaller(self.gateway.handle)
@@ -249,4 +253,4 @@
         if keep_alive:
             request += "Connection: keep-alive\r\n"
         request += "\r\n"
-        return await self.caller.send(request.encode())
+        return await self.caller.send(request.encode(), wait_s)
--- a/packages/routing/src/slatehoist/routing/__init__.py
+++ b/packages/routing/src/slatehoist/routing/__init__.py
@@ -33,7 +33,7 @@
     PartTally,
     PromptPart,
 )
-from slatehoist.routing.rates import RateShares, RateUse
+from slatehoist.routing.rates import RateShares, RateUse, discard_time
 from slatehoist.routing.retries import (
     AllowanceShare,
     Membership,
@@ -99,6 +99,7 @@
     "ZoneEvacuations",
     "ZoneDemand",
     "choose_subset",
+    "discard_time",
     "home_entry",
     "make_cold_limit",
     "may_fail_fast",
--- a/packages/routing/src/slatehoist/routing/cold_starts.py
+++ b/packages/routing/src/slatehoist/routing/cold_starts.py
@@ -13,7 +13,7 @@
 from collections.abc import Collection, Sequence
 from typing import NamedTuple
 
-from slatehoist.routing.rates import RateShares
+from slatehoist.routing.rates import RateShares, discard_time
 from slatehoist.routing.selection import Candidate
 
 #: Seconds in which the requests to a cold endpoint are counted. Longer windows would
@@ -168,6 +168,12 @@
         sent.append(now)
         _drop_before(sent, now - limit.window_s)
 
+    def cancel_sent(self, endpoint: str, sent_at: float) -> None:
+        """Take back a request that `record_sent` has counted, since it is not sent."""
+        state = self._states.get(endpoint)
+        if state is not None:
+            discard_time(state.sent, sent_at)
+
     def drop_ended(self, now: float) -> list[str]:
         """Return the endpoints whose cold time has ended since the last call."""
         if not self._cold:
--- a/packages/routing/src/slatehoist/routing/rates.py
+++ b/packages/routing/src/slatehoist/routing/rates.py
@@ -12,6 +12,7 @@
 Single answers may lack the rate, so it ends only when none has stated it for a while.
 """
 
+import contextlib
 import math
 from collections import OrderedDict, deque
 from collections.abc import Sequence
@@ -205,6 +206,15 @@
         if stated.rate is None:
             _drop_before(stated.sent, now - WINDOW_S)
 
+    def cancel_sent(self, endpoint: str, sent_at: float) -> None:
+        """Take back a request that `record_sent` has counted, since it is not sent.
+
+        The time of the last trial stays: a trial that was not sent is made later.
+        """
+        stated = self._stated.get(endpoint)
+        if stated is not None:
+            discard_time(stated.sent, sent_at)
+
     def use(self, endpoint: str, now: float) -> RateUse | None:
         """Return the use of the share of an endpoint's rate; None without a rate."""
         stated = self._stated.get(endpoint)
@@ -289,6 +299,12 @@
         return share + (self._rank(endpoint) < rest)
 
 
+def discard_time(times: deque[float], at: float) -> None:
+    """Remove one entry of a time, if there is one."""
+    with contextlib.suppress(ValueError):
+        times.remove(at)
+
+
 def _drop_before(times: deque[float], earliest: float) -> None:
     while times and times[0] <= earliest:
         times.popleft()
--- a/tests/recorded_caller.py
+++ b/tests/recorded_caller.py
@@ -147,9 +147,14 @@
         self.transport = RecordedTransport(self._protocol)
         self._protocol.connection_made(self.transport)
 
-    async def send(self, request: bytes) -> Answer:
+    async def send(self, request: bytes, wait_s: float = 0.0) -> Answer:
         """Send a request and return the answer once the handler has ended.
 
+        Parameters
+        ----------
+        wait_s : float
+            Seconds for which the handler may wait.
+
         Raises
         ------
         AssertionError
@@ -158,6 +163,7 @@
         self._protocol.data_received(request)
         for _ in range(_LOOP_ROUNDS):
             await asyncio.sleep(0)
+        await asyncio.sleep(wait_s)
         ending = self.transport.ending
         self.transport.close()
         if self._errors.records:
