--- a/packages/http/src/slatehoist/http/client.py
+++ b/packages/http/src/slatehoist/http/client.py
@@ -2,12 +2,14 @@
 
 import asyncio
 import functools
+import re
 import socket
 import struct
 
 import aiohttp
 from aiohttp.client_exceptions import ClientPayloadError
 from aiohttp.client_proto import ResponseHandler
+from aiohttp.http import RawResponseMessage
 
 #: Value of SO_LINGER with which a close resets the connection.
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
@@ -16,6 +18,8 @@
 _SWITCHING_PROTOCOLS = 101
 _MISDIRECTED = 421
 _FIRST_FINAL_STATUS = 200
+#: Begin of a head, which does not occur within another one.
+_STATUS_LINE = re.compile(r"HTTP/1\.[01] \d{3}")
 #: Bytes of a response that are accepted besides its body: head, chunk sizes, chunk
 #: extensions and trailers. More are accepted with a body, whose chunks may be small.
 MAX_OVERHEAD_BYTES = 4 * 1024 * 1024
@@ -28,8 +32,9 @@
     aiohttp takes any end of the connection for the end of a response without a length,
     also a reset. It also reads informational responses and chunk extensions without
     end; a connection with too many of them is closed. So is one with a second response
-    to a request, which aiohttp would take for the response to the next one. After a
-    request that was sent to the wrong server, the connection is not used again.
+    to a request, which aiohttp would take for the response to the next one, or with one
+    whose head contains the begin of another: a head that was cut joins the next one.
+    After a request that was sent to the wrong server, the connection is not used again.
     """
 
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
@@ -58,6 +63,9 @@
         if self._has_response:
             self._give_up(f"second response, with status {status}")
             return
+        if _contains_head(data[0]):
+            self._give_up(f"head within the head of status {status}")
+            return
         if status < _FIRST_FINAL_STATUS:
             self._informational += 1
         else:
@@ -97,6 +105,11 @@
         super().connection_lost(exc)
 
 
+def _contains_head(message: RawResponseMessage) -> bool:
+    values = (message.reason, *message.headers.values())
+    return any(_STATUS_LINE.search(value) for value in values)
+
+
 class ResettingResponseHandler(StrictResponseHandler):
     """Strict connection that is reset when it is abandoned.
 
--- a/standins/src/slatehoist_standins/deployment_server.py
+++ b/standins/src/slatehoist_standins/deployment_server.py
@@ -64,8 +64,17 @@
 _BARE = frozenset({"endless_status", "endless_informational", "endless_upgrade"})
 #: Behaviours of which the first answer refuses the request.
 _REFUSALS = frozenset(
-    {"shed", "shed_again", "shed_again_without_id", "shed_twice", "misdirect_again"}
+    {
+        "shed",
+        "shed_again",
+        "shed_again_without_id",
+        "shed_again_in_part",
+        "shed_twice",
+        "misdirect_again",
+    }
 )
+#: Beginning of a refusal that ends within its head.
+_PART_OF_REFUSAL = b"HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1"
 #: Request body, or part of one, that crashes every server which begins to run it.
 CRASH_MARKER = b"crashes the server"
 #: Part of a prompt that crashes every server which begins to run a request with it.
@@ -101,6 +110,9 @@
         Do the same, and write the refusal once more when the next request arrives on
         the connection, before that request is run. The second one leaves out the
         header ``Request-Id``.
+    ``shed_again_in_part``
+        Refuse, and write the beginning of a refusal before the next response on the
+        connection, whose head then continues it.
     ``shed_twice``
         Refuse, and write the refusal once more at once.
     ``misdirect_again``
@@ -386,6 +398,8 @@
         writer.write(refusal)
         if behaviour == "shed_twice":
             writer.write(refusal)
+        if behaviour == "shed_again_in_part":
+            self._repeated[writer] = _PART_OF_REFUSAL
         if not behaviour.endswith(("_again", "_again_without_id")):
             return
         if behaviour == "misdirect_again":
--- a/tests/test_platform_gateway.py
+++ b/tests/test_platform_gateway.py
@@ -251,6 +251,7 @@
             for behaviour in (
                 "shed_again",
                 "shed_again_without_id",
+                "shed_again_in_part",
                 "misdirect_again",
                 "shed_twice",
             ):
--- a/tools/soak/process_world.py
+++ b/tools/soak/process_world.py
@@ -23,7 +23,7 @@
 #: Behaviours of servers besides whole responses, and those of faulty ones that repeat a
 #: refusal without the id of its request.
 REFUSING = ("shed", "shed_again", "error", "close", "reset", "cut_head")
-NAMELESS = ("shed_again_without_id", "misdirect_again")
+NAMELESS = ("shed_again_without_id", "shed_again_in_part", "misdirect_again")
 CREDENTIAL = "key-0-0"
 ROUTE_TIMEOUT_S = 1.3
 HEARTBEAT_S = 0.6
--- a/tools/soak/world.py
+++ b/tools/soak/world.py
@@ -72,6 +72,7 @@
 CONFUSING_BEHAVIOURS = (
     "shed_again",
     "shed_again_without_id",
+    "shed_again_in_part",
     "misdirect_again",
     "shed_twice",
     "text_after_cut",
