--- a/packages/gateway/tests/retry_world.py
+++ b/packages/gateway/tests/retry_world.py
@@ -195,6 +195,8 @@
             table, name, self.forwarder.record_membership, clock
         )
         self._requests: set[asyncio.Task] = set()
+        #: Requests that ended without an answer of a server, and those with one.
+        self.answers = [0, 0]
         self._polling = asyncio.create_task(self._poll())
 
     async def _poll(self) -> None:
@@ -231,7 +233,12 @@
         )
         task = asyncio.create_task(self.forwarder.forward(exchange))
         self._requests.add(task)
-        task.add_done_callback(self._requests.discard)
+        task.add_done_callback(self._record_end)
+
+    def _record_end(self, task: asyncio.Task) -> None:
+        self._requests.discard(task)
+        if not task.cancelled():
+            self.answers[task.result() is not None] += 1
 
     def observe_statuses(self, now: float) -> None:
         """Record a status of each rank that sends one."""
@@ -263,6 +270,8 @@
     ----------
     per_s : float
         Requests per second of all callers together.
+    kind : Kind
+        Kind of the requests; those that are safe may be retried while they run.
     """
 
     def __init__(
@@ -271,6 +280,7 @@
         gateways: int = 16,
         per_s: float = 140.0,
         seed: int = 1,
+        kind: Kind = Kind.UNSAFE,
     ) -> None:
         self.rng = random.Random(seed)
         self.per_s = per_s
@@ -280,7 +290,7 @@
             for n in range(servers)
         ]
         self.service = Service("app", make_engine())
-        self.route = make_route(kind=Kind.UNSAFE, timeout_s=DEADLINE_S, objective_s=0.4)
+        self.route = make_route(kind=kind, timeout_s=DEADLINE_S, objective_s=0.4)
         self.group = RankGroup(self.rng)
         #: Seconds that a connect to a server takes.
         self.connect_s = 0.0
--- a/packages/gateway/tests/test_gateway_retries.py
+++ b/packages/gateway/tests/test_gateway_retries.py
@@ -13,11 +13,15 @@
 from retry_world import STALL_S, WINDOW_S, RetryWorld
 from simulated_time import run_in_simulated_time
 
+from slatehoist.gateway import Kind
+
 #: Seconds from a failure until a second one finds the whole retry budget unused again.
 NEXT_WAVE_S = WINDOW_S + 0.05
 #: Seeds of the drawn worlds, and their gateways, requests per second and length.
 SEEDS = range(1, 9)
 GATEWAYS = 8
+#: Slow requests that each gateway gets at once.
+BURST = 30
 PER_S = 90.0
 LENGTH_S = 45.0
 
@@ -127,6 +131,26 @@
         self.check(world)
         self.assertGreater(world.most_repeats(), 200)
 
+    # Guards against slow answers that all gateways give up in the same moment, more of
+    # them than may be retried, so that the rest is lost (LOST).
+    def test_slow_answers_are_given_up_only_for_a_retry(self):
+        def make_events(world: RetryWorld) -> list:
+            def send_all() -> None:
+                for gateway in world.gateways:
+                    for number in range(BURST):
+                        gateway.send(f"{gateway.name}-{number}")
+
+            return [(12.0, send_all), (24.0, lambda: None)]
+
+        world = self.play({"per_s": 1.0, "kind": Kind.SAFE}, make_events)
+        self.check(world)
+        failed, answered = map(
+            sum, zip(*(g.answers for g in world.processes), strict=True)
+        )
+        self.assertEqual(failed, 0)
+        self.assertGreater(answered, BURST * len(world.processes))
+        self.assertGreater(world.most_repeats(), len(world.processes))
+
     def test_rule_holds_under_drawn_disruptions(self):
         for seed in SEEDS:
             with self.subTest(seed=seed):
