--- a/packages/gateway/tests/test_gateway_reservations.py
+++ b/packages/gateway/tests/test_gateway_reservations.py
@@ -7,11 +7,13 @@
 import asyncio
 import logging
 import unittest
+from types import SimpleNamespace
 
 from reply_world import make_events
 from simulated_time import run_in_simulated_time
-from stall_world import BODY, EVENTS, OTHER, StallWorld
+from stall_world import BODY, EVENTS, OTHER, STALLING, StallWorld
 
+from slatehoist.gateway import Service
 from slatehoist.gateway.settings import STREAM_IDLE_MARGIN_S
 from slatehoist.gateway.streams import STALL_RECHECK_S
 
@@ -52,6 +54,7 @@
             world = StallWorld(is_stream, **fields)
             prepare(world)
             check_s = STALL_S if is_stream else OBJECTIVE_S
+            # They go on before the next check.
             return world, await world.play(REQUESTS, check_s + STALL_RECHECK_S / 2)
 
         return run_in_simulated_time(run())
@@ -64,6 +67,7 @@
             self.assertEqual(answer.content, content)
 
     def check_given_back(self, world: StallWorld) -> None:
+        """Check that only what the moved requests need is still taken."""
         self.assertEqual(world.budget.reserved, 0)
         choice = world.forwarder.choice
         stated = choice.holds._rates._stated.get(OTHER)
@@ -151,39 +155,40 @@
 
 class EndpointReservationTests(unittest.TestCase):
     def test_cancelled_reservation_restores_shares_and_slots_once(self):
-        async def run():
+        async def run() -> list[tuple[int, int, int]]:
             world = StallWorld(False, cold_rate=1.0)
             limit_rate(world)
             make_cold(world)
             world.add_other()
-            health = world.health
-            health.observe_allocation(OTHER, 2, world.clock())
-            forwarder, exchanges = world.forwarder, []
-            reserve = forwarder._reserve_successor
-            forwarder._reserve_successor = lambda exchange: (
-                exchanges.append(exchange) or reserve(exchange)
-            )
-            world.directory.update(world._listed[:1], world.clock())
-            await world.play(1, 0.6)
-            exchange, choice = exchanges[0], forwarder.choice
-            exchange.tried = {"e1"}
-            await asyncio.sleep(20.0)
-            make_cold(world)
             now = world.clock()
-            health.observe_allocation(OTHER, 2, now)
-            counts = []
+            world.health.observe_allocation(OTHER, 2, now)
+            exchange = SimpleNamespace(
+                service=Service("app", cold_rate=1.0),
+                tried={STALLING},
+                hold=None,
+                regions=(),
+                unplaced=None,
+            )
+            uses = []
             for _ in range(2):
-                reservation = choice.reserve(exchange, now)
-                counts.append(len(choice.holds._rates._stated[OTHER].sent))
-                counts.append(health.get_record(OTHER).allocated)
+                reservation = world.forwarder.choice.reserve(exchange, now)
+                uses.append(self.read_use(world))
                 reservation.cancel()
                 reservation.cancel()
-                counts.append(len(choice.holds._rates._stated[OTHER].sent))
-                counts.append(health.get_record(OTHER).allocated)
-            return counts
+                uses.append(self.read_use(world))
+            return uses
+
+        uses = run_in_simulated_time(run())
+        self.assertEqual(uses, [(1, 1, 1), (0, 0, 2)] * 2)
 
-        counts = run_in_simulated_time(run())
-        self.assertEqual(counts, [1, 1, 0, 2] * 2)
+    def read_use(self, world: StallWorld) -> tuple[int, int, int]:
+        """Return the uses of the rate and of the cold start, and the slots left."""
+        choice = world.forwarder.choice
+        return (
+            len(choice.holds._rates._stated[OTHER].sent),
+            len(choice.cold._starts._states[OTHER].sent),
+            world.health.get_record(OTHER).allocated,
+        )
 
 
 if __name__ == "__main__":
