--- a/packages/gateway/src/slatehoist/gateway/choice.py
+++ b/packages/gateway/src/slatehoist/gateway/choice.py
@@ -232,6 +232,26 @@
 
         return EndpointReservation(endpoint, chosen_by, give_back)
 
+    def describe(self, service: Service, now: float) -> dict[str, object]:
+        """Return the numbers of a service's endpoints by their state, as log fields."""
+        listed = self._directory.of_service(service.name, now)
+        placed = self._placement.allowed(listed)
+        taking = self.holds.available(placed, now)
+        in_open_groups = self._health.in_open_groups(taking, now)
+        return {
+            "listed": len(listed),
+            "evacuated": len(listed) - len(placed),
+            "held": len(placed) - len(taking),
+            "in_closed_groups": len(taking) - len(in_open_groups),
+            "group": self._health.group_state(listed, now).value,
+            "with_status": sum(self._health.has_status([e], now) for e in listed),
+            "healthy": len(self._health.available(in_open_groups, now)),
+            "inflight": sum(
+                self._health.get_record(e.endpoint_id).inflight for e in listed
+            ),
+            "list_age_ms": milliseconds(now - (self._directory.updated_at or now)),
+        }
+
     def log_fields(
         self, exchange: Exchange, endpoint: Endpoint, now: float
     ) -> dict[str, object]:
--- a/packages/gateway/src/slatehoist/gateway/gateway.py
+++ b/packages/gateway/src/slatehoist/gateway/gateway.py
@@ -14,6 +14,7 @@
 from slatehoist.gateway.forwarding import Forwarder
 from slatehoist.gateway.holds import Hold
 from slatehoist.gateway.model import Kind, RequestInfo, Route, Team
+from slatehoist.gateway.service_stalls import ServiceStalls
 from slatehoist.gateway.settings import MAX_LOGGED_PARTS, STALE_LOOKUP_S
 from slatehoist.observe import GatewayMetrics, milliseconds
 from slatehoist.routing import Unplaced, retry_after_s, retry_delay_s
@@ -85,6 +86,8 @@
         Returns seconds, including time during which the instance was suspended.
     admission : Admission or None
         None to send all requests at once.
+    stalls : ServiceStalls or None
+        Logs services that answer no request; None to log none.
     """
 
     def __init__(
@@ -96,8 +99,10 @@
         rng: random.Random,
         clock: Callable[[], float],
         admission: Admission | None = None,
+        stalls: ServiceStalls | None = None,
     ) -> None:
         self._codec = codec
+        self._stalls = stalls or ServiceStalls(lambda service, now: {})
         self._admission = admission
         self._catalogue = catalogue
         self._forwarder = forwarder
@@ -189,6 +194,8 @@
             team.regions if team else (),
             table.urgency(route, team),
         )
+        self._stalls.begin(exchange, self._clock())
+        resp = None
         try:
             resp = await self._forward(exchange)
         except CallerLeftError:
@@ -198,7 +205,9 @@
             if not self._ending or req.transport is None:
                 raise
             asyncio.current_task().uncancel()
-            resp = None
+        finally:
+            answered = resp is not None or exchange.first_byte_at is not None
+            self._stalls.end(exchange, answered, self._clock())
         if resp is None:
             return self._answer_failure(exchange)
         took_s = self._clock() - arrived_at
--- a/packages/gateway/src/slatehoist/gateway/process.py
+++ b/packages/gateway/src/slatehoist/gateway/process.py
@@ -22,6 +22,7 @@
 from slatehoist.gateway.model import CallerLimits, Service
 from slatehoist.gateway.probes import EndpointProbes
 from slatehoist.gateway.registry import InstanceRegistry
+from slatehoist.gateway.service_stalls import CHECK_INTERVAL_S, ServiceStalls
 from slatehoist.gateway.settings import (
     ACCEPTED_WAIT_S,
     LATE_REQUEST_S,
@@ -159,6 +160,7 @@
                 self._clock,
             )
             forwarder.attempts.streams.on_pause = admission.record_pause
+        self._stalls = ServiceStalls(forwarder.choice.describe)
         self._gateway = Gateway(
             self._codec,
             self.catalogue,
@@ -167,6 +169,7 @@
             self._rng,
             self._clock,
             admission,
+            self._stalls,
         )
         syncs = [
             ConfigurationSync(
@@ -196,6 +199,7 @@
             self._start_task(type(sync).__name__, sync.run)
         self._start_task("write_reports", crashes.write_reports)
         self._start_task("follow_reports", crashes.follow_reports)
+        self._start_task("check_stalls", self._check_stalls)
         self._forwarder = forwarder
         if self._cfg.status_listen is not None:
             feed = StatusFeed(
@@ -227,6 +231,19 @@
         work = supervise(name, run, self._metrics)
         self._tasks.append(asyncio.create_task(work, name=name))
 
+    async def _check_stalls(self) -> None:
+        """Log what keeps this process from serving, until cancelled."""
+        started_at = self._clock()
+        while True:
+            await asyncio.sleep(CHECK_INTERVAL_S)
+            now = self._clock()
+            table = self.catalogue.table
+            missing = [] if table else ["configuration"]
+            if self.directory.updated_at is None:
+                missing.append("endpoint list")
+            self._stalls.check_start(missing, started_at, now)
+            self._stalls.check(table.cfg.services if table else (), now)
+
     def _update_metrics(self) -> None:
         table = self.catalogue.table
         self._metrics.config_version.set(self.catalogue.version)
--- a/packages/maps/src/slatehoist/maps/agent.py
+++ b/packages/maps/src/slatehoist/maps/agent.py
@@ -44,6 +44,7 @@
     RankReport,
     RankUnreachableError,
 )
+from slatehoist.maps.stalls import StallLog
 from slatehoist.maps.status import SUBSCRIPTION_TTL_S, RankStatus, Subscription
 from slatehoist.observe import AgentMetrics, serve_metrics
 from slatehoist.routing import CapacityAllocator
@@ -193,6 +194,7 @@
             self._send_all,
             port,
         )
+        self._stalls = StallLog(self._group)
         self._grants = Grants(self._own_client, self._group, self._send, clock)
         self._coordinator: Coordinator | None = None
         self._leads = False
@@ -251,6 +253,7 @@
 
     async def _poll_and_sleep(self) -> None:
         await self._poll()
+        self._stalls.observe(self._state, self._orders.unanswered, self._clock())
         in_switch = self._clock() < self._switch_until
         await asyncio.sleep(SWITCH_POLL_INTERVAL_S if in_switch else POLL_INTERVAL_S)
 
--- a/packages/maps/src/slatehoist/maps/orders.py
+++ b/packages/maps/src/slatehoist/maps/orders.py
@@ -198,9 +198,18 @@
         #: Version that was last offered, and the pending answers of the agents by rank.
         self._offer: tuple[int, dict[int, asyncio.Future]] = (0, {})
         self._offer_timeout_s = MAP_TIMEOUT_S
+        #: Orders in a row that each rank has not answered, for those with any.
+        self.unanswered: dict[int, int] = {}
         #: State of the own rank at the last offer.
         self._offered_by: PeerState | None = None
 
+    def record_answer(self, rank: int, answer: Answer) -> None:
+        """Count the orders in a row that a rank has not answered."""
+        if answer is Answer.UNKNOWN:
+            self.unanswered[rank] = self.unanswered.get(rank, 0) + 1
+        else:
+            self.unanswered.pop(rank, None)
+
     def handle_answer(self, message: OrderAnswer) -> None:
         """Complete the order that is answered, if it is still pending."""
         fut = self._pending.get((message.order_id, message.rank))
@@ -405,8 +414,8 @@
             if answer == UNKNOWN_MAP:
                 answer = await self._orders.send_map(self._rank, version, placement)
             if answer in set(Answer) and answer != Answer.UNKNOWN:
-                return Answer(answer)
-        return await self._direct.prepare(epoch, version, placement)
+                return self._record(Answer(answer))
+        return self._record(await self._direct.prepare(epoch, version, placement))
 
     async def arm(self, epoch: int, version: int, step: int) -> Answer:
         """Arm the rank; see `RankClient`."""
@@ -427,7 +436,11 @@
     async def _order(self, order: str, epoch: int, *args: int) -> Answer:
         if self._failed or not self._orders.is_relayed(self._rank):
             self._failed = False
-            return await getattr(self._direct, order)(epoch, *args)
+            return self._record(await getattr(self._direct, order)(epoch, *args))
         answer = await self._orders.send_order(self._rank, epoch, order, args)
         self._failed = answer not in set(Answer) or answer == Answer.UNKNOWN
-        return Answer.UNKNOWN if self._failed else Answer(answer)
+        return self._record(Answer.UNKNOWN if self._failed else Answer(answer))
+
+    def _record(self, answer: Answer) -> Answer:
+        self._orders.record_answer(self._rank, answer)
+        return answer
--- a/tools/soak/deployment.py
+++ b/tools/soak/deployment.py
@@ -21,6 +21,7 @@
 from slatehoist_standins.deployment_server import DeploymentServer
 from slatehoist_standins.deployment_store import DeploymentStore
 from slatehoist_standins.fleet import Fleet
+from soak.guarantees import NOT_RUN
 from soak.slow_ranks import SlowRankGroup
 
 sys.path.insert(0, str(Path(__file__).parents[2] / "review"))
@@ -69,6 +70,8 @@
 SHARE_PERIOD_S = 0.1
 TRIGGERS = ("steady", "prepare", "hold", "arm", "go")
 STORE_FAULTS = ("", "silent", "down", "lost")
+#: Disturbances on the way back, from which a seed draws.
+DISTURBANCES = ("store", "ranks", "agents", "late")
 NEVER = float("inf")
 
 
@@ -170,14 +173,14 @@
     trigger = rng.choice(TRIGGERS)
     loss = Loss(trigger, orders=rng.choice((1, group // 2)) if trigger != "go" else 1)
     loss = loss._replace(losses=rng.choice((1, 1, 2)), servers=rng.random() < 0.2)
-    for disturbance in rng.sample(("store", "ranks", "agents", "late"), rng.randint(0, 3)):
+    for disturbance in rng.sample(
+        ("store", "ranks", "agents", "late"), rng.randint(0, 3)
+    ):
         if disturbance == "store":
             fault = rng.choice(STORE_FAULTS)
             delay_s = 0.0 if fault else rng.choice((0.3, 1.0))
             for_s = NEVER if not fault else rng.choice((4.0, 8.0))
-            loss = loss._replace(
-                store=fault, store_delay_s=delay_s, store_for_s=for_s
-            )
+            loss = loss._replace(store=fault, store_delay_s=delay_s, store_for_s=for_s)
         elif disturbance == "ranks":
             loss = loss._replace(answer_s=rng.choice((0.03, 0.06, 0.12, 0.3)))
         elif disturbance == "late":
@@ -497,12 +500,11 @@
     if world.group.violations:
         broken.append(f"MAP: passes with different maps: {world.group.violations[:3]}")
     runs = [request_id for server in world.plain for request_id in server.run_ids]
-    for sent in world.results:
-        if sent.kind == "book" and runs.count(sent.request_id) > 1:
+    for sent in (sent for sent in world.results if sent.kind == "book"):
+        if runs.count(sent.request_id) > 1:
             broken.append(f"TWICE: {sent.request_id} ran more than once")
-        if sent.kind == "book" and sent.status in (429, 503, 408, 421):
-            if sent.request_id in runs:
-                broken.append(f"REFUSED: {sent.request_id} got {sent.status}, but ran")
+        if sent.status in NOT_RUN and sent.request_id in runs:
+            broken.append(f"REFUSED: {sent.request_id} got {sent.status}, but ran")
     slow = []
     if first_s > well_at - back_at + FIRST_SERVED_S:
         slow.append(f"first request served was sent after {first_s:.1f} s")
