--- a/packages/maps/src/slatehoist/maps/agent.py
+++ b/packages/maps/src/slatehoist/maps/agent.py
@@ -127,8 +127,8 @@
     async def group_spec(self) -> GroupSpec | None:
         """Return the dimensions of the own service's groups, or None without groups."""
 
-    async def peer_hosts(self) -> list[str]:
-        """Return the hosts of the own service's servers."""
+    async def peer_addresses(self) -> list[str]:
+        """Return the addresses (``host:port``) of the own service's servers."""
 
 
 class Agent:
@@ -166,7 +166,8 @@
         self._experts: tuple[int, int, list[list[int]]] | None = None
         #: Epoch and counts of the last reading.
         self._counts: tuple[int, list[int]] | None = None
-        self._hosts: list[str] = []
+        #: Addresses of the service's servers in the platform's list.
+        self._listed_addresses: list[str] = []
         self._demand: DemandWindow | None = None
         #: Times at which the subscriptions of the gateways expire, by address, the one
         #: whose last status is oldest first.
@@ -330,7 +331,7 @@
         addresses = self._group.addresses()
         hosts = {agent_address(address, port)[0] for address in addresses}
         if len(addresses) != self._group.size:
-            hosts.update(self._hosts)
+            hosts.update(agent_address(a, port)[0] for a in self._listed_addresses)
         return [(host, port) for host in sorted(hosts) if host != own_host]
 
     def _on_message(self, message: Message, sender: Address) -> None:
@@ -444,14 +445,14 @@
         return delta if min(delta, default=0) >= 0 else []
 
     async def _follow_peers(self) -> None:
-        """Refresh the list of hosts on which agents may run, then sleep.
+        """Refresh the list of servers beside which agents may run, then sleep.
 
         Create the coordinator once the dimensions of the groups are known.
         """
         try:
             if self._coordinator is None:
                 self._create_coordinator(await self._source.group_spec())
-            self._hosts = await self._source.peer_hosts()
+            self._listed_addresses = await self._source.peer_addresses()
         except PlatformError as exc:
             log.warning("peers_not_refreshed", extra={"why": str(exc)})
             await asyncio.sleep(PEERS_RETRY_INTERVAL_S)
@@ -480,6 +481,7 @@
             self._metrics,
             self._clock,
             self._rng,
+            lambda: self._listed_addresses,
         )
 
     async def _coordinate_and_sleep(self) -> None:
--- a/packages/maps/src/slatehoist/maps/coordinator.py
+++ b/packages/maps/src/slatehoist/maps/coordinator.py
@@ -10,7 +10,7 @@
 import logging
 import math
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Mapping, Sequence
 from typing import NamedTuple
 
 from slatehoist.maps.demand import DemandWindow
@@ -26,11 +26,17 @@
     skew,
 )
 from slatehoist.maps.planner import PlanLimits, plan
-from slatehoist.maps.rank import GroupSpec, RankClient, RankUnreachableError
+from slatehoist.maps.rank import (
+    GroupSpec,
+    RankClient,
+    RankReport,
+    RankUnreachableError,
+)
 from slatehoist.maps.switch import (
     EpochChangedError,
     GroupView,
     Result,
+    Settlement,
     Switch,
     coordinator_of,
     next_version,
@@ -49,6 +55,14 @@
 #: Seconds without a new pass, although requests run or wait, after which the ranks of
 #: silent agents are probed for a hold. Passes of an overloaded group take up to 0.3 s.
 STALL_TIMEOUT_S = 0.4
+#: Ranks that are probed at the same time.
+MAX_PROBES = 8
+#: Seconds after which a settlement begins anew, with what is known of the ranks by
+#: then. Repeated ones take longer each time, as ranks may answer late.
+SETTLE_TIMEOUT_S = 3.0
+MAX_SETTLE_TIMEOUT_S = 48.0
+#: Seconds between two log lines of settlements that cannot end.
+SETTLE_LOG_INTERVAL_S = 10.0
 #: Seconds between rounds of probes. Probes are spaced out for two reasons: each one is
 #: a billed call, and the settlement is delayed while a probe waits for an answer.
 PROBE_INTERVAL_S = 0.3
@@ -134,6 +148,8 @@
         Port at which all agents receive datagrams.
     connect : callable
         Returns the client of the rank at an address.
+    listed_addresses : callable
+        Returns the addresses of the service's servers in the platform's list.
     """
 
     def __init__(
@@ -150,8 +166,10 @@
         metrics: AgentMetrics,
         clock: Callable[[], float],
         rng: random.Random,
+        listed_addresses: Callable[[], Sequence[str]] = tuple,
     ) -> None:
         self._rng = rng
+        self._listed_addresses = listed_addresses
         self._cfg = cfg
         self._spec = spec
         self._group = group
@@ -168,6 +186,9 @@
         #: seen.
         self._last_pass: tuple[int, float] | None = None
         self._probed_at = float("-inf")
+        self._settle_timeout_s = SETTLE_TIMEOUT_S
+        #: Last settlement that was logged, and when.
+        self._settle_logged = ("", float("-inf"))
         self._last_version = 0
         #: Usual seconds from a hold until all ranks are armed; None before a switch.
         self._arming_s: float | None = None
@@ -216,32 +237,61 @@
         own = self._own_state
         placement = self._known_maps.get(own.epoch, own.map_version)
         if placement is None:
-            log.warning("map_unknown", extra={"version": own.map_version})
+            self._log_settlement("map_unknown", holders, reports)
             return True
         version = switch_version(reports.values())
+        # If another rank is a holder, its agent may have granted the switch.
+        granted = holders != [own.rank] or self._grants.may_have_granted(
+            own.epoch, version, own.held
+        )
+        if not granted:
+            self._grants.deny(version, own.held)
         self._grants.settling = True
         try:
-            settlement = await self._make_switch().settle(
-                own.epoch,
-                reports,
-                holders,
-                placement,
-                # If another rank is a holder, its agent may have granted the switch.
-                granted=holders != [own.rank]
-                or self._grants.may_have_granted(own.epoch, version, own.held),
-            )
+            async with asyncio.timeout(self._settle_timeout_s):
+                settlement = await self._make_switch().settle(
+                    own.epoch,
+                    reports,
+                    holders,
+                    placement,
+                    granted=granted,
+                )
+        except TimeoutError:
+            longer_s = min(2 * self._settle_timeout_s, MAX_SETTLE_TIMEOUT_S)
+            self._settle_timeout_s = longer_s
+            self._log_settlement("unfinished", holders, reports)
+            return True
         finally:
             self._grants.settling = False
+        if settlement is not Settlement.IMPOSSIBLE:
+            self._settle_timeout_s = SETTLE_TIMEOUT_S
         self._metrics.settled.labels(settlement.value).inc()
+        self._log_settlement(settlement.value, holders, reports)
+        return True
+
+    def _log_settlement(
+        self, settlement: str, holders: Sequence[int], reports: Mapping[int, RankReport]
+    ) -> None:
+        """Log a settlement; one that cannot end, at most every ten seconds."""
+        now = self._clock()
+        logged, logged_at = self._settle_logged
+        is_end = settlement in (Settlement.FINISHED, Settlement.UNDONE)
+        if (
+            not is_end
+            and logged == settlement
+            and now - logged_at < SETTLE_LOG_INTERVAL_S
+        ):
+            return
+        self._settle_logged = (settlement, now)
         log.warning(
             "hold_settled",
             extra={
                 "holders": holders,
-                "settlement": settlement.value,
+                "settlement": settlement,
                 "asked": sorted(reports),
+                "unanswered": dict(self._orders.unanswered),
             },
         )
-        return True
 
     def _make_switch(self) -> Switch:
         """Create a switch whose holder is the next live rank, on another instance.
@@ -302,10 +352,13 @@
     async def _probe_silent_ranks(self, now: float) -> None:
         """Request reports of the ranks whose agents are silent, if the group stalls.
 
-        A rank may hold the group although the agent on its instance has failed.
+        A rank may hold the group although the agent on its instance has failed. If that
+        agent has not been heard since this one started, the rank is at one of the
+        addresses in the platform's list that belong to no known rank.
         """
         own = self._own_state
-        if not (own.running or own.waiting) or not own.is_open:
+        states = self._group.fresh_states(now)
+        if not own.is_open or not any(s.running or s.waiting for s in states):
             self._last_pass = None
             return
         if self._last_pass is None or self._last_pass[0] != own.step:
@@ -317,20 +370,31 @@
         ):
             return
         self._probed_at = now
-        for rank in range(self._group.size):
-            address = self._group.address(rank)
-            if self._group.is_alive(rank, now) or address is None:
-                continue
+        known = set(self._group.addresses())
+        addresses = [a for a in self._listed_addresses() if a not in known]
+        addresses += [
+            address
+            for rank in range(self._group.size)
+            if not self._group.is_alive(rank, now)
+            and (address := self._group.address(rank)) is not None
+        ]
+        limit = asyncio.Semaphore(MAX_PROBES)
+        await asyncio.gather(*(self._probe(address, limit) for address in addresses))
+
+    async def _probe(self, address: str, limit: asyncio.Semaphore) -> None:
+        """Request the state of the rank at an address, if it is one of this group."""
+        async with limit:
             try:
                 client = self._connect(address)
                 report = await client.report()
                 _, experts = await client.experts()
             except RankUnreachableError as exc:
-                log.info("rank_unreachable", extra={"rank": rank, "why": str(exc)})
-                continue
-            self._group.record_state(
-                make_state(address, report, experts), self._clock()
-            )
+                log.info("rank_unreachable", extra={"at": address, "why": str(exc)})
+                return
+        # The list has the ranks of all groups of the service.
+        if report.group == self._group.name:
+            state = make_state(address, report, experts)
+            self._group.record_state(state, self._clock())
 
     def _group_view(self, now: float) -> GroupView | None:
         """Return a snapshot of the group, or None if it is incomplete or inconsistent.
--- a/packages/maps/src/slatehoist/maps/grants.py
+++ b/packages/maps/src/slatehoist/maps/grants.py
@@ -61,6 +61,8 @@
         #: Epoch and step at which the own rank was held when it was first seen; the
         #: step is None if it was not held. None before.
         self._first_hold: tuple[int, int | None] | None = None
+        #: Version and step that this agent began to undo, and never grants any more.
+        self._denied: tuple[int, int] | None = None
         #: True while this agent settles a switch; it makes no new grants meanwhile.
         self.settling = False
 
@@ -73,6 +75,13 @@
         """Return True if this agent or its predecessor may have granted a switch."""
         return (version, step) == self.granted or (epoch, step) == self._first_hold
 
+    def deny(self, version: int, step: int) -> None:
+        """Grant a switch never any more, since its settlement relies on that.
+
+        The settlement may be interrupted, and others may then be begun.
+        """
+        self._denied = (version, step)
+
     def handle_message(
         self, message: GrantRequest | GrantResponse, sender: Address
     ) -> None:
@@ -97,13 +106,13 @@
         """
         key = (request.version, request.step)
         granted = key == self.granted
-        if not granted and not self.settling:
+        if not granted and not self._forbids(key):
             try:
                 report = await self._own_client.report()
             except RankUnreachableError as exc:
                 log.warning("grant_not_answered", extra={"why": str(exc)})
                 return
-            granted = may_grant(report, *key) and not self.settling
+            granted = may_grant(report, *key) and not self._forbids(key)
             if granted:
                 self.granted = key
         log.info(
@@ -112,6 +121,9 @@
         )
         self._send(GrantResponse(*key, granted), sender)
 
+    def _forbids(self, key: tuple[int, int]) -> bool:
+        return self.settling or key == self._denied
+
     async def request(
         self,
         own_state: PeerState,
