End an order to a lost rank once the own rank is in a new epoch (RECOVER)

A coordinator repeats an order until the rank answers or reports a new epoch. A rank that is gone for good does neither, and the coordinator never settled or switched again, although its group had formed anew. The test timed out before.

--- a/packages/maps/src/slatehoist/maps/switch.py
+++ b/packages/maps/src/slatehoist/maps/switch.py
@@ -399,11 +399,12 @@
             answer = await send(epoch, *args)
             if answer is not Answer.UNKNOWN:
                 return answer
-            report = self._observer.report(rank)
-            if report is not None and report.epoch > epoch:
-                raise EpochChangedError(
-                    f"rank {rank} is in epoch {report.epoch} instead of {epoch}"
-                )
+            for observed in {rank, self._own_rank}:
+                report = self._observer.report(observed)
+                if report is not None and report.epoch > epoch:
+                    raise EpochChangedError(
+                        f"rank {observed} is in epoch {report.epoch} instead of {epoch}"
+                    )
             await asyncio.sleep(RETRY_INTERVAL_S)
 
     async def settle(
