Wait longer for ranks and agents that answer late (RECOVER)

Callers saw no model request served after a loss of all processes right after a hold, while ranks took 30 to 300 ms to answer. Time-outs now follow the time that a peer's answers take. One call that was given up is continued to measure that, so a silent peer changes nothing. A rank that copies experts for an order without an answer may refuse the same order, which no longer ends the switch. Agents of slow ranks send heartbeats on time and query both values at once.

--- a/packages/http/src/slatehoist/http/__init__.py
+++ b/packages/http/src/slatehoist/http/__init__.py
@@ -1,5 +1,6 @@
-"""How HTTP messages and event streams end, and how large they may be."""
+"""How HTTP messages and event streams end, how large and how late they may be."""
 
+from slatehoist.http.answer_times import AnswerTimes
 from slatehoist.http.bodies import BufferBudget, OversizedBodyError, read_body
 from slatehoist.http.client import (
     ResettingResponseHandler,
@@ -19,6 +20,7 @@
 
 __all__ = [
     "MAX_EVENT_BYTES",
+    "AnswerTimes",
     "BufferBudget",
     "EventSplitter",
     "Framing",
--- a/packages/maps/src/slatehoist/maps/agent.py
+++ b/packages/maps/src/slatehoist/maps/agent.py
@@ -71,6 +71,9 @@
 MAX_DENSE_COUNTS = 512
 #: Seconds between heartbeats.
 HEARTBEAT_INTERVAL_S = 0.24
+#: Oldest state in seconds that is sent as a heartbeat while its rank has not answered
+#: the next query.
+MAX_REPEATED_AGE_S = 3.0
 #: Lowest ranks that exchange heartbeats with the whole group: the leader, and those
 #: that lead next. The other ranks send heartbeats only to these, so that the messages
 #: of a group grow with its size, and not with the square of it.
@@ -206,6 +209,9 @@
         #: Times of the last heartbeat and status, and of the next counts.
         self._heartbeat_at = self._status_at = self._counts_due_at = clock()
         self._heartbeats = 0
+        #: Time of the last report of the own rank, and seconds that the poll took.
+        self._polled_at = float("-inf")
+        self._poll_s = 0.0
         #: Time until which a switch is assumed to be in progress.
         self._switch_until = float("-inf")
         #: Number of the next heartbeats that contain the experts.
@@ -232,7 +238,11 @@
         log.info("started", extra={"rank_address": self._cfg.rank_address})
         pollers = [
             asyncio.create_task(_repeat(action))
-            for action in (self._poll_and_sleep, self._follow_peers)
+            for action in (
+                self._poll_and_sleep,
+                self._repeat_heartbeat,
+                self._follow_peers,
+            )
         ]
         coordinator = asyncio.create_task(_repeat(self._coordinate_and_sleep))
         await stopping.wait()
@@ -260,10 +270,18 @@
 
     async def _poll(self) -> None:
         """Request the state of the own rank, and send it to agents and gateways."""
+        began_at = self._clock()
         try:
-            report = await self._own_client.report()
-            experts = await self._own_experts(report)
-            counts = await self._due_counts(report.size)
+            if self._poll_s > POLL_INTERVAL_S:
+                # A slow rank answers both queries at the same time.
+                report, counts = await asyncio.gather(
+                    self._own_client.report(), self._due_counts(self._group.size)
+                )
+                experts = await self._own_experts(report)
+            else:
+                report = await self._own_client.report()
+                experts = await self._own_experts(report)
+                counts = await self._due_counts(report.size)
         except RankUnreachableError as exc:
             if self._state is not None:
                 log.warning("rank_lost", extra={"why": str(exc)})
@@ -274,7 +292,8 @@
             self._peers_interval_s = PEERS_RETRY_INTERVAL_S
         self._grants.record_report(report)
         self._state = make_state(self._cfg.rank_address, report, experts)
-        now = self._clock()
+        now = self._polled_at = self._clock()
+        self._poll_s = now - began_at
         known = self._group.report(report.rank)
         self._group.record_heartbeat(self._state, now)
         changed = known is None or _switch_state(known) != _switch_state(report)
@@ -302,8 +321,29 @@
                 self._state if changed else brief, counts=self._encode_counts(counts)
             )
             self._send(state, self._agent_address(leader))
-        if not _is_due(self._heartbeat_at, HEARTBEAT_INTERVAL_S, now):
+        if _is_due(self._heartbeat_at, HEARTBEAT_INTERVAL_S, now):
+            self._send_heartbeat(brief, now)
+
+    async def _repeat_heartbeat(self) -> None:
+        """Send the last state again if the own rank takes long to answer.
+
+        The agent is alive, and other agents must not take its rank for lost: they would
+        lead in turn, and none of their switches or settlements would end.
+        """
+        await asyncio.sleep(HEARTBEAT_INTERVAL_S / 2)
+        now = self._clock()
+        is_late = now - self._heartbeat_at > HEARTBEAT_INTERVAL_S + POLL_INTERVAL_S
+        if (
+            self._state is None
+            or not is_late
+            or now - self._polled_at > MAX_REPEATED_AGE_S
+        ):
             return
+        self._group.record_heartbeat(self._state, now)
+        self._send_heartbeat(msgspec.structs.replace(self._state, experts=[]), now)
+
+    def _send_heartbeat(self, brief: PeerState, now: float) -> None:
+        """Send the own state to other agents, with the experts if they are due."""
         self._heartbeat_at = now
         self._heartbeats += 1
         if self._heartbeats % HEARTBEATS_PER_EXPERTS == 0:
--- a/packages/maps/src/slatehoist/maps/orders.py
+++ b/packages/maps/src/slatehoist/maps/orders.py
@@ -11,6 +11,7 @@
 """
 
 import asyncio
+import collections
 import itertools
 import logging
 import math
@@ -18,6 +19,7 @@
 
 import msgspec
 
+from slatehoist.http import AnswerTimes
 from slatehoist.maps.known_maps import (
     KnownMaps,
     UnknownMapError,
@@ -47,12 +49,16 @@
 
 log = logging.getLogger(__name__)
 
-#: Seconds that an agent may take to answer an order. Its rank usually answers within
-#: milliseconds, and a held group waits for the answer.
+#: Seconds that an agent may take to answer an order, unless it has proved to be slower.
+#: Its rank usually answers within milliseconds, and a held group waits for the answer.
 AGENT_TIMEOUT_S = 0.06
-#: Seconds that an agent may take to answer a map, beyond the time for its bytes: it
-#: applies the changes and sends the whole map to its rank.
+#: The same for a map, beyond the time for its bytes: the agent applies the changes and
+#: sends the whole map to its rank.
 MAP_TIMEOUT_S = 0.25
+#: Longest time in seconds that an agent may take.
+MAX_AGENT_TIMEOUT_S = 4.0
+#: Orders that were given up, whose late answers still show how long an agent takes.
+MAX_LATE_ORDERS = 512
 #: Times that an agent sends an order to its rank while that does not answer. The
 #: coordinator would find out only after its own time-out, which delays the switch.
 LOCAL_ATTEMPTS = 3
@@ -197,7 +203,16 @@
         self._pending: dict[tuple[int, int], asyncio.Future] = {}
         #: Version that was last offered, and the pending answers of the agents by rank.
         self._offer: tuple[int, dict[int, asyncio.Future]] = (0, {})
-        self._offer_timeout_s = MAP_TIMEOUT_S
+        #: Number of the order that offers it, when it was sent, and the seconds that
+        #: the map takes to reach all agents.
+        self._offer_sent: tuple[int, float, float] = (0, 0.0, 0.0)
+        #: Usual time of each agent's answers, by rank.
+        self._times: dict[int, AnswerTimes] = {}
+        #: Times at which orders without an answer were sent, with the seconds that
+        #: their bytes take, the oldest first.
+        self._late: collections.OrderedDict[tuple[int, int], tuple[float, float]] = (
+            collections.OrderedDict()
+        )
         #: Orders in a row that each rank has not answered, for those with any.
         self.unanswered: dict[int, int] = {}
         #: State of the own rank at the last offer.
@@ -212,9 +227,22 @@
 
     def handle_answer(self, message: OrderAnswer) -> None:
         """Complete the order that is answered, if it is still pending."""
-        fut = self._pending.get((message.order_id, message.rank))
+        key = (message.order_id, message.rank)
+        fut = self._pending.get(key)
         if fut is not None and not fut.done():
             fut.set_result(message.answer)
+        elif key in self._late:
+            self._record_time(message.rank, *self._late.pop(key))
+
+    def _agent_times(self, rank: int) -> AnswerTimes:
+        if rank not in self._times:
+            self._times[rank] = AnswerTimes(
+                f"agent of rank {rank}", MAX_AGENT_TIMEOUT_S
+            )
+        return self._times[rank]
+
+    def _record_time(self, rank: int, sent_at: float, extra_s: float) -> None:
+        self._agent_times(rank).record(max(0.0, self._clock() - sent_at - extra_s))
 
     def clients(self) -> list["RelayedRank"]:
         """Return a client of each rank of the group."""
@@ -269,7 +297,7 @@
         order = self._map_order(own, own.map_version, placement, version)
         self._offer = (version, {})
         send_s = self._send_s(order)
-        self._offer_timeout_s = MAP_TIMEOUT_S + send_s
+        self._offer_sent = (order.order_id, now, send_s)
         if len(msgspec.msgpack.encode(order)) > MAX_ORDER_BYTES:
             return send_s
         ranks = [
@@ -296,9 +324,10 @@
         offered, answers = self._offer
         return answers.pop(rank, None) if offered == version else None
 
-    async def answer_to_offer(self, fut: asyncio.Future) -> str:
+    async def answer_to_offer(self, rank: int, fut: asyncio.Future) -> str:
         """Wait for the answer to an offer; `Answer.UNKNOWN` if it does not come."""
-        return await self._wait(fut, self._offer_timeout_s)
+        order_id, sent_at, send_s = self._offer_sent
+        return await self._wait(fut, (order_id, rank), MAP_TIMEOUT_S, send_s, sent_at)
 
     async def send_map(self, rank: int, version: int, placement: Placement) -> str:
         """Send a map to one agent, as changes to map 0, and return the answer.
@@ -310,7 +339,7 @@
         fut = self._expect(order.order_id, rank)
         self._send(order, [self._agent(rank)])
         send_s = len(order.changes) * 2 / self._link_bytes_per_s
-        return await self._wait(fut, MAP_TIMEOUT_S + send_s)
+        return await self._wait(fut, (order.order_id, rank), MAP_TIMEOUT_S, send_s)
 
     def is_relayed(self, rank: int) -> bool:
         """Return True if the agent of a rank is alive and on another instance."""
@@ -328,7 +357,7 @@
         self._send(message, [self._agent(rank)])
         # Heartbeats to the whole group, or orders to all ranks, may be sent before it.
         queued_s = self._group.size * QUEUED_BYTES / self._link_bytes_per_s
-        return await self._wait(fut, AGENT_TIMEOUT_S + queued_s)
+        return await self._wait(fut, (order_id, rank), AGENT_TIMEOUT_S, queued_s)
 
     def _agent(self, rank: int) -> Address:
         return agent_address(self._group.address(rank), self._port)
@@ -340,12 +369,37 @@
         fut.add_done_callback(lambda _: self._pending.pop(key, None))
         return fut
 
-    async def _wait(self, fut: asyncio.Future, timeout_s: float) -> str:
+    async def _wait(
+        self,
+        fut: asyncio.Future,
+        key: tuple[int, int],
+        least_s: float,
+        extra_s: float,
+        sent_at: float | None = None,
+    ) -> str:
+        """Wait for an agent's answer; `Answer.UNKNOWN` if it does not come in time.
+
+        Parameters
+        ----------
+        key : tuple of int
+            Number of the order, and rank.
+        least_s, extra_s : float
+            Time-out at a prompt agent, and seconds that the bytes take.
+        sent_at : float or None
+            Time at which the order was sent; None if just now.
+        """
+        rank = key[1]
+        sent_at = self._clock() if sent_at is None else sent_at
+        timeout_s = self._agent_times(rank).timeout_s(least_s) + extra_s
         await asyncio.wait([fut], timeout=timeout_s)
-        if not fut.done():
-            fut.cancel()
-            return Answer.UNKNOWN
-        return fut.result()
+        if fut.done():
+            self._record_time(rank, sent_at, extra_s)
+            return fut.result()
+        fut.cancel()
+        self._late[key] = (sent_at, extra_s)
+        if len(self._late) > MAX_LATE_ORDERS:
+            self._late.popitem(last=False)
+        return Answer.UNKNOWN
 
 
 def make_tree(hosts: Sequence[str]) -> list[tuple[str, list[str]]]:
@@ -410,7 +464,7 @@
         """Wait for the answer to the offered map, or send the map to the rank."""
         offered = self._orders.take_offer(self._rank, version)
         if offered is not None:
-            answer = await self._orders.answer_to_offer(offered)
+            answer = await self._orders.answer_to_offer(self._rank, offered)
             if answer == UNKNOWN_MAP:
                 answer = await self._orders.send_map(self._rank, version, placement)
             if answer in set(Answer) and answer != Answer.UNKNOWN:
--- a/packages/maps/src/slatehoist/maps/switch.py
+++ b/packages/maps/src/slatehoist/maps/switch.py
@@ -289,10 +289,12 @@
     ) -> bool:
         """Prepare a version at a rank; return False if that cannot succeed."""
         answer = await self._clients[rank].prepare(epoch, version, placement)
+        may_copy = False
         while answer is not Answer.DONE:
-            if answer is Answer.REFUSED and not self._has_prepared(
-                rank, epoch, version
-            ):
+            may_copy |= answer is not Answer.REFUSED
+            # A rank that copies the experts for an order without an answer refuses the
+            # same order until it has them.
+            if not may_copy and not self._has_prepared(rank, epoch, version):
                 return False
             await asyncio.sleep(PREPARED_POLL_S)
             report = self._observer.report(rank)
