--- a/packages/gateway/src/slatehoist/gateway/codec.py
+++ b/packages/gateway/src/slatehoist/gateway/codec.py
@@ -89,6 +89,10 @@
     async def endpoints(self) -> list[Endpoint]:
         """Return the listed endpoints."""
 
+    @property
+    def call_timeout_s(self) -> float:
+        """Return the seconds that a read may take beyond the wait that it requests."""
+
     @property
     def era(self) -> int:
         """Return a number that rises each time that the store goes back to a copy."""
--- a/packages/gateway/src/slatehoist/gateway/settings.py
+++ b/packages/gateway/src/slatehoist/gateway/settings.py
@@ -136,9 +136,9 @@
 #: configuration is current, so it must be much shorter than the time for which
 #: credentials are trusted.
 CONFIG_LONG_POLL_S = 1.0
-#: Seconds of a read of the configuration from which this process stood still meanwhile:
-#: a long poll that gets no answer fails after 1.9 s.
-CONFIG_MAX_READ_S = 2.5
+#: Seconds that a read of the configuration may last beyond its wait and its time-out.
+#: If it lasts longer, this process stood still meanwhile.
+CONFIG_READ_MARGIN_S = 0.6
 #: Time between reads of the endpoint list, as a fraction of `drain_s`: less than half,
 #: so that some reads may get no answer. Each read is a billed call, and returns a row
 #: for each endpoint.
--- a/packages/gateway/src/slatehoist/gateway/sync.py
+++ b/packages/gateway/src/slatehoist/gateway/sync.py
@@ -19,7 +19,7 @@
 from slatehoist.gateway.model import Endpoint
 from slatehoist.gateway.settings import (
     CONFIG_LONG_POLL_S,
-    CONFIG_MAX_READ_S,
+    CONFIG_READ_MARGIN_S,
     ENDPOINT_HEDGE_S,
     MIN_READ_INTERVAL_S,
     RELIST_READ_LEAD_S,
@@ -86,6 +86,9 @@
         self._version: int | None = None
         self._wait_s = CONFIG_LONG_POLL_S
         self._read_began_at = 0.0
+        #: Longest seconds of the latest read during which this process did not stand
+        #: still.
+        self._max_read_s = 0.0
 
     async def run(self) -> None:
         """Read the configuration until cancelled."""
@@ -93,8 +96,11 @@
             try:
                 await self._read_next()
                 self._dependency.record_success()
-                # The answer to a read during which this process stood still is old.
-                self._wait_s = 0.0 if self._stood_still() else CONFIG_LONG_POLL_S
+                # A slow store answers less often, and the answer to a read during which
+                # this process stood still is old: both shorten the next wait.
+                read_s = self._clock() - self._read_began_at
+                late_s = max(0.0, read_s - self._wait_s)
+                self._wait_s = max(0.0, CONFIG_LONG_POLL_S - late_s)
             except HistoryLostError:
                 log.info("history_lost", extra={"store_version": self._version})
                 self._version = None
@@ -111,10 +117,15 @@
 
     def _stood_still(self) -> bool:
         """Return True if this process stood still during the latest read."""
-        return self._clock() - self._read_began_at > CONFIG_MAX_READ_S
+        return self._clock() - self._read_began_at > self._max_read_s
 
     async def _read_next(self) -> None:
         started_at = self._read_began_at = self._clock()
+        self._max_read_s = (
+            max(self._wait_s, CONFIG_LONG_POLL_S)
+            + self._source.call_timeout_s
+            + CONFIG_READ_MARGIN_S
+        )
         if self._version is None:
             update = await self._source.configuration()
             self._evacuations.replace(update.evacuated, started_at)
--- a/packages/gateway/tests/test_gateway_configuration_checks.py
+++ b/packages/gateway/tests/test_gateway_configuration_checks.py
@@ -333,6 +333,7 @@
     """Source that returns one configuration, and then none."""
 
     era = 0
+    call_timeout_s = 0.9
 
     def __init__(self, cfg) -> None:
         self._cfg = cfg
--- a/packages/gateway/tests/test_gateway_sync.py
+++ b/packages/gateway/tests/test_gateway_sync.py
@@ -50,6 +50,7 @@
     """
 
     era = 0
+    call_timeout_s = 0.9
 
     def __init__(self) -> None:
         self.listed = [make_endpoint("e1"), make_endpoint("e2")]
@@ -84,6 +85,7 @@
     """
 
     era = 0
+    call_timeout_s = 0.9
 
     def __init__(self, down_from: float, outage_s: float, silence_s: float) -> None:
         self.up_from = down_from + outage_s
--- a/packages/gateway/tests/zone_world.py
+++ b/packages/gateway/tests/zone_world.py
@@ -36,6 +36,7 @@
     """
 
     era = 0
+    call_timeout_s = 0.9
 
     def __init__(self, cfg: Configuration) -> None:
         self.fault = ""
