--- a/tools/run_soak.py
+++ b/tools/run_soak.py
@@ -4,7 +4,10 @@
 ``GATEWAYS=`` sets the number of gateways, ``FAULTS=`` names the faults to draw from,
 separated by commas, and ``KEEP=1`` keeps the logs of the processes. With ``SERVERS=``
 that many servers run as processes, which are killed and frozen (see
-`soak.process_world`); ``BEHAVIOURS=`` names their behaviours. The last line is JSON.
+`soak.process_world`); ``BEHAVIOURS=`` names their behaviours. With ``GROUP=`` a whole
+deployment with a group of that many ranks and agents is lost once and returns (see
+`soak.deployment`); ``LOSS=`` replaces fields of the loss that the seed draws, such as
+``LOSS=trigger=hold,answer_s=0.03``. The last line is JSON.
 """
 
 import asyncio
@@ -13,10 +16,23 @@
 import random
 import sys
 
+from soak.deployment import (
+    GATEWAYS as DEPLOYMENT_GATEWAYS,
+)
+from soak.deployment import (
+    LossError,
+    check_size,
+    draw_loss,
+    format_outcome,
+    parse_loss,
+    run_loss,
+)
 from soak.process_world import REFUSING, run_processes
 from soak.runner import run_seed
 from soak.world import GATEWAYS
 
+#: Exit status for options that cannot be used.
+EXIT_INVALID = 2
 #: Broken guarantees that are printed.
 MAX_PRINTED = 20
 
@@ -24,6 +40,8 @@
 async def main() -> int:
     """Run one seed; return the exit status."""
     seed = int(os.environ.get("SEED") or random.SystemRandom().randrange(1_000_000))
+    if group := os.environ.get("GROUP"):
+        return await _run_deployment(seed, group)
     minutes = float(os.environ.get("MINUTES") or 1.0)
     gateways = int(os.environ.get("GATEWAYS") or GATEWAYS)
     print(f"seed {seed}, {minutes} minutes, {gateways} gateways", flush=True)
@@ -39,6 +57,27 @@
     return 1 if report.broken else 0
 
 
+async def _run_deployment(seed: int, group: str) -> int:
+    """Lose a deployment once; print the stages of its return, and the result."""
+    try:
+        gateways = os.environ.get("GATEWAYS") or DEPLOYMENT_GATEWAYS
+        try:
+            sizes = int(group), int(gateways)
+        except ValueError:
+            raise LossError(f"GROUP={group} GATEWAYS={gateways}: no numbers") from None
+        check_size(*sizes)
+        drawn = draw_loss(random.Random(seed), sizes[0])
+        loss = parse_loss(os.environ.get("LOSS", ""), drawn)
+    except LossError as exc:
+        print(exc, file=sys.stderr)
+        return EXIT_INVALID
+    outcome = await run_loss(seed, loss, *sizes)
+    for line in [*outcome.broken, *outcome.slow]:
+        print(line)
+    print(format_outcome(seed, outcome))
+    return 1 if outcome.broken else 0
+
+
 async def _run_processes(seed: int, seconds: float, gateways: int, servers: int) -> int:
     drawn = os.environ.get("BEHAVIOURS")
     behaviours = tuple(drawn.split(",")) if drawn else REFUSING
--- a/tools/soak/deployment.py
+++ b/tools/soak/deployment.py
@@ -42,6 +42,8 @@
 MODEL = "model"
 PLAIN = "plain"
 PLAIN_SERVERS = 2
+#: Default number of gateways.
+GATEWAYS = 3
 #: Most processes of one run.
 MAX_PROCESSES = 200
 #: Requests per second, and the fraction of them for the plain service.
