Stop, restart and replace more in the soak with servers as processes

Planned stops of gateways, servers that return under their ids, and addresses that a server of another service takes over: FAULTS=.

--- a/tools/run_soak.py
+++ b/tools/run_soak.py
@@ -27,7 +27,7 @@
     parse_loss,
     run_loss,
 )
-from soak.process_world import REFUSING, run_processes
+from soak.process_world import FREEZES, OPERATIONS, REFUSING, run_processes
 from soak.runner import run_seed
 from soak.world import GATEWAYS
 
@@ -81,7 +81,15 @@
 async def _run_processes(seed: int, seconds: float, gateways: int, servers: int) -> int:
     drawn = os.environ.get("BEHAVIOURS")
     behaviours = tuple(drawn.split(",")) if drawn else REFUSING
-    report = await run_processes(seed, seconds, gateways, servers, behaviours)
+    names = os.environ.get("FAULTS")
+    fault_names = tuple(names.split(",")) if names else FREEZES
+    unknown = set(fault_names) - set(OPERATIONS)
+    if unknown:
+        print(f"FAULTS={names}: unknown {sorted(unknown)}", file=sys.stderr)
+        return EXIT_INVALID
+    report = await run_processes(
+        seed, seconds, gateways, servers, behaviours, fault_names
+    )
     for line in report.broken[:MAX_PRINTED]:
         print(f"BROKEN {line}")
     print(json.dumps({"seed": seed, **report._asdict(), "broken": len(report.broken)}))
--- a/tools/soak/process_world.py
+++ b/tools/soak/process_world.py
@@ -24,6 +24,11 @@
 #: refusal without the id of its request.
 REFUSING = ("shed", "shed_again", "error", "close", "reset", "cut_head")
 NAMELESS = ("shed_again_without_id", "shed_again_in_part", "misdirect_again")
+#: Faults to draw from, the more often named ones more often. All affect gateways and
+#: servers; `OPERATIONS` adds planned stops of gateways, servers that come back under
+#: their ids, and addresses that a server of the other service takes over.
+FREEZES = ("freeze", "replace", "freeze")
+OPERATIONS = (*FREEZES, "terminate", "restart_with_id", "take_over")
 CREDENTIAL = "key-0-0"
 ROUTE_TIMEOUT_S = 1.3
 HEARTBEAT_S = 0.6
@@ -34,6 +39,15 @@
 MAX_PAUSE_S = 0.5
 MAX_FREEZE_S = 3.0
 MAX_DOWN_S = 1.0
+#: Seconds for which an address is free before another service uses it, and for which it
+#: uses it.
+REUSE_AFTER_S = 2.0
+TAKEN_OVER_S = 3.0
+#: Kind of each route, and the service to which it leads.
+KINDS = {"unsafe": "unsafe", "once": "stream", "other": "unsafe"}
+SERVICES = {"unsafe": "app", "once": "app", "other": "other"}
+#: Fraction of the servers that belong to the other service, if there is one.
+OTHER_RATIO = 0.25
 #: Seconds after the last request until servers have run all that they got.
 SETTLE_S = 4.0
 
@@ -66,7 +80,13 @@
         #: Port and current id of each server; a restarted one has a new id.
         self.ports = {f"server-{n}": free_port() for n in range(servers)}
         self.ids: dict[str, str] = {}
+        #: Start of each server in milliseconds.
+        self.born: dict[str, int] = {}
         self.behaviours = REFUSING
+        self.fault_names = FREEZES
+        #: Service of each server that does not belong to the first one.
+        self.services: dict[str, str] = {}
+        self._taken_over: set[str] = set()
         self.faults: collections.Counter[str] = collections.Counter()
         self.credentials = {CREDENTIAL: "team-0"}
         self.revoked: dict[str, float] = {}
@@ -88,13 +108,13 @@
                 "kind": kind,
                 "timeoutMs": ROUTE_TIMEOUT_S * 1000,
                 "goalMs": 400,
-                "service": "app",
+                "service": SERVICES[name],
                 "maxAttempts": 3,
             }
-            for name, kind in (("unsafe", "unsafe"), ("once", "stream"))
+            for name, kind in KINDS.items()
         ]
         team = {"name": "team-0", "apiKeys": [CREDENTIAL]}
-        services = [{"name": "app"}]
+        services = [{"name": "app"}, {"name": "other"}]
         doc = {"version": 1, "routes": routes, "services": services, "tenants": [team]}
         self.store.put("op", "config", doc)
         for name in self.ports:
@@ -130,27 +150,30 @@
         command = ["env", variable, sys.executable, str(LAUNCHER), "gateway"]
         self.spawn(gateway.name, command)
 
-    def start_server(self, name: str) -> None:
-        """Start a server under a new id, at the address of its predecessor."""
+    def start_server(self, name: str, keeps_id: bool = False) -> None:
+        """Start a server at the address of its predecessor, mostly under a new id."""
         self._starts += 1
-        old, new = self.ids.get(name), f"i-{self._starts}"
+        old = self.ids.get(name)
+        new = old if keeps_id and old else f"i-{self._starts}"
         self.ids[name] = new
+        self.born[name] = int(time.time() * 1000)
         port, seed = str(self.ports[name]), str(self.rng.getrandbits(32))
         command = [sys.executable, str(_SERVER_PROGRAM), new, port, seed]
         self.spawn(name, [*command, str(self.runs_file), *self.behaviours])
-        if old is not None:
+        if old not in (None, new):
             self.store.remove("servers", old)
         self._write_row(name)
 
     def _write_row(self, name: str) -> None:
         row = {
-            "service": "app",
+            "service": self.services.get(name, "app"),
             "addr": f"127.0.0.1:{self.ports[name]}",
             "zone": "a",
             "version": "v1",
             "slots": 6,
             "state": "ready",
             "seq": 1,
+            "born": self.born[name],
         }
         self.store.put("servers", self.ids[name], row)
 
@@ -159,13 +182,14 @@
         while True:
             await asyncio.sleep(HEARTBEAT_S)
             for name in self.ports:
-                self._write_row(name)
+                if name not in self._taken_over:
+                    self._write_row(name)
 
     async def inject_faults(self, until: float) -> None:
         """Inject faults that overlap, and wait until all have ended."""
         tasks = []
         while time.monotonic() < until:
-            fault = self.rng.choice((self.freeze, self.replace, self.freeze))
+            fault = getattr(self, self.rng.choice(self.fault_names))
             names = [g.name for g in self.gateways]
             if self.rng.random() < SERVER_FAULT_RATIO:
                 names = list(self.ports)
@@ -191,6 +215,46 @@
         else:
             self.restart(name)
 
+    async def terminate(self, name: str) -> None:
+        """Stop a gateway as planned, and start it again; replace a server."""
+        if name in self.ports:
+            await self.replace(name)
+            return
+        self.signal(name, signal.SIGTERM)
+        stop_at = time.monotonic() + GRACE_S
+        while self.processes[name].poll() is None and time.monotonic() < stop_at:
+            await asyncio.sleep(0.05)
+        await self.replace(name)
+
+    async def restart_with_id(self, name: str) -> None:
+        """Kill a process and start it again; a server under its id."""
+        self.kill(name)
+        await asyncio.sleep(self.rng.random() * MAX_DOWN_S)
+        if self.processes[name].poll() is None:
+            return
+        if name in self.ports:
+            self.start_server(name, keeps_id=True)
+        else:
+            self.restart(name)
+
+    async def take_over(self, name: str) -> None:
+        """Let the other service use a server's address for some seconds."""
+        if name not in self.ports or name in self._taken_over:
+            await self.replace(name)
+            return
+        service = self.services.get(name, "app")
+        self._taken_over.add(name)
+        self.kill(name)
+        self.store.remove("servers", self.ids.pop(name))
+        await asyncio.sleep(REUSE_AFTER_S)
+        self.services[name] = "app" if service == "other" else "other"
+        if self.processes[name].poll() is not None:
+            self.start_server(name)
+        self._taken_over.discard(name)
+        await asyncio.sleep(TAKEN_OVER_S)
+        self.services[name] = service
+        await self.replace(name)
+
     def read_runs(self) -> collections.Counter[str]:
         """Return how often each request ran."""
         lines = self.runs_file.read_text().splitlines()
@@ -203,11 +267,17 @@
     gateways: int,
     servers: int,
     behaviours: tuple[str, ...] = REFUSING,
+    fault_names: tuple[str, ...] = FREEZES,
 ) -> ProcessReport:
     """Run one seed, and check what ran against what the callers got."""
     rng = random.Random(seed)
     world = ProcessWorld(rng, gateways, servers)
     world.behaviours = behaviours
+    world.fault_names = fault_names
+    if "take_over" in fault_names:
+        names = list(world.ports)
+        others = names[: max(1, round(len(names) * OTHER_RATIO))]
+        world.services.update(dict.fromkeys(others, "other"))
     async with world:
         await world.start()
         try:
@@ -252,6 +322,9 @@
     """Caller whose requests may run at most once."""
 
     async def request(self, session, kind: str, credential: str) -> Result:
-        """Send a request of one of the two kinds that may run once."""
-        kind = "once" if kind in ("stream", "once") else "unsafe"
+        """Send a request of one of the kinds that may run once."""
+        if kind == "safe" and "take_over" in self._world.fault_names:
+            kind = "other"
+        else:
+            kind = "once" if kind in ("stream", "once") else "unsafe"
         return await super().request(session, kind, credential)
