--- a/tests/endless_server.py
+++ b/tests/endless_server.py
@@ -1,6 +1,10 @@
-"""Server on loopback whose responses come without end."""
+"""Server on loopback whose responses come without end.
+
+Usage as a process: ``endless_server.py KIND=PORT ...`` serves each kind at its port.
+"""
 
 import asyncio
+import sys
 
 from slatehoist_standins.deployment_server import DeploymentServer
 
@@ -19,7 +23,7 @@
     """
 
     def __init__(self, kind: str) -> None:
-        super().__init__("endless", [kind])
+        super().__init__(kind, [kind])
         self.url = ""
 
     async def start(self, port: int = 0) -> None:
@@ -35,3 +39,15 @@
     async def _read_head(self, reader: asyncio.StreamReader):
         head = await super()._read_head(reader)
         return head._replace(headers={"Request-Id": "", **head.headers})
+
+
+async def main() -> None:
+    """Serve until the process is killed."""
+    for argument in sys.argv[1:]:
+        kind, _, port = argument.partition("=")
+        await EndlessServer(kind).start(int(port))
+    await asyncio.Event().wait()
+
+
+if __name__ == "__main__":
+    asyncio.run(main())
