Count crashes of a request for ten minutes, and try it again less often

A request that crashes servers and comes back every half minute was never blocked, as crashes counted for a minute, and one that was blocked was tried each minute for ever. Crashes count, and their reports are stored, for ten minutes. A blocked request is tried after one and four more minutes, and then once an hour, by all gateways.

Tests: the tests of the tally used one constant for crashes, successes and blocks; each now uses its own, with the same bounds. The growing blocks and the crashes of one trial that several gateways report are tested, too.

--- a/packages/routing/src/slatehoist/routing/crashes.py
+++ b/packages/routing/src/slatehoist/routing/crashes.py
@@ -8,13 +8,18 @@
 #: Number of crashes after which a request is blocked. Two may be a coincidence when
 #: several endpoints crash at once; each further crash costs another endpoint.
 MAX_CRASHES = 3
-#: Seconds for which crashes and successes are kept, and for which a request is blocked
-#: after its last crash. Callers retry within a few seconds, and the fault that made a
-#: request crash endpoints may be fixed after a minute.
-RETENTION_S = 60.0
+#: Seconds for which crashes count, and their reports stay in the store. A request that
+#: crashes endpoints may come back seldom; a success drops its crashes.
+RETENTION_S = 600.0
+#: Seconds for which successes are kept.
+SUCCESS_S = 60.0
 #: Seconds after its last crash for which a request that was blocked is blocked again by
 #: a single further crash.
 CONVICTION_S = 3600.0
+#: Seconds for which a request is blocked after its last crash, by the number of crashes
+#: since it was first blocked; the last value holds from there on. The fault may be
+#: fixed after a minute, but each trial may cost an endpoint.
+BLOCKED_S = (60.0, 240.0, CONVICTION_S)
 
 
 class CrashTally:
@@ -27,8 +32,9 @@
     def __init__(self) -> None:
         self._crashes: OrderedDict[str, dict[str, float]] = OrderedDict()
         self._successes: OrderedDict[str, float] = OrderedDict()
-        #: Requests that reached the limit, with the time of their last crash.
-        self._convicted: OrderedDict[str, float] = OrderedDict()
+        #: Requests that reached the limit, with the time of their last crash and the
+        #: number of crashes since they did.
+        self._convicted: OrderedDict[str, tuple[float, int]] = OrderedDict()
 
     def record_crash(self, digest: str, crash_id: str, now: float) -> int:
         """Count a crash once per ``crash_id``; return the request's crash count."""
@@ -50,7 +56,7 @@
         self._convicted.pop(digest, None)
         self._successes[digest] = now
         self._successes.move_to_end(digest)
-        while now - next(iter(self._successes.values())) >= RETENTION_S:
+        while now - next(iter(self._successes.values())) >= SUCCESS_S:
             self._successes.popitem(last=False)
         return had_crashes
 
@@ -58,12 +64,13 @@
         """Return the seconds for which a request is blocked; 0 if it is not."""
         if digest not in self._convicted or self._succeeded(digest, now):
             return 0.0
-        return max(0.0, self._convicted[digest] + RETENTION_S - now)
+        crashed_at, crashes = self._convicted[digest]
+        return max(0.0, crashed_at + _blocked_s(crashes) - now)
 
     def is_blocked(self, digest: str, now: float) -> bool:
         """Return True if a request has crashed too many endpoints.
 
-        It is tried once more `RETENTION_S` after its last crash.
+        It is tried once more some time after its last crash; see `BLOCKED_S`.
         """
         return self.blocked_for_s(digest, now) > 0.0
 
@@ -72,9 +79,13 @@
         return digest in self._convicted or self._count(digest, now) >= MAX_CRASHES - 1
 
     def _convict(self, digest: str, now: float) -> None:
-        self._convicted[digest] = now
+        crashed_at, crashes = self._convicted.get(digest, (now, -1))
+        # Crashes of one trial are reported by all instances that had sent it.
+        is_trial = now >= crashed_at + _blocked_s(crashes)
+        crashes += crashes < 0 or is_trial
+        self._convicted[digest] = now, crashes
         self._convicted.move_to_end(digest)
-        while now - next(iter(self._convicted.values())) >= CONVICTION_S:
+        while now - next(iter(self._convicted.values()))[0] >= 2 * CONVICTION_S:
             self._convicted.popitem(last=False)
 
     def _drop_expired(self, now: float) -> None:
@@ -100,4 +111,9 @@
 
     def _succeeded(self, digest: str, now: float) -> bool:
         at = self._successes.get(digest)
-        return at is not None and now - at < RETENTION_S
+        return at is not None and now - at < SUCCESS_S
+
+
+def _blocked_s(crashes: int) -> float:
+    """Return the seconds of a block, by the crashes since the request was blocked."""
+    return BLOCKED_S[min(max(crashes, 0), len(BLOCKED_S) - 1)]
--- a/packages/routing/tests/test_routing_crashes.py
+++ b/packages/routing/tests/test_routing_crashes.py
@@ -3,7 +3,7 @@
 import unittest
 
 from slatehoist.routing import CRASH_RETENTION_S, CrashTally
-from slatehoist.routing.crashes import MAX_CRASHES
+from slatehoist.routing.crashes import BLOCKED_S, MAX_CRASHES, SUCCESS_S
 
 
 class CrashTallyTests(unittest.TestCase):
@@ -42,19 +42,31 @@
         self.assertFalse(self.tally.is_blocked("hot", 1.0))
 
     def test_crashes_expire(self):
-        self.record_crashes("a", MAX_CRASHES)
-        self.assertTrue(self.tally.is_blocked("a", CRASH_RETENTION_S - 1))
-        self.assertFalse(self.tally.is_blocked("a", CRASH_RETENTION_S))
+        self.record_crashes("a", MAX_CRASHES - 1)
+        self.assertTrue(self.tally.is_suspected("a", CRASH_RETENTION_S - 1))
+        self.assertFalse(self.tally.is_suspected("a", CRASH_RETENTION_S))
+        self.record_crashes("b", MAX_CRASHES)
+        self.assertTrue(self.tally.is_blocked("b", BLOCKED_S[0] - 1))
+        self.assertFalse(self.tally.is_blocked("b", BLOCKED_S[0]))
 
     # The request would otherwise crash three endpoints each minute.
     def test_request_is_blocked_again_by_one_crash_after_its_block_has_ended(self):
         self.record_crashes("a", MAX_CRASHES)
-        self.assertFalse(self.tally.is_blocked("a", CRASH_RETENTION_S))
-        self.tally.record_crash("a", "a-later", CRASH_RETENTION_S)
-        self.assertTrue(self.tally.is_blocked("a", CRASH_RETENTION_S + 1))
-        self.assertEqual(
-            self.tally.blocked_for_s("a", CRASH_RETENTION_S + 1), CRASH_RETENTION_S - 1
-        )
+        now = 0.0
+        for number, blocked_s in enumerate((*BLOCKED_S, BLOCKED_S[-1])):
+            now += blocked_s
+            self.assertTrue(self.tally.is_blocked("a", now - 1))
+            self.assertFalse(self.tally.is_blocked("a", now))
+            self.tally.record_crash("a", f"a-later-{number}", now)
+            self.assertTrue(self.tally.is_blocked("a", now + 1))
+
+    def test_crashes_of_one_trial_extend_the_block_once(self):
+        self.record_crashes("a", MAX_CRASHES)
+        for instance in range(3):
+            self.tally.record_crash("a", f"trial-{instance}", BLOCKED_S[0] + instance)
+        ends_at = BLOCKED_S[0] + 2 + BLOCKED_S[1]
+        self.assertTrue(self.tally.is_blocked("a", ends_at - 1))
+        self.assertFalse(self.tally.is_blocked("a", ends_at))
 
     def test_crashes_further_apart_than_the_retention_do_not_block(self):
         for number in range(2 * MAX_CRASHES):
@@ -63,15 +75,15 @@
             self.assertFalse(self.tally.is_blocked("a", now))
 
     def test_requests_whose_crashes_have_expired_are_dropped(self):
-        for number in range(100):
+        for number in range(1000):
             self.tally.record_crash(f"r{number}", "crash", float(number))
         self.assertLessEqual(len(self.tally._crashes), CRASH_RETENTION_S)
 
     def test_old_successes_are_dropped(self):
-        # One success per second: those of the last `CRASH_RETENTION_S` are kept.
+        # One success per second: those of the last `SUCCESS_S` are kept.
         for number in range(100):
             self.tally.record_success(f"r{number}", float(number))
-        self.assertLessEqual(len(self.tally._successes), CRASH_RETENTION_S)
+        self.assertLessEqual(len(self.tally._successes), SUCCESS_S)
 
 
 if __name__ == "__main__":
--- a/tests/test_platform_crashes.py
+++ b/tests/test_platform_crashes.py
@@ -7,7 +7,7 @@
 from gateway_world import GatewayTestCase, GatewayWorld
 from slatehoist.gateway.exchange import request_digest
 from slatehoist.gateway.settings import CONFIG_LONG_POLL_S, GatewaySettings
-from slatehoist.routing import CRASH_RETENTION_S
+from slatehoist.routing.crashes import BLOCKED_S
 from slatehoist.routing.crashes import MAX_CRASHES
 from slatehoist_standins.deployment_server import CRASH_MARKER, CRASH_PART
 from slatehoist_standins.relay import Relay
@@ -101,7 +101,7 @@
         await asyncio.sleep(NEWS_S)
         async with world.call("/safe/", "POST", data=CRASH_MARKER) as resp:
             delay_s = float(resp.headers["Retry-After"])
-        self.assertGreater(delay_s, CRASH_RETENTION_S - 2 * NEWS_S)
+        self.assertGreater(delay_s, BLOCKED_S[0] - 2 * NEWS_S)
         self.assertEqual(self.count_crashes(world), 0)
 
     # New connections work, so neither callers nor the platform see a fault.
