--- a/tests/test_platform_crashes.py
+++ b/tests/test_platform_crashes.py
@@ -7,8 +7,7 @@
 from gateway_world import GatewayTestCase, GatewayWorld
 from slatehoist.gateway.exchange import request_digest
 from slatehoist.gateway.settings import CONFIG_LONG_POLL_S, GatewaySettings
-from slatehoist.routing.crashes import BLOCKED_S
-from slatehoist.routing.crashes import MAX_CRASHES
+from slatehoist.routing.crashes import BLOCKED_S, MAX_CRASHES
 from slatehoist_standins.deployment_server import CRASH_MARKER, CRASH_PART
 from slatehoist_standins.relay import Relay
 
