--- a/packages/cli/src/slatehoist/cli/main.py
+++ b/packages/cli/src/slatehoist/cli/main.py
@@ -37,6 +37,7 @@
     print_table,
     resource_row,
 )
+from slatehoist.cli.stages import START_HEADS, collect_starts, start_row
 from slatehoist.cli.trace import collect_events, format_events
 from slatehoist.config import Manifest, parse_manifests
 from slatehoist.gateway import Deployment
@@ -293,14 +294,7 @@
 
     def __call__(self) -> None:
         """Merge the logs and print the events."""
-        lines: list[str] = []
-        for path in self.files:
-            try:
-                with open(path, encoding="utf-8", errors="replace") as file:
-                    lines += file
-            except OSError as exc:
-                _fail(EXIT_INVALID_INPUT, f"cannot read {path}: {exc.strerror}")
-        events = collect_events(lines, self.request, self.around)
+        events = collect_events(_read_logs(self.files), self.request, self.around)
         if not events:
             _fail(
                 EXIT_INVALID_INPUT,
@@ -309,6 +303,34 @@
         print("\n".join(format_events(events)))
 
 
+def _read_logs(files: list[str]) -> list[str]:
+    """Return the lines of all files; fail if one cannot be read."""
+    lines: list[str] = []
+    for path in files:
+        try:
+            with open(path, encoding="utf-8", errors="replace") as file:
+                lines += file
+        except OSError as exc:
+            _fail(EXIT_INVALID_INPUT, f"cannot read {path}: {exc.strerror}")
+    return lines
+
+
+@cappa.command(help="Print how long each process took from its start until it served.")
+@dataclass
+class Stages:
+    """Arguments of ``slatehoist stages``."""
+
+    files: Annotated[list[str], cappa.Arg(help="Log files of gateways and agents.")]
+
+    def __call__(self) -> None:
+        """Print a row for each start of each process."""
+        starts = collect_starts(_read_logs(self.files))
+        if not starts:
+            _fail(EXIT_INVALID_INPUT, "no start of a process in the given logs")
+        first = starts[0].time
+        print_table(START_HEADS, [start_row(start, first) for start in starts])
+
+
 @cappa.command(help="Show the state of gateways and agents from their metrics.")
 @dataclass
 class Fleet:
@@ -423,7 +445,7 @@
     """Arguments of ``slatehoist``."""
 
     command: cappa.Subcommands[
-        Apply | Get | Delete | Watch | Status | Explain | Trace | Fleet | Check
+        Apply | Get | Delete | Watch | Status | Explain | Trace | Stages | Fleet | Check
     ]
 
 
--- a/packages/gateway/src/slatehoist/gateway/process.py
+++ b/packages/gateway/src/slatehoist/gateway/process.py
@@ -36,7 +36,7 @@
 from slatehoist.gateway.statuses import StatusFeed
 from slatehoist.gateway.sync import ConfigurationSync, EndpointSync
 from slatehoist.gateway.upstream import Upstream
-from slatehoist.observe import GatewayMetrics, serve_metrics
+from slatehoist.observe import GatewayMetrics, StartStages, serve_metrics
 from slatehoist.routing import CrashTally, EvenChooser, LoadAwareChooser
 from slatehoist.storage import WatchableTable
 
@@ -118,6 +118,7 @@
 
     async def start(self) -> None:
         """Start the background tasks and the listeners."""
+        self._stages = StartStages(self._clock())
         self._upstream = Upstream()
         chooser = LoadAwareChooser(self._rng)
         tally = CrashTally()
@@ -160,7 +161,7 @@
                 self._clock,
             )
             forwarder.attempts.streams.on_pause = admission.record_pause
-        self._stalls = ServiceStalls(forwarder.choice.describe)
+        self._stalls = ServiceStalls(forwarder.choice.describe, self._stages)
         self._gateway = Gateway(
             self._codec,
             self.catalogue,
@@ -361,7 +362,10 @@
     async def _handle_ready(self, req: web.BaseRequest) -> web.Response:
         if req.path != self._ready_path:
             return web.Response(status=404)
-        return web.Response(status=200 if self.ready else 503)
+        is_ready = self.ready
+        if is_ready:
+            self._stages.reach("ready", self._clock())
+        return web.Response(status=200 if is_ready else 503)
 
     async def _listen(self, address: str, handler: Callable) -> web.ServerRunner:
         server = web.Server(
--- a/packages/gateway/src/slatehoist/gateway/service_stalls.py
+++ b/packages/gateway/src/slatehoist/gateway/service_stalls.py
@@ -5,6 +5,7 @@
 
 from slatehoist.gateway.exchange import Exchange
 from slatehoist.gateway.model import Service
+from slatehoist.observe import StartStages
 
 log = logging.getLogger(__name__)
 
@@ -36,10 +37,17 @@
     ----------
     describe : callable
         Returns the log fields that state what is known of a service's endpoints.
+    stages : StartStages or None
+        Stages of the start of this process, of which the first answer is the last one.
     """
 
-    def __init__(self, describe: Callable[[Service, float], dict[str, object]]) -> None:
+    def __init__(
+        self,
+        describe: Callable[[Service, float], dict[str, object]],
+        stages: StartStages | None = None,
+    ) -> None:
         self._describe = describe
+        self._stages = stages
         self._records: dict[str, _ServiceRecord] = {}
         self._start_logged_at: float | None = None
 
@@ -55,6 +63,9 @@
         record = self._records[exchange.service.name]
         record.pending.discard(exchange)
         if answered:
+            if self._stages is not None:
+                service = exchange.service.name
+                self._stages.reach("first_answer", now, service=service)
             self._record_answer(exchange.service.name, record, now)
         else:
             record.failed += 1
--- a/packages/maps/src/slatehoist/maps/agent.py
+++ b/packages/maps/src/slatehoist/maps/agent.py
@@ -46,7 +46,7 @@
 )
 from slatehoist.maps.stalls import StallLog
 from slatehoist.maps.status import SUBSCRIPTION_TTL_S, RankStatus, Subscription
-from slatehoist.observe import AgentMetrics, serve_metrics
+from slatehoist.observe import AgentMetrics, StartStages, serve_metrics
 from slatehoist.routing import CapacityAllocator
 from slatehoist.storage import PlatformError
 
@@ -225,6 +225,7 @@
         `STOP_TIMEOUT_S`, so that its switch can end.
         """
         loop = asyncio.get_running_loop()
+        self._stages = StartStages(self._clock())
         transport, self._socket = await loop.create_datagram_endpoint(
             lambda: PeerSocket(self._on_message), local_addr=self._cfg.listen
         )
@@ -264,10 +265,23 @@
 
     async def _poll_and_sleep(self) -> None:
         await self._poll()
-        self._stalls.observe(self._state, self._orders.unanswered, self._clock())
+        now = self._clock()
+        self._stalls.observe(self._state, self._orders.unanswered, now)
+        self._reach_stages(now)
         in_switch = self._clock() < self._switch_until
         await asyncio.sleep(SWITCH_POLL_INTERVAL_S if in_switch else POLL_INTERVAL_S)
 
+    def _reach_stages(self, now: float) -> None:
+        """Log the stages of the start that this poll has reached."""
+        own = self._state
+        if own is None or self._stages.is_reached("map_known"):
+            return
+        leader = self._group.leader(now)
+        if leader is not None:
+            self._stages.reach("leader_known", now, leader=leader)
+        if self._known_maps.get(own.epoch, own.map_version) is not None:
+            self._stages.reach("map_known", now, version=own.map_version)
+
     async def _poll(self) -> None:
         """Request the state of the own rank, and send it to agents and gateways."""
         began_at = self._clock()
@@ -493,6 +507,8 @@
             if self._coordinator is None:
                 self._create_coordinator(await self._source.group_spec())
             self._listed_addresses = await self._source.peer_addresses()
+            count = len(self._listed_addresses)
+            self._stages.reach("list_read", self._clock(), servers=count)
         except PlatformError as exc:
             log.warning("peers_not_refreshed", extra={"why": str(exc)})
             await asyncio.sleep(PEERS_RETRY_INTERVAL_S)
