Hold a later pass if the ranks have begun the earlier ones

A live group whose ranks answered in 300 ms changed its map no more: each pass that was to be held had begun before the order arrived.

--- a/packages/maps/src/slatehoist/maps/switch.py
+++ b/packages/maps/src/slatehoist/maps/switch.py
@@ -324,14 +324,16 @@
         own_client = self._clients[self._own_rank]
         report = await own_client.report()
         step = max(report.step + self._passes_ahead, last_switch_step + 1)
-        for _ in range(MAX_HOLD_ATTEMPTS):
+        for attempt in range(1, MAX_HOLD_ATTEMPTS + 1):
             if report.epoch != epoch or report.held is not None or report.armed:
                 return None
             answer = await self._order_until_answered(self._holder, "hold", epoch, step)
             if answer is not Answer.REFUSED:
                 return step
             report = await own_client.report()
-            step = max(report.step + self._passes_ahead, step + 1)
+            # Ranks that answer late have begun the pass before the order arrives.
+            passes_ahead = max(self._passes_ahead, 2**attempt)
+            step = max(report.step + passes_ahead, step + 1)
         return None
 
     def _ranks_except(self, excluded: int) -> list[int]:
