--- a/packages/maps/src/slatehoist/maps/agent.py
+++ b/packages/maps/src/slatehoist/maps/agent.py
@@ -239,11 +239,7 @@
         log.info("started", extra={"rank_address": self._cfg.rank_address})
         pollers = [
             asyncio.create_task(_repeat(action))
-            for action in (
-                self._poll_and_sleep,
-                self._repeat_heartbeat,
-                self._follow_peers,
-            )
+            for action in (self._poll_and_sleep, self._follow_peers)
         ]
         coordinator = asyncio.create_task(_repeat(self._coordinate_and_sleep))
         await stopping.wait()
@@ -264,7 +260,11 @@
         self._metrics.demand_age.set(now - self._demand_at)
 
     async def _poll_and_sleep(self) -> None:
-        await self._poll()
+        self._repeat_heartbeat_later()
+        try:
+            await self._poll()
+        finally:
+            self._late_poll.cancel()
         now = self._clock()
         self._stalls.observe(self._state, self._orders.unanswered, now)
         self._reach_stages(now)
@@ -338,21 +338,20 @@
         if _is_due(self._heartbeat_at, HEARTBEAT_INTERVAL_S, now):
             self._send_heartbeat(brief, now)
 
-    async def _repeat_heartbeat(self) -> None:
-        """Send the last state again if the own rank takes long to answer.
+    def _repeat_heartbeat_later(self) -> None:
+        loop = asyncio.get_running_loop()
+        self._late_poll = loop.call_later(HEARTBEAT_INTERVAL_S, self._repeat_heartbeat)
+
+    def _repeat_heartbeat(self) -> None:
+        """Send the last state again, since the own rank takes long to answer.
 
         The agent is alive, and other agents must not take its rank for lost: they would
         lead in turn, and none of their switches or settlements would end.
         """
-        await asyncio.sleep(HEARTBEAT_INTERVAL_S / 2)
         now = self._clock()
-        is_late = now - self._heartbeat_at > HEARTBEAT_INTERVAL_S + POLL_INTERVAL_S
-        if (
-            self._state is None
-            or not is_late
-            or now - self._polled_at > MAX_REPEATED_AGE_S
-        ):
+        if self._state is None or now - self._polled_at > MAX_REPEATED_AGE_S:
             return
+        self._repeat_heartbeat_later()
         self._group.record_heartbeat(self._state, now)
         self._send_heartbeat(msgspec.structs.replace(self._state, experts=[]), now)
 
