--- a/Makefile
+++ b/Makefile
@@ -43,4 +43,4 @@
 	$(PY) tools/compare_scores.py $(OLD) $$(git rev-parse --short HEAD)
 
 soak: .venv/installed
-	SEED=$(SEED) MINUTES=$(MINUTES) GATEWAYS=$(GATEWAYS) SERVERS=$(SERVERS) GROUP=$(GROUP) LOSS=$(LOSS) FAULTS=$(FAULTS) $(PY) tools/run_soak.py
+	SEED=$(SEED) MINUTES=$(MINUTES) GATEWAYS=$(GATEWAYS) SERVERS=$(SERVERS) GROUP=$(GROUP) LOSS=$(LOSS) FAULTS=$(FAULTS) MUTATION=$(MUTATION) $(PY) tools/run_soak.py
--- a/tools/run_soak.py
+++ b/tools/run_soak.py
@@ -7,7 +7,8 @@
 `soak.process_world`); ``BEHAVIOURS=`` names their behaviours. With ``GROUP=`` a whole
 deployment with a group of that many ranks and agents is lost once and returns (see
 `soak.deployment`); ``LOSS=`` replaces fields of the loss that the seed draws, such as
-``LOSS=trigger=hold,answer_s=0.03``. The last line is JSON.
+``LOSS=trigger=hold,answer_s=0.03``; ``MUTATION=`` leaves a part out of the processes
+that return (see `soak.mutant_launch`). The last line is JSON.
 """
 
 import asyncio
@@ -27,6 +28,7 @@
     parse_loss,
     run_loss,
 )
+from soak.mutant_launch import MUTATIONS
 from soak.process_world import FREEZES, OPERATIONS, REFUSING, run_processes
 from soak.runner import run_seed
 from soak.world import GATEWAYS
@@ -71,7 +73,11 @@
     except LossError as exc:
         print(exc, file=sys.stderr)
         return EXIT_INVALID
-    outcome = await run_loss(seed, loss, *sizes)
+    mutation = os.environ.get("MUTATION", "")
+    if mutation and mutation not in MUTATIONS:
+        print(f"MUTATION={mutation}: not one of {sorted(MUTATIONS)}", file=sys.stderr)
+        return EXIT_INVALID
+    outcome = await run_loss(seed, loss, *sizes, mutation)
     for line in [*outcome.broken, *outcome.slow]:
         print(line)
     print(format_outcome(seed, outcome))
--- a/tools/soak/deployment.py
+++ b/tools/soak/deployment.py
@@ -39,6 +39,7 @@
 from harness.http import Channel  # noqa: E402
 
 LAUNCHER = Path(__file__).parents[2] / "platform" / "launch.py"
+MUTANT_LAUNCHER = Path(__file__).with_name("mutant_launch.py")
 MODEL = "model"
 PLAIN = "plain"
 PLAIN_SERVERS = 2
@@ -71,7 +72,9 @@
 #: Period in which a process with a share of the processor runs and is stopped.
 SHARE_PERIOD_S = 0.1
 TRIGGERS = ("steady", "prepare", "hold", "arm", "go")
-STORE_FAULTS = ("", "silent", "down", "lost")
+STORE_FAULTS = ("", "silent", "down", "lost", "copy")
+#: Crash reports of other gateways that the store has, if the loss has some.
+CRASH_REPORTS = 60
 #: Disturbances on the way back, from which a seed draws.
 DISTURBANCES = ("store", "ranks", "agents", "late")
 NEVER = float("inf")
@@ -91,7 +94,8 @@
     servers : bool
         True if the ranks lose power, too, and return in a new epoch.
     store : str
-        Fault of the store from the return on; see `DeploymentStore`.
+        Fault of the store from the return on; see `DeploymentStore`. With ``copy`` it
+        comes back from a copy that is older than the servers' last rows.
     store_delay_s, store_for_s : float
         Seconds of each answer of the store, and for how long both last.
     answer_s : float
@@ -104,6 +108,12 @@
         Seconds by which they are late; infinite if they never return.
     share : float
         Share of a processor that each agent and gateway gets.
+    changed : bool
+        True if the operators change the configuration just before the loss.
+    reports : bool
+        True if the store has crash reports of the last minutes.
+    new_ids : bool
+        True if the ranks, which must lose power, too, return under new ids.
     """
 
     trigger: str = "steady"
@@ -118,6 +128,9 @@
     absent: tuple[int, ...] = ()
     absent_s: float = 20.0
     share: float = 1.0
+    changed: bool = False
+    reports: bool = False
+    new_ids: bool = False
 
 
 class LossError(ValueError):
@@ -174,14 +187,21 @@
     """Return a loss with up to three disturbances on the way back."""
     trigger = rng.choice(TRIGGERS)
     loss = Loss(trigger, orders=rng.choice((1, group // 2)) if trigger != "go" else 1)
-    loss = loss._replace(losses=rng.choice((1, 1, 2)), servers=rng.random() < 0.2)
+    loss = loss._replace(losses=rng.choice((1, 1, 2)), servers=rng.random() < 0.3)
+    loss = loss._replace(
+        changed=rng.random() < 0.3,
+        reports=rng.random() < 0.3,
+        new_ids=loss.servers and rng.random() < 0.5,
+    )
+    if rng.random() < 0.15:
+        loss = loss._replace(share=rng.choice((0.3, 0.6)))
     for disturbance in rng.sample(
         ("store", "ranks", "agents", "late"), rng.randint(0, 3)
     ):
         if disturbance == "store":
             fault = rng.choice(STORE_FAULTS)
             delay_s = 0.0 if fault else rng.choice((0.3, 1.0))
-            for_s = NEVER if not fault else rng.choice((4.0, 8.0))
+            for_s = rng.choice((4.0, 8.0)) if fault not in ("", "copy") else NEVER
             loss = loss._replace(store=fault, store_delay_s=delay_s, store_for_s=for_s)
         elif disturbance == "ranks":
             loss = loss._replace(answer_s=rng.choice((0.03, 0.06, 0.12, 0.3)))
@@ -241,6 +261,7 @@
 
     def __init__(self, rng: random.Random, group: int, gateways: int) -> None:
         super().__init__()
+        self.mutation = ""
         self.rng = rng
         self.store = DeploymentStore()
         self.group = SlowRankGroup(group, Record(io.StringIO()), rng)
@@ -283,8 +304,8 @@
             route("book", kind="unsafe", service=PLAIN, timeoutMs=1500, maxAttempts=1),
         ]
         services = [{"name": MODEL, "engine": self.group.engine}, {"name": PLAIN}]
-        doc = {"version": 1, "routes": routes, "services": services}
-        self.store.put("op", "config", doc)
+        self._config = {"version": 1, "routes": routes, "services": services}
+        self.store.put("op", "config", self._config)
         self.write_rows()
         for number, ip in enumerate(self.fronts):
             self._start_process(
@@ -316,10 +337,27 @@
         """Write the rows of all servers, as their heartbeats do."""
         for rank in self.group.ranks:
             row = self.group.row(rank.number, MODEL)
-            self.store.put("servers", f"rank-{rank.number}", row)
+            self.store.put("servers", self.group.server_id(rank.number), row)
         for server in self.plain:
             self.store.put("servers", server.server_id, server.row(PLAIN))
 
+    def change_configuration(self) -> None:
+        """Write a newer configuration, as the operators do."""
+        self._config["version"] += 1
+        self.store.put("op", "config", self._config)
+
+    def write_reports(self) -> None:
+        """Write crash reports of requests that no caller of the soak sends."""
+        for number in range(CRASH_REPORTS):
+            digest = f"{number % 20:032x}"
+            report = {"digest": digest, "crash": f"c{number}"}
+            self.store.put("crashes", f"{digest}/c{number}/front-gone", report)
+
+    def remove_rows_of_ranks(self) -> None:
+        """Remove the rows of ranks that return under new ids."""
+        for rank in self.group.ranks:
+            self.store.remove("servers", self.group.server_id(rank.number))
+
     def trigger_after(self, op: str, orders: int) -> None:
         """Set `triggered` when ranks have carried out that many orders of a name."""
         seen = 0
@@ -392,22 +430,42 @@
     async def return_processes(self, loss: Loss) -> None:
         """Start the processes again; those of `loss.absent` come late or never."""
         late = {self.side_names[rank] for rank in loss.absent}
+        if self.mutation:
+            self._mutate_commands()
         for name in self.names:
             if name not in late:
                 self.restart(name)
         if late and loss.absent_s != NEVER:
             self.run_in_background(self._return_late(sorted(late), loss.absent_s))
 
+    def _mutate_commands(self) -> None:
+        mutant = [str(MUTANT_LAUNCHER), self.mutation]
+        for name in self.names:
+            command = self.commands[name]
+            if str(LAUNCHER) in command:
+                at = command.index(str(LAUNCHER))
+                self.commands[name] = command[:at] + mutant + command[at + 1 :]
+
     async def _return_late(self, names: list[str], seconds: float) -> None:
         await asyncio.sleep(seconds)
         for name in names:
             self.restart(name)
 
+    def keep_copy(self) -> None:
+        """Keep a copy of the store, from which it may come back."""
+        self._copy = self.store.copy()
+
     def disturb(self, loss: Loss) -> None:
         """Begin the disturbances that last while the processes return."""
         self.group.answer_s = loss.answer_s
         self.group.late_ratio = loss.late_ratio
-        self.store.fault, self.store.delay_s = loss.store, loss.store_delay_s
+        if loss.store == "copy":
+            # The servers' heartbeats come back with the next ones.
+            self.store.restore(self._copy)
+            self.write_rows()
+        else:
+            self.store.fault = loss.store
+        self.store.delay_s = loss.store_delay_s
         if loss.store_for_s != NEVER:
             self.run_in_background(self._calm_store(loss.store_for_s))
 
@@ -426,13 +484,23 @@
         await self.store.stop()
 
 
-async def run_loss(seed: int, loss: Loss, group: int, gateways: int) -> Outcome:
-    """Play one loss, and check what the callers and the ranks saw."""
+async def run_loss(
+    seed: int, loss: Loss, group: int, gateways: int, mutation: str = ""
+) -> Outcome:
+    """Play one loss, and check what the callers and the ranks saw.
+
+    Parameters
+    ----------
+    mutation : str
+        Part that all processes leave out once they have been lost; see
+        `soak.mutant_launch`. None if empty.
+    """
     check_size(group, gateways)
     asyncio.get_running_loop().set_exception_handler(_log_unexpected)
     world = DeploymentWorld(random.Random(seed), group, gateways)
     async with world:
         await world.start()
+        world.mutation = mutation
         try:
             return await _run(world, loss)
         finally:
@@ -462,6 +530,11 @@
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(TRIGGER_TIMEOUT_S):
                 await world.triggered.wait()
+    world.keep_copy()
+    if loss.changed:
+        world.change_configuration()
+    if loss.reports:
+        world.write_reports()
     lost_at = time.monotonic()
     for number in range(loss.losses):
         world.kill_all()
@@ -469,7 +542,9 @@
             world.group.lose_power()
         await asyncio.sleep(DOWN_S)
         if loss.servers:
-            world.group.return_power()
+            if loss.new_ids:
+                world.remove_rows_of_ranks()
+            world.group.return_power(loss.new_ids)
             world.write_rows()
         if number == 0:
             world.disturb(loss)
--- a/tools/soak/slow_ranks.py
+++ b/tools/soak/slow_ranks.py
@@ -9,7 +9,7 @@
 sys.path.insert(0, str(Path(__file__).parents[2] / "review"))
 
 from harness.deployment import Record  # noqa: E402
-from harness.http import HttpServer, Request, encode_head  # noqa: E402
+from harness.http import HttpServer, Request  # noqa: E402
 from harness.ranks import ENGINE, RankGroup  # noqa: E402
 
 #: Experts of each rank in map 0, experts that a rank can hold, and copies of a plan.
@@ -53,6 +53,7 @@
         self.orders = 0
         self._late_rng = rng
         self._is_down = False
+        self._id_suffix = ""
         self._late: set[asyncio.Task] = set()
         self._reset_ranks()
 
@@ -78,9 +79,15 @@
             for task in list(server._tasks):
                 task.cancel()
 
-    def return_power(self) -> None:
+    def server_id(self, rank: int) -> str:
+        """Return the id under which a rank registers itself."""
+        return f"rank-{rank}{self._id_suffix}"
+
+    def return_power(self, new_ids: bool = False) -> None:
         """Open the group in a new epoch, with map 0."""
         self.epoch += 1
+        if new_ids:
+            self._id_suffix = f"-{self.epoch}"
         self.born = int(time.time() * 1000)
         self._reset_ranks()
         self._is_down = False
@@ -103,7 +110,7 @@
             if self._is_down:
                 raise ConnectionResetError
             if not req.target.startswith(_API):
-                await handle(req, writer)
+                await handle(self._with_plain_id(rank.number, req), writer)
                 return
             answer = _Buffer()
             if req.target == _ORDER:
@@ -118,6 +125,12 @@
 
         return handle_slowly
 
+    def _with_plain_id(self, rank: int, req: Request) -> Request:
+        """Return a request with the rank's first id if it names the present one."""
+        if req.headers.get("expect-instance") != self.server_id(rank):
+            return req
+        return req._replace(headers={**req.headers, "expect-instance": f"rank-{rank}"})
+
     def _carry_out_late(self, work) -> None:
         async def wait_and_work() -> None:
             await asyncio.sleep(LATE_ORDER_S)
@@ -126,9 +139,3 @@
         task = asyncio.create_task(wait_and_work())
         self._late.add(task)
         task.add_done_callback(self._late.discard)
-
-
-def encode_refusal(request_id: str) -> bytes:
-    """Return a refusal of a request that was not run."""
-    headers = {"Request-Id": request_id, "Not-Run": "1", "Content-Length": "0"}
-    return encode_head(503, headers)
