Search lost ranks without asking those of other groups again and again

The list of a service has the ranks of all its groups: on a site with three groups of 64 the leader of a stalled group would have asked 128 foreign ranks three times a second. Only a rank without a known address, or one that has not answered for three seconds, is searched, and a rank of another group is asked once a minute. Late answers to maps no longer lengthen the time-outs of other orders.

--- a/packages/maps/src/slatehoist/maps/coordinator.py
+++ b/packages/maps/src/slatehoist/maps/coordinator.py
@@ -10,7 +10,7 @@
 import logging
 import math
 import random
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from typing import NamedTuple
 
 from slatehoist.maps.demand import DemandWindow
@@ -57,6 +57,11 @@
 STALL_TIMEOUT_S = 0.4
 #: Ranks that are probed at the same time.
 MAX_PROBES = 8
+#: Seconds without a new pass after which ranks that do not answer at their last known
+#: addresses are searched at others.
+SEARCH_AFTER_S = 3.0
+#: Seconds for which an address of another group is not asked again.
+FOREIGN_S = 60.0
 #: Seconds after which a settlement begins anew, with what is known of the ranks by
 #: then. Repeated ones take longer each time, as ranks may answer late.
 SETTLE_TIMEOUT_S = 3.0
@@ -186,6 +191,9 @@
         #: seen.
         self._last_pass: tuple[int, float] | None = None
         self._probed_at = float("-inf")
+        #: Addresses of ranks of other groups, with the time until which they are known
+        #: as such.
+        self._foreign: dict[str, float] = {}
         self._settle_timeout_s = SETTLE_TIMEOUT_S
         #: Last settlement that was logged, and when.
         self._settle_logged = ("", float("-inf"))
@@ -370,31 +378,51 @@
         ):
             return
         self._probed_at = now
-        known = set(self._group.addresses())
-        addresses = [a for a in self._listed_addresses() if a not in known]
-        addresses += [
-            address
-            for rank in range(self._group.size)
-            if not self._group.is_alive(rank, now)
-            and (address := self._group.address(rank)) is not None
+        silent = [
+            r for r in range(self._group.size) if not self._group.is_alive(r, now)
         ]
+        addresses = [self._group.address(rank) for rank in silent]
+        await self._probe(filter(None, addresses))
+        now = self._clock()
+        unfound = [r for r in silent if self._group.state(r, now) is None]
+        is_lasting = now - self._last_pass[1] >= SEARCH_AFTER_S
+        has_no_address = any(self._group.address(rank) is None for rank in unfound)
+        if unfound and (is_lasting or has_no_address):
+            await self._search_ranks(now)
+
+    async def _search_ranks(self, now: float) -> None:
+        """Probe the listed addresses that belong to no known rank.
+
+        The list has the ranks of all groups of the service. Those of other groups are
+        asked again only after some time.
+        """
+        self._foreign = {a: at for a, at in self._foreign.items() if at > now}
+        known = {*self._group.addresses(), *self._foreign}
+        await self._probe([a for a in self._listed_addresses() if a not in known])
+
+    async def _probe(self, addresses: Iterable[str]) -> None:
+        """Request the states of the ranks at some addresses, several at a time."""
         limit = asyncio.Semaphore(MAX_PROBES)
-        await asyncio.gather(*(self._probe(address, limit) for address in addresses))
-
-    async def _probe(self, address: str, limit: asyncio.Semaphore) -> None:
-        """Request the state of the rank at an address, if it is one of this group."""
-        async with limit:
-            try:
-                client = self._connect(address)
-                report = await client.report()
-                _, experts = await client.experts()
-            except RankUnreachableError as exc:
-                log.info("rank_unreachable", extra={"at": address, "why": str(exc)})
+
+        async def probe(address: str) -> None:
+            async with limit:
+                await self._probe_one(address)
+
+        await asyncio.gather(*(probe(address) for address in addresses))
+
+    async def _probe_one(self, address: str) -> None:
+        try:
+            client = self._connect(address)
+            report = await client.report()
+            if report.group != self._group.name:
+                self._foreign[address] = self._clock() + FOREIGN_S
                 return
-        # The list has the ranks of all groups of the service.
-        if report.group == self._group.name:
-            state = make_state(address, report, experts)
-            self._group.record_state(state, self._clock())
+            _, experts = await client.experts()
+        except RankUnreachableError as exc:
+            log.info("rank_unreachable", extra={"at": address, "why": str(exc)})
+            return
+        state = make_state(address, report, experts)
+        self._group.record_state(state, self._clock())
 
     def _group_view(self, now: float) -> GroupView | None:
         """Return a snapshot of the group, or None if it is incomplete or inconsistent.
--- a/packages/maps/src/slatehoist/maps/orders.py
+++ b/packages/maps/src/slatehoist/maps/orders.py
@@ -16,6 +16,7 @@
 import logging
 import math
 from collections.abc import Callable, Sequence
+from typing import NamedTuple
 
 import msgspec
 
@@ -169,6 +170,22 @@
         return placement
 
 
+class _SentOrder(NamedTuple):
+    """Order whose answer an agent owes.
+
+    Attributes
+    ----------
+    at : float
+        Time at which it was sent.
+    least_s, extra_s : float
+        Time-out at a prompt agent, and seconds that its bytes take.
+    """
+
+    at: float
+    least_s: float
+    extra_s: float
+
+
 class GroupOrders:
     """Send the orders of this agent's coordinator to the ranks of the group.
 
@@ -203,14 +220,13 @@
         self._pending: dict[tuple[int, int], asyncio.Future] = {}
         #: Version that was last offered, and the pending answers of the agents by rank.
         self._offer: tuple[int, dict[int, asyncio.Future]] = (0, {})
-        #: Number of the order that offers it, when it was sent, and the seconds that
-        #: the map takes to reach all agents.
-        self._offer_sent: tuple[int, float, float] = (0, 0.0, 0.0)
-        #: Usual time of each agent's answers, by rank.
-        self._times: dict[int, AnswerTimes] = {}
-        #: Times at which orders without an answer were sent, with the seconds that
-        #: their bytes take, the oldest first.
-        self._late: collections.OrderedDict[tuple[int, int], tuple[float, float]] = (
+        #: Number of the order that offers it, and the order.
+        self._offer_sent: tuple[int, _SentOrder] = (0, _SentOrder(0.0, 0.0, 0.0))
+        #: Usual time of each agent's answers, by rank and time-out at a prompt agent:
+        #: maps take longer than other orders.
+        self._times: dict[tuple[int, float], AnswerTimes] = {}
+        #: Orders without an answer, the oldest first.
+        self._late: collections.OrderedDict[tuple[int, int], _SentOrder] = (
             collections.OrderedDict()
         )
         #: Orders in a row that each rank has not answered, for those with any.
@@ -232,17 +248,18 @@
         if fut is not None and not fut.done():
             fut.set_result(message.answer)
         elif key in self._late:
-            self._record_time(message.rank, *self._late.pop(key))
+            self._record_time(message.rank, self._late.pop(key))
 
-    def _agent_times(self, rank: int) -> AnswerTimes:
-        if rank not in self._times:
-            self._times[rank] = AnswerTimes(
-                f"agent of rank {rank}", MAX_AGENT_TIMEOUT_S
-            )
-        return self._times[rank]
+    def _agent_times(self, rank: int, least_s: float) -> AnswerTimes:
+        key = (rank, least_s)
+        if key not in self._times:
+            peer = f"agent of rank {rank}"
+            self._times[key] = AnswerTimes(peer, MAX_AGENT_TIMEOUT_S)
+        return self._times[key]
 
-    def _record_time(self, rank: int, sent_at: float, extra_s: float) -> None:
-        self._agent_times(rank).record(max(0.0, self._clock() - sent_at - extra_s))
+    def _record_time(self, rank: int, sent: "_SentOrder") -> None:
+        took_s = self._clock() - sent.at - sent.extra_s
+        self._agent_times(rank, sent.least_s).record(max(0.0, took_s))
 
     def clients(self) -> list["RelayedRank"]:
         """Return a client of each rank of the group."""
@@ -297,7 +314,7 @@
         order = self._map_order(own, own.map_version, placement, version)
         self._offer = (version, {})
         send_s = self._send_s(order)
-        self._offer_sent = (order.order_id, now, send_s)
+        self._offer_sent = (order.order_id, _SentOrder(now, MAP_TIMEOUT_S, send_s))
         if len(msgspec.msgpack.encode(order)) > MAX_ORDER_BYTES:
             return send_s
         ranks = [
@@ -326,8 +343,8 @@
 
     async def answer_to_offer(self, rank: int, fut: asyncio.Future) -> str:
         """Wait for the answer to an offer; `Answer.UNKNOWN` if it does not come."""
-        order_id, sent_at, send_s = self._offer_sent
-        return await self._wait(fut, (order_id, rank), MAP_TIMEOUT_S, send_s, sent_at)
+        order_id, sent = self._offer_sent
+        return await self._wait(fut, (order_id, rank), sent)
 
     async def send_map(self, rank: int, version: int, placement: Placement) -> str:
         """Send a map to one agent, as changes to map 0, and return the answer.
@@ -339,7 +356,8 @@
         fut = self._expect(order.order_id, rank)
         self._send(order, [self._agent(rank)])
         send_s = len(order.changes) * 2 / self._link_bytes_per_s
-        return await self._wait(fut, (order.order_id, rank), MAP_TIMEOUT_S, send_s)
+        sent = _SentOrder(self._clock(), MAP_TIMEOUT_S, send_s)
+        return await self._wait(fut, (order.order_id, rank), sent)
 
     def is_relayed(self, rank: int) -> bool:
         """Return True if the agent of a rank is alive and on another instance."""
@@ -357,7 +375,8 @@
         self._send(message, [self._agent(rank)])
         # Heartbeats to the whole group, or orders to all ranks, may be sent before it.
         queued_s = self._group.size * QUEUED_BYTES / self._link_bytes_per_s
-        return await self._wait(fut, (order_id, rank), AGENT_TIMEOUT_S, queued_s)
+        sent = _SentOrder(self._clock(), AGENT_TIMEOUT_S, queued_s)
+        return await self._wait(fut, (order_id, rank), sent)
 
     def _agent(self, rank: int) -> Address:
         return agent_address(self._group.address(rank), self._port)
@@ -370,12 +389,7 @@
         return fut
 
     async def _wait(
-        self,
-        fut: asyncio.Future,
-        key: tuple[int, int],
-        least_s: float,
-        extra_s: float,
-        sent_at: float | None = None,
+        self, fut: asyncio.Future, key: tuple[int, int], sent: "_SentOrder"
     ) -> str:
         """Wait for an agent's answer; `Answer.UNKNOWN` if it does not come in time.
 
@@ -383,20 +397,15 @@
         ----------
         key : tuple of int
             Number of the order, and rank.
-        least_s, extra_s : float
-            Time-out at a prompt agent, and seconds that the bytes take.
-        sent_at : float or None
-            Time at which the order was sent; None if just now.
         """
         rank = key[1]
-        sent_at = self._clock() if sent_at is None else sent_at
-        timeout_s = self._agent_times(rank).timeout_s(least_s) + extra_s
-        await asyncio.wait([fut], timeout=timeout_s)
+        timeout_s = self._agent_times(rank, sent.least_s).timeout_s(sent.least_s)
+        await asyncio.wait([fut], timeout=timeout_s + sent.extra_s)
         if fut.done():
-            self._record_time(rank, sent_at, extra_s)
+            self._record_time(rank, sent)
             return fut.result()
         fut.cancel()
-        self._late[key] = (sent_at, extra_s)
+        self._late[key] = sent
         if len(self._late) > MAX_LATE_ORDERS:
             self._late.popitem(last=False)
         return Answer.UNKNOWN
