--- a/packages/gateway/src/slatehoist/gateway/service_stalls.py
+++ b/packages/gateway/src/slatehoist/gateway/service_stalls.py
@@ -23,7 +23,9 @@
     def __init__(self) -> None:
         #: Time since which requests have not been answered; None if there are none.
         self.unanswered_since: float | None = None
+        #: Requests that failed since the last answer, and when the latest did.
         self.failed = 0
+        self.failed_at = float("-inf")
         self.pending: set[Exchange] = set()
         self.logged_at: float | None = None
 
@@ -69,6 +71,7 @@
             self._record_answer(exchange.service.name, record, now)
         else:
             record.failed += 1
+            record.failed_at = now
 
     def _record_answer(self, service: str, record: _ServiceRecord, now: float) -> None:
         if record.logged_at is not None:
@@ -103,6 +106,10 @@
             if any(exchange.first_byte_at is not None for exchange in record.pending):
                 self._record_answer(service.name, record, now)
                 continue
+            if not record.pending and now - record.failed_at > REPEAT_LOG_S:
+                # Nobody sends requests any more.
+                del self._records[service.name]
+                continue
             waited_s = now - record.unanswered_since
             if waited_s < STALL_LOG_S or not _is_due(record.logged_at, now):
                 continue
--- a/packages/gateway/src/slatehoist/gateway/sync.py
+++ b/packages/gateway/src/slatehoist/gateway/sync.py
@@ -121,11 +121,8 @@
 
     async def _read_next(self) -> None:
         started_at = self._read_began_at = self._clock()
-        self._max_read_s = (
-            max(self._wait_s, CONFIG_LONG_POLL_S)
-            + self._source.call_timeout_s
-            + CONFIG_READ_MARGIN_S
-        )
+        longest_s = CONFIG_LONG_POLL_S + self._source.call_timeout_s
+        self._max_read_s = longest_s + CONFIG_READ_MARGIN_S
         if self._version is None:
             update = await self._source.configuration()
             self._evacuations.replace(update.evacuated, started_at)
--- a/packages/gateway/tests/test_gateway_service_stalls.py
+++ b/packages/gateway/tests/test_gateway_service_stalls.py
@@ -47,6 +47,13 @@
         self.assertEqual(record.getMessage(), "service_resumed")
         self.assertEqual((record.after_ms, record.failed), (9000, 1))
 
+    def test_stall_ends_when_nobody_sends_requests_any_more(self):
+        exchange = PendingRequest()
+        self.stalls.begin(exchange, 0.0)
+        self.stalls.end(exchange, False, 1.0)
+        records = self.check(*map(float, range(2, 60)))
+        self.assertEqual([r.for_ms for r in records], [3000])
+
     def test_service_without_requests_is_no_stall(self):
         exchange = PendingRequest()
         self.stalls.begin(exchange, 0.0)
