--- a/standins/src/slatehoist_standins/fleet.py
+++ b/standins/src/slatehoist_standins/fleet.py
@@ -95,6 +95,8 @@
 
     Attributes
     ----------
+    keeps_folder : bool
+        True to keep the folder, whatever ``KEEP`` is.
     processes : dict of str to Popen
         The process started last under each name, product and stand-ins alike.
     nodes : dict of str to Node
@@ -103,6 +105,7 @@
 
     def __init__(self) -> None:
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="slatehoist-"))
+        self.keeps_folder = False
         self.processes: dict[str, subprocess.Popen] = {}
         self.commands: dict[str, list[str]] = {}
         self.nodes: dict[str, Node] = {}
@@ -121,7 +124,7 @@
     async def __aexit__(self, *exc_info: object) -> None:
         await self.session.close()
         self.stop_all()
-        if not os.environ.get("KEEP"):
+        if not os.environ.get("KEEP") and not self.keeps_folder:
             shutil.rmtree(self.folder, ignore_errors=True)
 
     # Processes -----------------------------------------------------------------
--- a/tools/soak/deployment.py
+++ b/tools/soak/deployment.py
@@ -243,6 +243,10 @@
         A line for each broken rule.
     slow : list of str
         A line for each missed target of our own.
+    ended : list of str
+        Processes that ended by themselves, as those that the kernel kills.
+    logs : str
+        Folder with the logs of all processes, which is kept if a rule was broken.
     """
 
     loss: Loss
@@ -254,6 +258,8 @@
     orders: int
     broken: list[str]
     slow: list[str]
+    ended: list[str]
+    logs: str
 
 
 class DeploymentWorld(Fleet):
@@ -455,6 +461,11 @@
         """Keep a copy of the store, from which it may come back."""
         self._copy = self.store.copy()
 
+    def ended(self, loss: Loss) -> list[str]:
+        """Return the processes that have ended although nobody has stopped them."""
+        late = {self.side_names[rank] for rank in loss.absent}
+        return [n for n in self.names if n not in late and self.processes[n].poll()]
+
     def disturb(self, loss: Loss) -> None:
         """Begin the disturbances that last while the processes return."""
         self.group.answer_s = loss.answer_s
@@ -502,7 +513,9 @@
         await world.start()
         world.mutation = mutation
         try:
-            return await _run(world, loss)
+            outcome = await _run(world, loss)
+            world.keeps_folder = bool(outcome.broken)
+            return outcome
         finally:
             await world.stop()
 
@@ -597,6 +610,8 @@
         world.group.orders,
         broken,
         slow,
+        world.ended(loss),
+        str(world.folder) if broken else "",
     )
 
 
