--- a/tools/soak/deployment.py
+++ b/tools/soak/deployment.py
@@ -13,6 +13,7 @@
 import io
 import json
 import random
+import signal
 import sys
 import time
 from pathlib import Path
@@ -421,15 +422,15 @@
     async def limit_processor(self, name: str, share: float) -> None:
         """Stop and continue a process, so that it runs for a share of each period."""
         while True:
-            self.signal(name, 19)
+            self.signal(name, signal.SIGSTOP)
             await asyncio.sleep(SHARE_PERIOD_S * (1.0 - share))
-            self.signal(name, 18)
+            self.signal(name, signal.SIGCONT)
             await asyncio.sleep(SHARE_PERIOD_S * share)
 
     def kill_all(self) -> None:
         """Kill all processes in one moment, and wait until all have ended."""
         for name in self.names:
-            self.signal(name, 9)
+            self.signal(name, signal.SIGKILL)
         for name in self.names:
             self.processes[name].wait()
 
@@ -445,6 +446,7 @@
             self.run_in_background(self._return_late(sorted(late), loss.absent_s))
 
     def _mutate_commands(self) -> None:
+        """Let the processes be started by the launcher that applies the mutation."""
         mutant = [str(MUTANT_LAUNCHER), self.mutation]
         for name in self.names:
             command = self.commands[name]
@@ -455,7 +457,9 @@
     async def _return_late(self, names: list[str], seconds: float) -> None:
         await asyncio.sleep(seconds)
         for name in names:
-            self.restart(name)
+            # A later loss may have returned it already.
+            if self.processes[name].poll() is not None:
+                self.restart(name)
 
     def keep_copy(self) -> None:
         """Keep a copy of the store, from which it may come back."""
