--- a/packages/gateway/src/slatehoist/gateway/service_stalls.py
+++ b/packages/gateway/src/slatehoist/gateway/service_stalls.py
@@ -107,7 +107,7 @@
                 self._record_answer(service.name, record, now)
                 continue
             if not record.pending and now - record.failed_at > REPEAT_LOG_S:
-                # Nobody sends requests any more.
+                # Callers have stopped sending requests to the service.
                 del self._records[service.name]
                 continue
             waited_s = now - record.unanswered_since
--- a/packages/maps/src/slatehoist/maps/coordinator.py
+++ b/packages/maps/src/slatehoist/maps/coordinator.py
@@ -62,8 +62,9 @@
 SEARCH_AFTER_S = 3.0
 #: Seconds for which an address of another group is not asked again.
 FOREIGN_S = 60.0
-#: Seconds after which a settlement begins anew, with what is known of the ranks by
-#: then. Repeated ones take longer each time, as ranks may answer late.
+#: Seconds after which a settlement that has not ended is begun again with the newest
+#: reports and addresses of the ranks. The time-out is doubled each time, up to the
+#: longest one, since ranks may answer late.
 SETTLE_TIMEOUT_S = 3.0
 MAX_SETTLE_TIMEOUT_S = 48.0
 #: Seconds between two log lines of settlements that cannot end.
--- a/packages/maps/tests/test_maps_lost_ranks.py
+++ b/packages/maps/tests/test_maps_lost_ranks.py
@@ -24,7 +24,7 @@
 
 class LostRankTests(unittest.TestCase):
     # Guards against a coordinator that repeats an order for ever since the rank is gone
-    # and nobody reports that rank's new epoch (RECOVER).
+    # and no agent reports that rank's new epoch (RECOVER).
     def test_order_to_a_lost_rank_ends_once_the_own_rank_is_in_a_new_epoch(self):
         engine = Engine(3)
 
--- a/tools/soak/deployment.py
+++ b/tools/soak/deployment.py
@@ -466,7 +466,7 @@
         self._copy = self.store.copy()
 
     def ended(self, loss: Loss) -> list[str]:
-        """Return the processes that have ended although nobody has stopped them."""
+        """Return the processes that have ended and that the soak did not stop."""
         late = {self.side_names[rank] for rank in loss.absent}
         return [n for n in self.names if n not in late and self.processes[n].poll()]
 
