--- a/review/7/case.py
+++ b/review/7/case.py
@@ -22,7 +22,7 @@
 UPLOADS_PER_S = 10.0
 #: Bytes of each upload: the largest body that the desired state allows.
 UPLOAD_BYTES = LIMITS["maxBodyBytes"]
-#: Servers of the service that takes uploads, each with 6 slots and a queue of 24.
+#: Servers of the service that takes uploads.
 UPLOAD_SERVERS = 3
 #: Bytes that a slow server reads, and the seconds until it reads again: it takes 6.4 s
 #: for an upload.
@@ -72,7 +72,8 @@
         async def work(server, first_line, headers, reader, writer) -> bytes:
             await read_body(reader, headers)
             passed_on.add(find_header(headers, "request-id"))
-            await asyncio.sleep(WORK_S)
+            async with server.slot():
+                await asyncio.sleep(WORK_S)
             return encode("HTTP/1.1 200 OK", server.reply_headers(headers), b"done")
 
         deployment.put_config(
--- a/review/standins_2/deployment.py
+++ b/review/standins_2/deployment.py
@@ -1,6 +1,7 @@
 """A small deployment: gateways as separate processes, the store and plain servers."""
 
 import asyncio
+import contextlib
 import json
 import os
 import random
@@ -10,10 +11,12 @@
 import sys
 import tempfile
 import time
-from collections.abc import Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable
 from pathlib import Path
 from typing import Any
 
+from aiohttp import web
+
 from slatehoist_standins.deployment_store import DeploymentStore
 from standins_2.http1 import (
     Message,
@@ -109,6 +112,22 @@
             sock.close()
 
 
+class SteadyStore(DeploymentStore):
+    """The project's stand-in of the store, with the steady clock of the pages."""
+
+    def _make_rows_response(self, *args: Any, **options: Any) -> web.Response:
+        return self._with_time(super()._make_rows_response(*args, **options))
+
+    async def _transact(self, req: web.Request) -> web.Response:
+        return self._with_time(await super()._transact(req))
+
+    @staticmethod
+    def _with_time(resp: web.Response) -> web.Response:
+        doc = json.loads(resp.body)
+        doc["nowMs"] = time.monotonic() * 1000
+        return web.json_response(doc, status=resp.status)
+
+
 class Server:
     """Server of a service, which answers the requests that are meant for it.
 
@@ -130,9 +149,10 @@
         self.service = service
         self.host = host
         self.record = record
-        self.running = 0
+        self.running = self.waiting = 0
         self.address = ""
         self.slots = 6
+        self._free = asyncio.Semaphore(self.slots)
         self._answer = answer
         self._server: asyncio.Server | None = None
 
@@ -176,13 +196,9 @@
                     ident = {"Request-Id": find_header(headers, "request-id")}
                     reply = encode("HTTP/1.1 421 Misdirected Request", ident)
                 else:
-                    self.running += 1
-                    try:
-                        reply = await self._answer(
-                            self, first_line, headers, reader, writer
-                        )
-                    finally:
-                        self.running -= 1
+                    reply = await self._answer(
+                        self, first_line, headers, reader, writer
+                    )
                 writer.write(reply)
                 await writer.drain()
         except (ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError):
@@ -191,13 +207,28 @@
         finally:
             writer.close()
 
+    @contextlib.asynccontextmanager
+    async def slot(self) -> AsyncIterator[None]:
+        """Hold a slot, and wait for it before."""
+        self.waiting += 1
+        try:
+            await self._free.acquire()
+        finally:
+            self.waiting -= 1
+        self.running += 1
+        try:
+            yield
+        finally:
+            self.running -= 1
+            self._free.release()
+
     def reply_headers(self, headers: list[tuple[str, str]]) -> dict[str, str]:
         """Return the headers of an answer to a request with some headers."""
         request_id = find_header(headers, "request-id")
         return {
             "Request-Id": request_id,
             "Server-Stamp": f"stamp.{self.server_id}.{request_id}",
-            "Server-Load": f"{self.running},0,{self.slots}",
+            "Server-Load": f"{self.running},{self.waiting},{self.slots}",
             "Content-Type": "application/octet-stream",
         }
 
@@ -237,7 +268,7 @@
 
     def __init__(self, folder: Path) -> None:
         self.record = Record(folder)
-        self.store = DeploymentStore()
+        self.store = SteadyStore()
         self.servers: list[Server] = []
         self.gateways: list[Gateway] = []
         self.version = 0
