--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,14 +1,15 @@
-"""Uploads that servers read slowly: the gateway must stay within its memory."""
+"""A request that crashes servers, and one early rejection: it must stay blocked."""
 
 import asyncio
+import itertools
+import time
 from pathlib import Path
 
 from standins_2.deployment import (
-    LIMITS,
-    SETTINGS,
+    HEARTBEAT_S,
     Caller,
     Deployment,
-    Gateway,
+    Server,
     new_id,
     request_headers,
     route,
@@ -16,123 +17,164 @@
 )
 from standins_2.http1 import encode, find_header, read_body
 
-#: Uploads, and those that begin in a second. The smallest site has 101 callers and 52
-#: requests a second.
-UPLOADS = 70
-UPLOADS_PER_S = 10.0
-#: Bytes of each upload: the largest body that the desired state allows.
-UPLOAD_BYTES = LIMITS["maxBodyBytes"]
-#: Servers of the service that takes uploads.
-UPLOAD_SERVERS = 3
-#: Bytes that a slow server reads, and the seconds until it reads again: it takes 6.4 s
-#: for an upload.
-SLOW_BYTES = 65536
-SLOW_PAUSE_S = 0.1
-#: Callers of the other service, which keep their connections, and its working time.
-KEPT_CALLERS = 8
-WORK_S = 0.3
-DEADLINE_MS = 8000
-WATCH_S = 0.02
-#: Cut requests on kept connections that the rule allows.
-ALLOWED_CUTS = 3
-
-
-async def watch_memory(deployment: Deployment, gateway: Gateway) -> None:
-    """Kill a gateway that exceeds its memory, as the platform does."""
-    limit_mb = float(SETTINGS["limits.memoryMb"])
-    most_mb = 0.0
-    while True:
-        used_mb = gateway.status_mb("VmRSS")
-        if used_mb > most_mb + 20.0:
-            most_mb = used_mb
-            deployment.record.write(f"{gateway.name} uses {used_mb:.0f} MB")
-        if used_mb > limit_mb:
-            gateway.proc.kill()
-            deployment.record.write(f"{gateway.name} killed: over {limit_mb:.0f} MB")
-            return
-        await asyncio.sleep(WATCH_S)
+SERVERS = 5
+#: Sound requests per second, and seconds of them before the first poison request.
+SOUND_PER_S = 15.0
+WARM_UP_S = 6.0
+#: Seconds between two poison requests, and the number of them.
+POISON_PAUSE_S = 2.0
+POISONS = 18
+#: Poison request that is rejected before it is in.
+REJECTED = 2
+POISON_BODY = b'{"letter": "crash"}' + b" " * 60000
+DOWN_S = 1.0
+DEADLINE_MS = 3000
+#: Bounds of the rule: seconds after the third crash, and retries that may arrive then.
+CONTACT_S = 3.0
+ALLOWED_RETRIES = 3
+CRASHES = 3
+#: Heartbeats after whose absence the store drops the entry of a crashed server.
+LOST_BEATS = 3
 
 
-async def main(trouble: bool) -> bool:
-    """Upload, and return True if requests on kept connections were cut off."""
-    passed_on: set[str] = set()
-    cut: list[str] = []
-    async with Deployment(Path(__file__).parent) as deployment:
-        record = deployment.record
+class PoisonWorld:
+    """Servers that a poison request crashes, and what arrived at them.
+
+    Attributes
+    ----------
+    crashes, arrivals : list of float
+        Times of the crashes, and of all arrivals of poison requests.
+    rejects_next : bool
+        True if the next poison request is to be rejected before it is in.
+    """
 
-        async def store_upload(server, first_line, headers, reader, writer) -> bytes:
-            left = int(find_header(headers, "content-length") or 0)
-            while left and (data := await reader.read(SLOW_BYTES)):
-                left -= len(data)
-                if trouble:
-                    await asyncio.sleep(SLOW_PAUSE_S)
-            record.write(f"{server.server_id} read an upload, {left} bytes missing")
-            return encode("HTTP/1.1 200 OK", server.reply_headers(headers), b"stored")
+    def __init__(self, deployment: Deployment) -> None:
+        self._deployment = deployment
+        self._tasks: set[asyncio.Task] = set()
+        self.crashes: list[float] = []
+        self.arrivals: list[float] = []
+        self.rejects_next = False
+        self.answers = 0
+        #: Connections of each server, by its id.
+        self._writers: dict[str, set[asyncio.StreamWriter]] = {}
 
-        async def work(server, first_line, headers, reader, writer) -> bytes:
+    async def answer(self, server, first_line, headers, reader, writer) -> bytes:
+        """Answer a request, or crash."""
+        request_id = find_header(headers, "request-id")
+        writers = self._writers.setdefault(server.server_id, set())
+        writers.add(writer)
+        self.answers += 1
+        is_poison = "/poison" in first_line
+        if is_poison:
+            self.arrivals.append(time.monotonic())
+        if is_poison and self.rejects_next:
+            self.rejects_next = False
+            self._deployment.record.write(
+                f"{server.server_id} rejects {request_id} with 413 before it is in"
+            )
+            reply = encode(
+                "HTTP/1.1 413 Content Too Large",
+                server.reply_headers(headers) | {"Not-Run": "1"},
+                b"rejected",
+            )
+            writer.write(reply)
+            await writer.drain()
             await read_body(reader, headers)
-            passed_on.add(find_header(headers, "request-id"))
-            async with server.slot():
-                await asyncio.sleep(WORK_S)
-            return encode("HTTP/1.1 200 OK", server.reply_headers(headers), b"done")
+            return b""
+        await read_body(reader, headers)
+        if is_poison:
+            self.crashes.append(time.monotonic())
+            self._deployment.record.write(
+                f"{server.server_id} runs {request_id} and crashes, crash"
+                f" {len(self.crashes)}"
+            )
+            self._crash(server)
+            raise ConnectionResetError
+        async with server.slot():
+            await asyncio.sleep(0.02)
+        return encode("HTTP/1.1 200 OK", server.reply_headers(headers), b"done")
+
+    def _crash(self, server: Server) -> None:
+        server.close()
+        self._deployment.servers.remove(server)
+        for writer in self._writers.pop(server.server_id, ()):
+            writer.transport.abort()
+        for work in (self._return(server), self._forget(server)):
+            task = asyncio.create_task(work)
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+
+    async def _return(self, server: Server) -> None:
+        """Start the server again, as a new boot with a new id."""
+        await asyncio.sleep(DOWN_S)
+        await self._deployment.add_server(self.answer)
+
+    async def _forget(self, server: Server) -> None:
+        await asyncio.sleep(HEARTBEAT_S * LOST_BEATS)
+        self._deployment.store.remove("servers", server.server_id)
+
+
+async def send_sound(deployment: Deployment, address: str) -> None:
+    """Send sound requests until cancelled."""
 
+    async def send() -> None:
+        headers = request_headers(new_id(), DEADLINE_MS)
+        try:
+            caller = await Caller.connect(address)
+            async with asyncio.timeout(DEADLINE_MS / 1000):
+                await caller.exchange(encode("GET /list/1 HTTP/1.1", headers))
+            caller.close()
+        except (TimeoutError, OSError) as exc:
+            deployment.record.write(f"a sound request: {exc!r}")
+
+    tasks: set[asyncio.Task] = set()
+    while True:
+        task = asyncio.create_task(send())
+        tasks.add(task)
+        task.add_done_callback(tasks.discard)
+        await asyncio.sleep(1.0 / SOUND_PER_S)
+
+
+async def main(trouble: bool) -> bool:
+    """Return True if the request reached servers more often than the rule allows."""
+    async with Deployment(Path(__file__).parent) as deployment:
+        record = deployment.record
+        world = PoisonWorld(deployment)
         deployment.put_config(
-            [
-                route("upload", "unsafe", service="files"),
-                route("status", "unsafe", service="portal"),
-            ]
+            [route("letter", "unsafe"), route("list", "safe", maxAttempts=2)]
         )
-        for _ in range(UPLOAD_SERVERS):
-            await deployment.add_server(store_upload, "files")
-        await deployment.add_server(work, "portal")
+        for _ in range(SERVERS):
+            await deployment.add_server(world.answer)
         gateway = await deployment.add_gateway()
-
-        async def upload() -> None:
+        sound = asyncio.create_task(send_sound(deployment, gateway.front))
+        await asyncio.sleep(WARM_UP_S)
+        for number in itertools.count(1):
+            if number > POISONS:
+                break
+            world.rejects_next = trouble and number == REJECTED
             request_id = new_id()
             headers = request_headers(request_id, DEADLINE_MS)
-            head = "POST /upload/letter HTTP/1.1"
-            try:
-                caller = await Caller.connect(gateway.front)
-                async with asyncio.timeout(DEADLINE_MS / 1000):
-                    reply = await caller.exchange(
-                        encode(head, headers, bytes(UPLOAD_BYTES))
-                    )
-                record.write(f"upload {request_id}: {reply and reply.status}")
-            except (TimeoutError, OSError) as exc:
-                record.write(f"upload {request_id}: {exc!r}")
-
-        async def call_often() -> None:
             caller = await Caller.connect(gateway.front)
-            is_kept = False
-            while True:
-                request_id = new_id()
-                headers = request_headers(request_id, DEADLINE_MS)
-                head = "POST /status/notice HTTP/1.1"
-                reply = await caller.exchange(encode(head, headers, b"{}"))
-                if reply is None or not reply.complete:
-                    record.write(
-                        f"request {request_id} has no answer; kept {is_kept}, passed on"
-                        f" {request_id in passed_on}"
-                    )
-                    if is_kept and request_id in passed_on:
-                        cut.append(request_id)
-                    return
-                is_kept = True
-
-        watch = asyncio.create_task(watch_memory(deployment, gateway))
-        callers = [asyncio.create_task(call_often()) for _ in range(KEPT_CALLERS)]
-        await asyncio.sleep(1.5)
-        record.write(f"{UPLOADS} callers upload {UPLOAD_BYTES} bytes each")
-        uploads = []
-        for _ in range(UPLOADS):
-            uploads.append(asyncio.create_task(upload()))
-            await asyncio.sleep(1.0 / UPLOADS_PER_S)
-        await asyncio.gather(*uploads)
-        await asyncio.sleep(1.0)
-        for task in (watch, *callers):
-            task.cancel()
-        record.write(f"{len(cut)} requests on kept connections were cut off")
-    return len(cut) > ALLOWED_CUTS
+            async with asyncio.timeout(10.0):
+                reply = await caller.exchange(
+                    encode("POST /letter/poison HTTP/1.1", headers, POISON_BODY)
+                )
+            caller.close()
+            record.write(
+                f"poison request {number} ({request_id}): answered"
+                f" {reply and reply.status}"
+            )
+            await asyncio.sleep(POISON_PAUSE_S)
+        sound.cancel()
+        late = []
+        if len(world.crashes) >= CRASHES:
+            bound = world.crashes[CRASHES - 1] + CONTACT_S
+            late = [at for at in world.arrivals if at > bound]
+        record.write(
+            f"{world.answers} requests at servers; {len(world.crashes)} crashes;"
+            f" {len(late)} arrivals later than {CONTACT_S} s after the third crash"
+        )
+    return len(late) > ALLOWED_RETRIES
 
 
 if __name__ == "__main__":
