--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,4 +4,4 @@
 set -eu
 cd "$(dirname "$0")/.."
 PYTHONDONTWRITEBYTECODE=1 PYTHONPATH=target/deps:standins/src:review \
-    python3 -c "import standins_2.deployment"
+    python3 -c "import harness.group, standins_2.deployment"
--- a/review/standins_2/deployment.py
+++ b/review/standins_2/deployment.py
@@ -76,6 +76,10 @@
 }
 METRICS_PORT = 9464
 READY_TIMEOUT_S = 20.0
+#: Seconds without a disturbance, a start included, after which a gateway is in touch.
+CONTACT_S = 3.0
+#: Longest time of a case. It ends before the 120 seconds of a script do.
+CASE_TIMEOUT_S = 105.0
 HEARTBEAT_S = 1.2
 
 
@@ -459,7 +463,7 @@
     """
     trouble = os.environ.get("TROUBLE", "1") != "0"
     try:
-        broken = asyncio.run(main(trouble))
+        broken = asyncio.run(asyncio.wait_for(main(trouble), CASE_TIMEOUT_S))
     except Exception as exc:
         print(f"the case could not run: {exc!r}", file=sys.stderr)
         sys.exit(2)
