--- a/standins/src/slatehoist_standins/deployment_server.py
+++ b/standins/src/slatehoist_standins/deployment_server.py
@@ -75,6 +75,10 @@
 )
 #: Beginning of a refusal that ends within its head.
 _PART_OF_REFUSAL = b"HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1"
+#: Text in `DeploymentServer.script` that stands for the id of the request.
+ID_MARK = b"<request id>"
+#: Seconds between two writes of a script.
+SCRIPT_PAUSE_S = 0.005
 #: Request body, or part of one, that crashes every server which begins to run it.
 CRASH_MARKER = b"crashes the server"
 #: Part of a prompt that crashes every server which begins to run a request with it.
@@ -149,6 +153,8 @@
         Close or reset the connection after `head_bytes` bytes of the head.
     ``endless_...``
         Send a response without end until the connection closes; a key of `ENDLESS`.
+    ``scripted``
+        Run the request and send `script`, in which `ID_MARK` stands for its id.
 
     Attributes
     ----------
@@ -166,6 +172,10 @@
         Bytes of the head that ``cut_head`` and ``reset_head`` send.
     head_prefix : bytes
         Bytes that they send before it.
+    script : tuple of bytes
+        Writes with which ``scripted`` responds.
+    closes_after_script : bool
+        True if it closes the connection afterwards.
     delay_s : float
         Seconds from a request until its response.
     zone : str
@@ -198,6 +208,8 @@
         self.event_pause_s = 0.0
         self.head_bytes = 0
         self.head_prefix = b""
+        self.script: tuple[bytes, ...] = ()
+        self.closes_after_script = False
         self.delay_s = 0.0
         self.zone = "a"
         self.leaving = False
@@ -348,6 +360,8 @@
             head = self._make_head(arrival, behaviour, 503)
             writer.write(head + b"Content-Length: 0\r\n\r\n")
             return True
+        if behaviour == "scripted":
+            return await self._send_script(arrival, writer)
         if behaviour in ("cut_head", "reset_head"):
             return await self._cut_head(arrival, behaviour, writer)
         if _wants_stream(arrival):
@@ -376,6 +390,17 @@
             await asyncio.sleep(0)
         return False
 
+    async def _send_script(
+        self, arrival: Arrival, writer: asyncio.StreamWriter
+    ) -> bool:
+        request_id = arrival.headers["Request-Id"].encode("latin-1")
+        for part in self.script:
+            writer.write(part.replace(ID_MARK, request_id))
+            await writer.drain()
+            # The peer reads each part on its own.
+            await asyncio.sleep(SCRIPT_PAUSE_S if len(self.script) > 1 else 0)
+        return not self.closes_after_script
+
     async def _cut_head(
         self, arrival: Arrival, behaviour: str, writer: asyncio.StreamWriter
     ) -> bool:
