Reject responses whose status line is invalid

Cause: aiohttp's parsers accept any three digits, and the C parser HTTP/0.9 and HTTP/2.0 as well; nothing checked what they had read. All roles use them. Why it works: a ResponseValidator reads the bytes of a response before the parser does, on every strict connection. A status line that RFC 9112 (4) and RFC 9110 (15) do not allow fails the response and closes the connection, so that the gateway sends the request elsewhere or answers 502 at once.

--- a/packages/http/src/slatehoist/http/__init__.py
+++ b/packages/http/src/slatehoist/http/__init__.py
@@ -17,6 +17,7 @@
 )
 from slatehoist.http.framing import Framing, response_framing
 from slatehoist.http.responses import RelayedResponse, reset_on_close
+from slatehoist.http.validation import MalformedResponseError, ResponseValidator
 
 __all__ = [
     "MAX_EVENT_BYTES",
@@ -24,10 +25,12 @@
     "BufferBudget",
     "EventSplitter",
     "Framing",
+    "MalformedResponseError",
     "OversizedBodyError",
     "OversizedEventError",
     "RelayedResponse",
     "ResettingResponseHandler",
+    "ResponseValidator",
     "StrictResponseHandler",
     "has_content",
     "is_event_stream",
--- a/packages/http/src/slatehoist/http/client.py
+++ b/packages/http/src/slatehoist/http/client.py
@@ -11,6 +11,8 @@
 from aiohttp.client_proto import ResponseHandler
 from aiohttp.http import RawResponseMessage
 
+from slatehoist.http.validation import MalformedResponseError, ResponseValidator
+
 #: Value of SO_LINGER with which a close resets the connection.
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 #: Informational responses (status below 200) that are accepted before the final one.
@@ -29,6 +31,7 @@
 class StrictResponseHandler(ResponseHandler):
     """Connection whose failure is never taken for the end of a response.
 
+    What it receives is validated before aiohttp parses it; a broken response closes it.
     aiohttp takes any end of the connection for the end of a response without a length,
     also a reset. It also reads informational responses and chunk extensions without
     end; a connection with too many of them is closed. So is one with a second response
@@ -39,6 +42,8 @@
 
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
         super().__init__(loop=loop)
+        #: None before the first request.
+        self._validator: ResponseValidator | None = None
         self._received_bytes = 0
         self._informational = 0
         #: True if the response to the last request has begun.
@@ -48,6 +53,8 @@
 
     def set_response_params(self, **params) -> None:
         """Prepare for a response."""
+        # The parent may pass bytes that were received before to `data_received`.
+        self._validator = ResponseValidator(not params.get("skip_payload", False))
         self._received_bytes = self._informational = 0
         self._has_response = False
         self._last_payload = self._payload
@@ -58,13 +65,17 @@
         status = data[0].code
         if status == _SWITCHING_PROTOCOLS:
             # No request asks for another protocol.
-            self._give_up(f"status {status}")
+            self._give_up(MalformedResponseError(f"status {status}"))
             return
         if self._has_response:
-            self._give_up(f"second response, with status {status}")
+            self._give_up(
+                MalformedResponseError(f"second response, with status {status}")
+            )
             return
         if _contains_head(data[0]):
-            self._give_up(f"head within the head of status {status}")
+            self._give_up(
+                MalformedResponseError(f"head within the head of status {status}")
+            )
             return
         if status < _FIRST_FINAL_STATUS:
             self._informational += 1
@@ -75,21 +86,55 @@
         super().feed_data(data, size)
 
     def data_received(self, data: bytes) -> None:
-        """Process received bytes, unless the response has no end in sight."""
-        super().data_received(data)
-        self._received_bytes += len(data)
+        """Process received bytes, unless the response is broken or has no end."""
+        if not data or self._validator is None:
+            # aiohttp goes on with bytes that it has, or keeps these for later.
+            super().data_received(data)
+            return
+        try:
+            valid = self._validator.feed(data)
+        except MalformedResponseError as exc:
+            self._give_up(exc)
+            return
+        if valid:
+            super().data_received(valid)
+        else:
+            self.start_timeout()
+        if self._validator.excess_bytes:
+            self._end_after_excess()
+        self._check_size(len(data))
+
+    def _end_after_excess(self) -> None:
+        """Keep bytes after a response from being taken for a part of the next one."""
+        if self._payload is None or self._payload.is_eof():
+            count = self._validator.excess_bytes
+            self._give_up(MalformedResponseError(f"{count} bytes after the response"))
+        else:
+            # aiohttp has not parsed the whole response yet.
+            self.force_close()
+
+    def _check_size(self, received_bytes: int) -> None:
+        """Fail a response that has no end in sight."""
+        self._received_bytes += received_bytes
         if self._informational > MAX_INFORMATIONAL:
-            self._give_up(f"over {MAX_INFORMATIONAL} informational responses")
+            self._give_up(
+                MalformedResponseError(
+                    f"over {MAX_INFORMATIONAL} informational responses"
+                )
+            )
         body_bytes = 0
         if self._payload is not self._last_payload:
             body_bytes = getattr(self._payload, "total_bytes", 0)
         allowed_bytes = MAX_OVERHEAD_BYTES + body_bytes * MAX_OVERHEAD_RATIO
         if self._received_bytes - body_bytes > allowed_bytes:
-            self._give_up(f"{self._received_bytes} bytes, of them {body_bytes} of body")
+            self._give_up(
+                MalformedResponseError(
+                    f"{self._received_bytes} bytes, of them {body_bytes} of body"
+                )
+            )
 
-    def _give_up(self, reason: str) -> None:
+    def _give_up(self, exc: MalformedResponseError) -> None:
         """Fail the response and close the connection."""
-        exc = ClientPayloadError(reason)
         payload = self._payload
         if payload is not None and not payload.is_eof():
             payload.set_exception(exc)
--- a/packages/http/src/slatehoist/http/framing.py
+++ b/packages/http/src/slatehoist/http/framing.py
@@ -29,6 +29,11 @@
         return self is not Framing.CONNECTION
 
 
+def has_no_body(status: int) -> bool:
+    """Return True if a response with this status has no body."""
+    return status < _FIRST_FINAL_STATUS or status in _BODILESS_STATUSES
+
+
 def response_framing(method: str, status: int, headers: Mapping[str, str]) -> Framing:
     """Return what marks the end of a response's body.
 
@@ -39,8 +44,7 @@
     headers : Mapping
         Headers of the response; the names are looked up as they are written here.
     """
-    bodiless = status < _FIRST_FINAL_STATUS or status in _BODILESS_STATUSES
-    if method == "HEAD" or bodiless:
+    if method == "HEAD" or has_no_body(status):
         return Framing.NONE
     codings = headers.get("Transfer-Encoding", "").lower().split(",")
     if codings[-1].strip() == "chunked":
--- /dev/null
+++ b/packages/http/src/slatehoist/http/validation.py
@@ -0,0 +1,164 @@
+"""Validation of the responses that a connection receives (RFC 9112).
+
+aiohttp's parsers accept more than the standard does, and each accepts something else.
+A `ResponseValidator` reads the bytes before they do, and passes on a canonical form:
+lines end with CR LF, and nothing is folded. What it passes
+on has one meaning only.
+"""
+
+import re
+
+from aiohttp.client_exceptions import ClientPayloadError
+
+#: Largest head that is accepted, most fields in it, and largest line of it or of the
+#: chunk framing.
+MAX_HEAD_BYTES = 256 * 1024
+MAX_FIELDS = 128
+MAX_LINE_BYTES = 16 * 1024
+#: Bytes of a response that an error message quotes.
+_MAX_QUOTED_BYTES = 40
+
+_TEXT = rb"[\t\x20-\x7e\x80-\xff]*"
+_STATUS_LINE = re.compile(rb"HTTP/1\.([01]) ([1-5][0-9]{2})(?: " + _TEXT + rb")?")
+#: Begin of a status line, and one that completes a part of a begin.
+_STATUS_BEGIN = re.compile(rb"HTTP/1\.[01] [1-5][0-9]{2}")
+_STATUS_EXAMPLE = b"HTTP/1.1 200"
+_LINE_END = b"\r\n"
+_BLANKS = b" \t"
+_CODING = b"transfer-encoding"
+_LENGTH = b"content-length"
+_FIRST_FINAL_STATUS = 200
+
+
+class MalformedResponseError(ClientPayloadError):
+    """Raised if a response breaks the rules of HTTP/1.1."""
+
+
+class ResponseValidator:
+    """Check the bytes of one response, and of informational ones before it.
+
+    A head is passed on only when it is whole. In a head, lines that end with LF
+    alone and folded values are repaired, unless they concern the framing.
+
+    Parameters
+    ----------
+    has_body : bool
+        False if the response has no body by the method of its request.
+
+    Attributes
+    ----------
+    excess_bytes : int
+        Number of bytes that were received after the response.
+    """
+
+    def __init__(self, has_body: bool = True) -> None:
+        self._has_body = has_body
+        self._buffer = bytearray()
+        self._read = self._read_head
+        #: Lines of the head that were read; bytes of the buffer that they are in, and
+        #: that were searched for the end of the next line.
+        self._lines: list[bytes] = []
+        self._line_start = self._searched = 0
+        self.excess_bytes = 0
+
+    def feed(self, data: bytes) -> bytes:
+        """Return those of the bytes received so far that are found to be valid.
+
+        Raises
+        ------
+        MalformedResponseError
+            If the response is broken.
+        """
+        self._buffer += data
+        parts = []
+        while self._buffer and (part := self._read()):
+            parts.append(part)
+        return b"".join(parts)
+
+    def _take(self, size: int) -> bytes:
+        """Remove bytes from the begin of the buffer, and return them."""
+        part = bytes(self._buffer[:size])
+        del self._buffer[:size]
+        return part
+
+    def _read_head(self) -> bytes:
+        buffer = self._buffer
+        if not self._lines:
+            _check_status_begin(bytes(buffer[: len(_STATUS_EXAMPLE)]))
+        while (end := buffer.find(b"\n", self._searched)) >= 0:
+            line = bytes(buffer[self._line_start : end]).removesuffix(b"\r")
+            self._line_start = self._searched = end + 1
+            if not line:
+                return self._end_head()
+            self._add_line(line)
+        self._searched = len(buffer)
+        if len(buffer) > MAX_HEAD_BYTES:
+            raise MalformedResponseError(f"head of over {MAX_HEAD_BYTES} bytes")
+        _check_line_size(len(buffer) - self._line_start)
+        return b""
+
+    def _add_line(self, line: bytes) -> None:
+        """Add a line to the head; a folded one continues the line before.
+
+        Raises
+        ------
+        MalformedResponseError
+            If the line is invalid.
+        """
+        if not self._lines:
+            if _STATUS_LINE.fullmatch(line) is None:
+                raise MalformedResponseError(f"status line {_quote(line)}")
+        elif line[0] in _BLANKS and len(self._lines) > 1:
+            continued = self._lines.pop()
+            if _name(continued) in (_CODING, _LENGTH):
+                raise MalformedResponseError(f"folded field {_quote(continued)}")
+            line = continued + b" " + line.strip(_BLANKS)
+        _check_line_size(len(line))
+        if len(self._lines) > MAX_FIELDS:
+            raise MalformedResponseError(f"head with over {MAX_FIELDS} fields")
+        self._lines.append(line)
+
+    def _end_head(self) -> bytes:
+        """Return the canonical head, and prepare for what follows it."""
+        self._take(self._line_start)
+        lines, self._lines = self._lines, []
+        self._line_start = self._searched = 0
+        status = _STATUS_LINE.fullmatch(lines[0])[2]
+        if int(status) < _FIRST_FINAL_STATUS:
+            self._read = self._read_head
+        else:
+            self._read = self._read_to_end
+        return _LINE_END.join([*map(_canonical_line, lines), b"", b""])
+
+    def _read_to_end(self) -> bytes:
+        return self._take(len(self._buffer))
+
+
+def _check_status_begin(begin: bytes) -> None:
+    """Raise MalformedResponseError unless a status line can begin like this."""
+    if _STATUS_BEGIN.fullmatch(begin + _STATUS_EXAMPLE[len(begin) :]) is None:
+        raise MalformedResponseError(f"status line {_quote(begin)}")
+
+
+def _check_line_size(size: int) -> None:
+    """Raise MalformedResponseError if a line of a head is too long."""
+    if size > MAX_LINE_BYTES:
+        raise MalformedResponseError(f"line of over {MAX_LINE_BYTES} bytes")
+
+
+def _canonical_line(line: bytes) -> bytes:
+    """Return a line without blanks around its value if it concerns the framing."""
+    if _name(line) not in (_CODING, _LENGTH):
+        return line
+    name, _, value = line.partition(b":")
+    return name + b": " + value.strip(_BLANKS)
+
+
+def _name(line: bytes) -> bytes:
+    """Return the name of a field in lower case."""
+    return line.partition(b":")[0].lower()
+
+
+def _quote(data: bytes) -> str:
+    """Return the begin of some bytes as they are shown in a message."""
+    return repr(bytes(data[:_MAX_QUOTED_BYTES]))
--- a/tests/odd_answers.py
+++ b/tests/odd_answers.py
@@ -230,6 +230,8 @@
     "all name characters": make_answer(b"!#$%&'*+-.^_`|~09azAZ: 1"),
     "letters in ISO 8859-1": make_answer(b"X-A: caf\xe9"),
     "letters in UTF-8": make_answer("X-A: caf\u00e9 \u20ac".encode()),
+    "offered upgrade": make_answer(b"Connection: Upgrade", b"Upgrade: websocket"),
+    "HTTP/1.0": make_answer(status_line=b"HTTP/1.0 200 OK"),
     "no reason": make_answer(status_line=b"HTTP/1.1 200 "),
     "odd reason": make_answer(status_line=b"HTTP/1.1 200 \t\xe9 200"),
     "informational answers": b"HTTP/1.1 100 Continue\r\n\r\n"
