Reject responses with invalid header fields

Callers saw: an answer with a blank before the colon of a field passed on, also without its framing; with a control byte in a value, their connection closed without an answer, or on a stream a 500 that states 55 bytes and sends 66, which spoils the next answer on that connection. Cause: in its mode for responses, the C parser accepts blanks before the colon of the fields that it knows itself, and both parsers accept control bytes in values. The gateway then copied the value into a head of its own, which aiohttp refuses to write. Why it works: each line of a head must be a token, a colon and a value without control bytes (RFC 9110, 5.1 and 5.5) before the parser gets it. A folded value is unfolded first (RFC 9112, 5.2).

--- a/packages/http/src/slatehoist/http/validation.py
+++ b/packages/http/src/slatehoist/http/validation.py
@@ -18,11 +18,14 @@
 #: Bytes of a response that an error message quotes.
 _MAX_QUOTED_BYTES = 40
 
+_TOKEN = rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+"
 _TEXT = rb"[\t\x20-\x7e\x80-\xff]*"
 _STATUS_LINE = re.compile(rb"HTTP/1\.([01]) ([1-5][0-9]{2})(?: " + _TEXT + rb")?")
 #: Begin of a status line, and one that completes a part of a begin.
 _STATUS_BEGIN = re.compile(rb"HTTP/1\.[01] [1-5][0-9]{2}")
 _STATUS_EXAMPLE = b"HTTP/1.1 200"
+_FIELD = re.compile(b"(" + _TOKEN + b"):(" + _TEXT + b")")
+_FIELD_NAME = re.compile(_TOKEN)
 _LINE_END = b"\r\n"
 _BLANKS = b" \t"
 _CODING = b"transfer-encoding"
@@ -113,6 +116,9 @@
             if _name(continued) in (_CODING, _LENGTH):
                 raise MalformedResponseError(f"folded field {_quote(continued)}")
             line = continued + b" " + line.strip(_BLANKS)
+            _check_field(line)
+        else:
+            _check_field(line)
         _check_line_size(len(line))
         if len(self._lines) > MAX_FIELDS:
             raise MalformedResponseError(f"head with over {MAX_FIELDS} fields")
@@ -146,6 +152,16 @@
         raise MalformedResponseError(f"line of over {MAX_LINE_BYTES} bytes")
 
 
+def _check_field(line: bytes) -> None:
+    """Raise MalformedResponseError unless a line of a head is a field."""
+    if _FIELD.fullmatch(line) is not None:
+        return
+    name, colon, value = line.partition(b":")
+    if not colon or _FIELD_NAME.fullmatch(name) is None:
+        raise MalformedResponseError(f"field name {_quote(name)}")
+    raise MalformedResponseError(f"value {_quote(value)} of field {_quote(name)}")
+
+
 def _canonical_line(line: bytes) -> bytes:
     """Return a line without blanks around its value if it concerns the framing."""
     if _name(line) not in (_CODING, _LENGTH):
