Reject responses whose framing is invalid or ambiguous

Callers saw: chunk marks as part of the body, once under a length of our own; a body that another length or transfer coding would have ended elsewhere. Cause: the parsers, and response_framing, each read Transfer-Encoding in their own way: unknown codings, joined lines, blanks behind the coding and folded lines were chunks for one and not for the other. Sound answers with a tab behind 'chunked' failed before and are passed on now. Why it works: only one Transfer-Encoding with the value chunked, or one valid Content-Length, is accepted (RFC 9112, 6), and the parser gets it in one canonical form. Bytes after a response with a length close its connection there, which replaces the check for a second response.

--- a/packages/http/src/slatehoist/http/client.py
+++ b/packages/http/src/slatehoist/http/client.py
@@ -46,8 +46,6 @@
         self._validator: ResponseValidator | None = None
         self._received_bytes = 0
         self._informational = 0
-        #: True if the response to the last request has begun.
-        self._has_response = False
         #: Body of the response before.
         self._last_payload: object = None
 
@@ -56,7 +54,6 @@
         # The parent may pass bytes that were received before to `data_received`.
         self._validator = ResponseValidator(not params.get("skip_payload", False))
         self._received_bytes = self._informational = 0
-        self._has_response = False
         self._last_payload = self._payload
         super().set_response_params(**params)
 
@@ -67,11 +64,6 @@
             # No request asks for another protocol.
             self._give_up(MalformedResponseError(f"status {status}"))
             return
-        if self._has_response:
-            self._give_up(
-                MalformedResponseError(f"second response, with status {status}")
-            )
-            return
         if _contains_head(data[0]):
             self._give_up(
                 MalformedResponseError(f"head within the head of status {status}")
@@ -79,8 +71,6 @@
             return
         if status < _FIRST_FINAL_STATUS:
             self._informational += 1
-        else:
-            self._has_response = True
         if status == _MISDIRECTED:
             self.force_close()
         super().feed_data(data, size)
--- a/packages/http/src/slatehoist/http/validation.py
+++ b/packages/http/src/slatehoist/http/validation.py
@@ -10,11 +10,15 @@
 
 from aiohttp.client_exceptions import ClientPayloadError
 
+from slatehoist.http.framing import Framing, has_no_body
+
 #: Largest head that is accepted, most fields in it, and largest line of it or of the
 #: chunk framing.
 MAX_HEAD_BYTES = 256 * 1024
 MAX_FIELDS = 128
 MAX_LINE_BYTES = 16 * 1024
+#: Digits of a length: enough for any body, few enough for 64 bits.
+_MAX_LENGTH_DIGITS = 18
 #: Bytes of a response that an error message quotes.
 _MAX_QUOTED_BYTES = 40
 
@@ -30,6 +34,7 @@
 _BLANKS = b" \t"
 _CODING = b"transfer-encoding"
 _LENGTH = b"content-length"
+_CHUNKED = b"chunked"
 _FIRST_FINAL_STATUS = 200
 
 
@@ -62,6 +67,8 @@
         #: that were searched for the end of the next line.
         self._lines: list[bytes] = []
         self._line_start = self._searched = 0
+        #: Bytes of the body, or of a chunk that is passed on in parts, to come.
+        self._left = 0
         self.excess_bytes = 0
 
     def feed(self, data: bytes) -> bytes:
@@ -129,16 +136,34 @@
         self._take(self._line_start)
         lines, self._lines = self._lines, []
         self._line_start = self._searched = 0
-        status = _STATUS_LINE.fullmatch(lines[0])[2]
+        version, status = _STATUS_LINE.fullmatch(lines[0]).groups()
+        framing, self._left = _read_framing(version, lines)
         if int(status) < _FIRST_FINAL_STATUS:
             self._read = self._read_head
+        elif not self._has_body or has_no_body(int(status)):
+            self._read = self._read_excess
         else:
-            self._read = self._read_to_end
+            self._read = {
+                Framing.CHUNKED: self._read_to_end,
+                Framing.LENGTH: self._read_length,
+                Framing.CONNECTION: self._read_to_end,
+            }[framing]
         return _LINE_END.join([*map(_canonical_line, lines), b"", b""])
 
+    def _read_length(self) -> bytes:
+        part = self._take(self._left)
+        self._left -= len(part)
+        if not self._left:
+            self._read = self._read_excess
+        return part
+
     def _read_to_end(self) -> bytes:
         return self._take(len(self._buffer))
 
+    def _read_excess(self) -> bytes:
+        self.excess_bytes += len(self._take(len(self._buffer)))
+        return b""
+
 
 def _check_status_begin(begin: bytes) -> None:
     """Raise MalformedResponseError unless a status line can begin like this."""
@@ -162,6 +187,40 @@
     raise MalformedResponseError(f"value {_quote(value)} of field {_quote(name)}")
 
 
+def _read_framing(version: bytes, lines: list[bytes]) -> tuple[Framing, int]:
+    """Return what marks the end of the body, and the length that the head states.
+
+    Raises
+    ------
+    MalformedResponseError
+        If the head is ambiguous or states a transfer coding other than ``chunked``,
+        which no request offers.
+    """
+    codings, lengths = [], []
+    for line in lines[1:]:
+        name = _name(line)
+        if name in (_CODING, _LENGTH):
+            value = line[len(name) + 1 :].strip(_BLANKS)
+            (codings if name == _CODING else lengths).append(value)
+    if codings:
+        if len(codings) > 1 or codings[0].lower() != _CHUNKED:
+            raise MalformedResponseError(
+                f"transfer coding {_quote(b' and '.join(codings))}"
+            )
+        if lengths:
+            raise MalformedResponseError("transfer coding and content length")
+        if version == b"0":
+            raise MalformedResponseError("transfer coding in HTTP/1.0")
+        return Framing.CHUNKED, 0
+    if not lengths:
+        return Framing.CONNECTION, 0
+    if len(lengths) > 1 or not lengths[0].isdigit():
+        raise MalformedResponseError(f"content length {_quote(b' and '.join(lengths))}")
+    if len(lengths[0]) > _MAX_LENGTH_DIGITS:
+        raise MalformedResponseError(f"content length {_quote(lengths[0])}")
+    return Framing.LENGTH, int(lengths[0])
+
+
 def _canonical_line(line: bytes) -> bytes:
     """Return a line without blanks around its value if it concerns the framing."""
     if _name(line) not in (_CODING, _LENGTH):
