Reject responses whose chunks are broken

Callers saw: 200 with a whole body in which CR stands in place of a byte, if a chunk was one byte short. Cause: the C parser takes LF alone for the end of a line after a chunk, its size and the last chunk; both accept sizes, extensions and trailers that RFC 9112 (7.1) does not allow. Why it works: a chunk is passed on only after its size and its end were checked, without its extensions, and the end of the body only after its trailers. Of chunks over 64 KiB the beginning is passed on before; if such a chunk is broken, the answer is broken off.

--- a/packages/http/src/slatehoist/http/validation.py
+++ b/packages/http/src/slatehoist/http/validation.py
@@ -2,7 +2,7 @@
 
 aiohttp's parsers accept more than the standard does, and each accepts something else.
 A `ResponseValidator` reads the bytes before they do, and passes on a canonical form:
-lines end with CR LF, and nothing is folded. What it passes
+lines end with CR LF, nothing is folded, and chunks have no extensions. What it passes
 on has one meaning only.
 """
 
@@ -17,6 +17,9 @@
 MAX_HEAD_BYTES = 256 * 1024
 MAX_FIELDS = 128
 MAX_LINE_BYTES = 16 * 1024
+#: Bytes of a chunk that are held back until its end was received. Of a larger chunk,
+#: the beginning is passed on before.
+MAX_HELD_BYTES = 64 * 1024
 #: Digits of a length: enough for any body, few enough for 64 bits.
 _MAX_LENGTH_DIGITS = 18
 #: Bytes of a response that an error message quotes.
@@ -24,12 +27,24 @@
 
 _TOKEN = rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+"
 _TEXT = rb"[\t\x20-\x7e\x80-\xff]*"
+_QUOTED_TEXT = (
+    rb'"(?:[\t\x20\x21\x23-\x5b\x5d-\x7e\x80-\xff]|\\[\t\x20-\x7e\x80-\xff])*"'
+)
 _STATUS_LINE = re.compile(rb"HTTP/1\.([01]) ([1-5][0-9]{2})(?: " + _TEXT + rb")?")
 #: Begin of a status line, and one that completes a part of a begin.
 _STATUS_BEGIN = re.compile(rb"HTTP/1\.[01] [1-5][0-9]{2}")
 _STATUS_EXAMPLE = b"HTTP/1.1 200"
 _FIELD = re.compile(b"(" + _TOKEN + b"):(" + _TEXT + b")")
 _FIELD_NAME = re.compile(_TOKEN)
+_CHUNK_EXTENSION = (
+    rb"[ \t]*;[ \t]*" + _TOKEN + rb"(?:[ \t]*=[ \t]*(?:" + _TOKEN + b"|" + _QUOTED_TEXT
+) + b"))?"
+_CHUNK_LINE = re.compile(
+    rb"([0-9A-Fa-f]{1,16})(?:" + _CHUNK_EXTENSION + rb")*\r\n", re.ASCII
+)
+#: Begin of a line with the size of a chunk, of which the rest is missing.
+_CHUNK_LINE_BEGIN = re.compile(rb"[0-9A-Fa-f]{0,16}(?:(?<=[0-9A-Fa-f])[ \t;\r].*)?")
+_TRAILER_LINE = re.compile(rb"(?:" + _TOKEN + b":" + _TEXT + rb")?\r\n")
 _LINE_END = b"\r\n"
 _BLANKS = b" \t"
 _CODING = b"transfer-encoding"
@@ -45,7 +60,8 @@
 class ResponseValidator:
     """Check the bytes of one response, and of informational ones before it.
 
-    A head is passed on only when it is whole. In a head, lines that end with LF
+    A head, and a chunk up to `MAX_HELD_BYTES`, is passed on only when it is whole, so
+    that nothing of a broken one gets any further. In a head, lines that end with LF
     alone and folded values are repaired, unless they concern the framing.
 
     Parameters
@@ -144,7 +160,7 @@
             self._read = self._read_excess
         else:
             self._read = {
-                Framing.CHUNKED: self._read_to_end,
+                Framing.CHUNKED: self._read_chunk,
                 Framing.LENGTH: self._read_length,
                 Framing.CONNECTION: self._read_to_end,
             }[framing]
@@ -164,6 +180,76 @@
         self.excess_bytes += len(self._take(len(self._buffer)))
         return b""
 
+    def _read_chunk(self) -> bytes:
+        """Return the next chunk, or the begin of one that is large."""
+        buffer = self._buffer
+        line = _CHUNK_LINE.match(buffer)
+        if line is None:
+            if _CHUNK_LINE_BEGIN.fullmatch(buffer) is None:
+                raise MalformedResponseError(f"size of a chunk {_quote(buffer)}")
+            self._check_unfinished_line("size of a chunk")
+            return b""
+        size, start = int(line[1], 16), line.end()
+        head = b"%x\r\n" % size
+        if size == 0:
+            self._take(start)
+            self._read = self._read_trailer
+            return head
+        if len(buffer) < start + size and len(buffer) - start > MAX_HELD_BYTES:
+            self._take(start)
+            self._left = size
+            self._read = self._read_chunk_part
+            return head
+        if not self._has_chunk_end(start + size):
+            return b""
+        self._take(start)
+        return head + self._take(size + len(_LINE_END))
+
+    def _read_chunk_part(self) -> bytes:
+        """Return a part of a large chunk, or its end."""
+        if self._left:
+            part = self._take(self._left)
+            self._left -= len(part)
+            return part
+        if not self._has_chunk_end(0):
+            return b""
+        self._read = self._read_chunk
+        return self._take(len(_LINE_END))
+
+    def _has_chunk_end(self, at: int) -> bool:
+        """Return True if a chunk ends at a position, False if its end is to come.
+
+        Raises
+        ------
+        MalformedResponseError
+            If the chunk does not end there.
+        """
+        end = bytes(self._buffer[at : at + len(_LINE_END)])
+        if not _LINE_END.startswith(end):
+            raise MalformedResponseError(f"{_quote(end)} instead of the end of a chunk")
+        return end == _LINE_END
+
+    def _read_trailer(self) -> bytes:
+        """Check the lines after the last chunk; return the end of the body."""
+        while (line := _TRAILER_LINE.match(self._buffer)) is not None:
+            self._take(line.end())
+            if line.end() == len(_LINE_END):
+                self._read = self._read_excess
+                return _LINE_END
+        self._check_unfinished_line("trailer field")
+        return b""
+
+    def _check_unfinished_line(self, what: str) -> None:
+        """Check that the buffer holds the begin of a line and not an invalid one.
+
+        Raises
+        ------
+        MalformedResponseError
+            If the line ends in the buffer, or is too long.
+        """
+        if b"\n" in self._buffer or len(self._buffer) > MAX_LINE_BYTES:
+            raise MalformedResponseError(f"{what} {_quote(self._buffer)}")
+
 
 def _check_status_begin(begin: bytes) -> None:
     """Raise MalformedResponseError unless a status line can begin like this."""
