Write heads of our own that cannot fail half-way

Callers saw: their connection closed without an answer, or on a stream a 500 in chunks beside a length, if a header could not be written; with aiohttp's Python writer also for letters in ISO 8859-1, which its C writer left out. Cause: aiohttp checks headers after it has prepared the response, and encodes values as UTF-8. Why it works: headers are checked before a response is prepared, and an answer that cannot be written becomes a 502 on an open connection; bytes that are not UTF-8 are written as they were read.

--- a/packages/gateway/src/slatehoist/gateway/attempts.py
+++ b/packages/gateway/src/slatehoist/gateway/attempts.py
@@ -31,6 +31,7 @@
 from slatehoist.http import (
     BufferBudget,
     RelayedResponse,
+    WholeResponse,
     read_body,
     response_framing,
 )
@@ -231,7 +232,7 @@
         headers = self._codec.reply_headers(reply.headers)
         if not reply.framing.proves_end:
             return RelayedResponse(reply.status, headers, reply.framing, reply.body)
-        return web.Response(status=reply.status, headers=headers, body=reply.body)
+        return WholeResponse(status=reply.status, headers=headers, body=reply.body)
 
     def _record_failure(self, endpoint: Endpoint) -> None:
         if self._health.record_failure(endpoint.endpoint_id, self._clock()):
--- a/packages/gateway/src/slatehoist/gateway/gateway.py
+++ b/packages/gateway/src/slatehoist/gateway/gateway.py
@@ -16,6 +16,7 @@
 from slatehoist.gateway.model import Kind, RequestInfo, Route, Team
 from slatehoist.gateway.service_stalls import ServiceStalls
 from slatehoist.gateway.settings import MAX_LOGGED_PARTS, STALE_LOOKUP_S
+from slatehoist.http import InvalidHeaderError, WholeResponse, check_headers
 from slatehoist.observe import GatewayMetrics, milliseconds
 from slatehoist.routing import Unplaced, retry_after_s, retry_delay_s
 
@@ -160,8 +161,23 @@
         finally:
             self._tasks.discard(task)
             self.busy_connections.discard(conn)
-        if self.draining and not resp.prepared:
-            resp.force_close()
+        if not resp.prepared:
+            resp = self._ensure_valid_head(resp, info)
+            if self.draining:
+                resp.force_close()
+        return resp
+
+    def _ensure_valid_head(
+        self, resp: web.StreamResponse, info: RequestInfo
+    ) -> web.StreamResponse:
+        """Return the response, or a 502 in its place if its head cannot be written."""
+        try:
+            check_headers(resp.headers)
+        except InvalidHeaderError as exc:
+            log.error(
+                "answer_invalid", extra={"request": info.request_id, "why": str(exc)}
+            )
+            return web.Response(status=502, text="the answer has an invalid header")
         return resp
 
     async def _answer(
@@ -393,7 +409,9 @@
         )
         self._metrics.answers.labels(str(refusal.status), "gateway").inc()
         headers = self._codec.own_headers(info.request_id, delay_s)
-        resp = web.Response(status=refusal.status, headers=headers, text=refusal.reason)
+        resp = WholeResponse(
+            status=refusal.status, headers=headers, text=refusal.reason
+        )
         if refusal.use_other_instance:
             resp.force_close()
         return resp
--- a/packages/gateway/src/slatehoist/gateway/streams.py
+++ b/packages/gateway/src/slatehoist/gateway/streams.py
@@ -11,8 +11,10 @@
 from slatehoist.gateway.upstream import BrokenReplyError
 from slatehoist.http import (
     EventSplitter,
+    InvalidHeaderError,
     OversizedEventError,
     RelayedResponse,
+    check_headers,
     has_content,
     is_event_stream,
     media_type,
@@ -165,6 +167,10 @@
         self, exchange: Exchange, reply: aiohttp.ClientResponse
     ) -> None:
         headers = self._codec.reply_headers(reply.headers)
+        try:
+            check_headers(headers)
+        except InvalidHeaderError as exc:
+            raise BrokenReplyError(str(exc)) from exc
         exchange.stream = RelayedResponse(reply.status, headers, exchange.framing)
         exchange.stream_media_type = media_type(reply.headers)
         if self.draining:
--- a/packages/http/src/slatehoist/http/__init__.py
+++ b/packages/http/src/slatehoist/http/__init__.py
@@ -16,7 +16,13 @@
     media_type,
 )
 from slatehoist.http.framing import Framing, response_framing
-from slatehoist.http.responses import RelayedResponse, reset_on_close
+from slatehoist.http.responses import (
+    InvalidHeaderError,
+    RelayedResponse,
+    WholeResponse,
+    check_headers,
+    reset_on_close,
+)
 from slatehoist.http.validation import MalformedResponseError, ResponseValidator
 
 __all__ = [
@@ -25,6 +31,7 @@
     "BufferBudget",
     "EventSplitter",
     "Framing",
+    "InvalidHeaderError",
     "MalformedResponseError",
     "OversizedBodyError",
     "OversizedEventError",
@@ -32,6 +39,8 @@
     "ResettingResponseHandler",
     "ResponseValidator",
     "StrictResponseHandler",
+    "WholeResponse",
+    "check_headers",
     "has_content",
     "is_event_stream",
     "media_type",
--- a/packages/http/src/slatehoist/http/responses.py
+++ b/packages/http/src/slatehoist/http/responses.py
@@ -1,6 +1,7 @@
 """Responses to callers that never look whole before they are."""
 
 import asyncio
+import re
 import socket
 import struct
 from collections.abc import Mapping
@@ -13,6 +14,30 @@
 #: Values of SO_LINGER: with the first, a close resets the connection.
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 _ORDERLY_CLOSE = struct.pack("ii", 0, 0)
+_TOKEN = re.compile(r"[!#$%&'*+\-.^_`|~0-9A-Za-z]+")
+#: Bytes that are not UTF-8, as they are decoded.
+_SURROGATES = re.compile("[\udc80-\udcff]")
+_CONTROL_CHARACTERS = re.compile(r"[\x00-\x08\x0a-\x1f\x7f]")
+
+
+class InvalidHeaderError(ValueError):
+    """Raised for a header that cannot be part of a head."""
+
+
+def check_headers(headers: Mapping[str, str]) -> None:
+    """Check that a head with these headers can be written.
+
+    aiohttp finds an invalid header only after it has prepared a response, and can then
+    send neither that one nor another.
+
+    Raises
+    ------
+    InvalidHeaderError
+        If a name is no token, or a value contains a control character.
+    """
+    for name, value in headers.items():
+        if _TOKEN.fullmatch(name) is None or _CONTROL_CHARACTERS.search(value):
+            raise InvalidHeaderError(f"header {name!r} with value {value!r}")
 
 
 def reset_on_close(transport: asyncio.BaseTransport, enabled: bool = True) -> None:
@@ -26,7 +51,38 @@
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, value)
 
 
-class RelayedResponse(web.StreamResponse):
+class _OpaqueHeaders(web.StreamResponse):
+    """Response whose header values may contain bytes that are not UTF-8.
+
+    aiohttp reads such bytes as surrogates. Of its writers, one leaves surrogates out,
+    and the other fails.
+    """
+
+    async def _write_headers(self) -> None:
+        if any(_SURROGATES.search(value) for value in self.headers.values()):
+            self._write_opaque_headers()
+        else:
+            await super()._write_headers()
+
+    def _write_opaque_headers(self) -> None:
+        check_headers(self.headers)
+        major, minor = self._req.version
+        lines = [
+            f"HTTP/{major}.{minor} {self.status} {self.reason}",
+            *(f"{name}: {value}" for name, value in self.headers.items()),
+        ]
+        head = "\r\n".join([*lines, "", ""]).encode("utf-8", "surrogateescape")
+        writer = self._payload_writer
+        writer._headers_buf, writer._headers_written = head, False
+        if self._send_headers_immediately:
+            writer.send_headers()
+
+
+class WholeResponse(_OpaqueHeaders, web.Response):
+    """Response whose body is known, and whose header values may be any bytes."""
+
+
+class RelayedResponse(_OpaqueHeaders):
     """Response whose body is passed on, and is marked as ended only once it is whole.
 
     The end is marked by the last chunk. Where the caller does not know chunks
--- a/tests/test_platform_broken_answers.py
+++ b/tests/test_platform_broken_answers.py
@@ -8,7 +8,9 @@
 from collections.abc import Iterator
 from unittest import mock
 
+from adapter.headers import PlatformHeaderCodec
 from aiohttp import client_proto, http_parser, http_writer
+from multidict import CIMultiDict
 
 from gateway_world import CREDENTIAL, HOST, GatewayTestCase, GatewayWorld
 from odd_answers import BODY, BROKEN, REPAIRABLE, SOUND, Message, read_strictly
@@ -48,22 +50,23 @@
         self._port = int(port)
         self._writer: asyncio.StreamWriter | None = None
 
-    async def call(self, path: str) -> Message | None:
+    async def call(self, path: str, request_id: bytes = b"") -> Message | None:
         """Return the answer to a request; None if it is invalid or cut off."""
+        request_id = request_id or f"{random.getrandbits(64):016x}".encode()
         if self._writer is None:
             self._reader, self._writer = await asyncio.open_connection(
                 self._host, self._port
             )
         lines = [
-            f"GET {path} HTTP/1.1",
-            f"Host: {HOST}",
-            f"Request-Id: {random.getrandbits(64):016x}",
-            f"Credential: {CREDENTIAL}",
-            "Deadline-Ms: 3000",
+            f"GET {path} HTTP/1.1".encode(),
+            f"Host: {HOST}".encode(),
+            b"Request-Id: " + request_id,
+            f"Credential: {CREDENTIAL}".encode(),
+            b"Deadline-Ms: 3000",
         ]
         if path in ("/stream/", "/once/"):
-            lines.append("Accept: text/event-stream")
-        self._writer.write("\r\n".join([*lines, "", ""]).encode())
+            lines.append(b"Accept: text/event-stream")
+        self._writer.write(b"\r\n".join([*lines, b"", b""]))
         data = b""
         async with asyncio.timeout(ANSWER_TIMEOUT_S):
             while (message := read_strictly(data)) is None:
@@ -142,6 +145,9 @@
                             self.assertIsNotNone(answer, "cut off or invalid")
                             self.assertEqual(answer.status, 200)
                             self.assertEqual(answer.body, BODY)
+                            sent = read_strictly(script, closed=True)
+                            value = sent.fields.get(b"x-a")
+                            self.assertEqual(answer.fields.get(b"x-a"), value)
 
     async def test_answers_that_may_be_repaired_are_passed_on_whole_or_rejected(self):
         for parser in ("C", "Python"):
@@ -157,6 +163,42 @@
                                 self.assertEqual(answer.status, 200)
                                 self.assertEqual(answer.body, BODY)
 
+    # Guards against a head of our own that cannot be written: the connection closed
+    # without an answer, or a stream's error was sent in chunks beside its length.
+    async def test_answer_whose_headers_cannot_be_written_becomes_a_502(self):
+        for parser in ("C", "Python"):
+            with use_parser(parser):
+                await self.start_world(["ok"])
+                for name, value in (("X-A", "a\x07b"), ("X-A", "a\r\nb"), ("X A", "b")):
+                    odd = CIMultiDict({"Content-Type": "text/plain", name: value})
+                    for path in PATHS:
+                        with (
+                            self.subTest(parser=parser, name=name, path=path),
+                            mock.patch.object(
+                                PlatformHeaderCodec, "reply_headers", return_value=odd
+                            ),
+                        ):
+                            answer = await self.caller.call(path)
+                            self.assertIsNotNone(answer, "cut off or invalid")
+                            self.assertEqual(answer.status, BAD_GATEWAY)
+                            self.assertEqual(answer.rest, b"")
+                            with mock.patch.object(
+                                PlatformHeaderCodec, "own_headers", return_value=odd
+                            ):
+                                answer = await self.caller.call("/none/")
+                            self.assertIsNotNone(answer, "cut off or invalid")
+                            self.assertEqual(answer.status, BAD_GATEWAY)
+                        self.assertEqual((await self.caller.call(path)).status, 200)
+
+    async def test_refusal_repeats_a_request_id_in_iso_8859_1(self):
+        for parser in ("C", "Python"):
+            with use_parser(parser), self.subTest(parser=parser):
+                await self.start_world(["ok"])
+                answer = await self.caller.call("/none/", b"caf\xe9")
+                self.assertIsNotNone(answer, "cut off or invalid")
+                self.assertEqual(answer.status, 404)
+                self.assertEqual(answer.fields[b"request-id"], b"caf\xe9")
+
 
 if __name__ == "__main__":
     unittest.main()
