Validate the answers that the command line reads

Operators saw: a status such as 000, or a body with chunk marks, read as an answer of an entry or a process. Cause: the same as at the gateway; the command line alone opened connections without StrictResponseHandler. Why it works: all clients of the product now use strict_connector.

--- a/packages/cli/src/slatehoist/cli/client.py
+++ b/packages/cli/src/slatehoist/cli/client.py
@@ -6,7 +6,7 @@
 
 import aiohttp
 
-from slatehoist.http import read_body
+from slatehoist.http import read_body, strict_connector
 
 #: Timeout of one call, and of a watch that receives nothing, in seconds.
 CALL_TIMEOUT_S = 15.0
@@ -47,7 +47,9 @@
         url = f"{self.server.rstrip('/')}/api/v1/{path}"
         try:
             async with (
-                aiohttp.ClientSession(timeout=timeout) as session,
+                aiohttp.ClientSession(
+                    connector=strict_connector(), timeout=timeout
+                ) as session,
                 session.request(
                     method, url, json=body, headers=self._headers(headers)
                 ) as resp,
@@ -65,7 +67,9 @@
         timeout = aiohttp.ClientTimeout(total=None, sock_read=CALL_TIMEOUT_S)
         try:
             async with (
-                aiohttp.ClientSession(timeout=timeout) as session,
+                aiohttp.ClientSession(
+                    connector=strict_connector(), timeout=timeout
+                ) as session,
                 session.get(
                     url, params={"from": str(revision)}, headers=self._headers(None)
                 ) as resp,
--- a/packages/cli/src/slatehoist/cli/fleet.py
+++ b/packages/cli/src/slatehoist/cli/fleet.py
@@ -7,7 +7,7 @@
 import aiohttp
 from prometheus_client.parser import text_string_to_metric_families
 
-from slatehoist.http import read_body
+from slatehoist.http import read_body, strict_connector
 
 #: Timeout for reading the metrics of one process, in seconds; a partitioned instance
 #: never answers.
@@ -50,7 +50,9 @@
 async def read_processes(addresses: list[str]) -> list[Process]:
     """Read the metrics of all processes concurrently."""
     timeout = aiohttp.ClientTimeout(total=TIMEOUT_S)
-    async with aiohttp.ClientSession(timeout=timeout) as session:
+    async with aiohttp.ClientSession(
+        connector=strict_connector(), timeout=timeout
+    ) as session:
         return list(
             await asyncio.gather(*(_read_process(session, a) for a in addresses))
         )
