Name endpoint, request and reason of each rejected response

Operators saw: for ranks, stores, sidecars and entries no line at all, and reply_broken of the gateway without the endpoint's id. Cause: readers turn all client errors into one of their own, or into an unknown outcome.

--- a/packages/daemon/src/slatehoist/daemon/entry/attempts.py
+++ b/packages/daemon/src/slatehoist/daemon/entry/attempts.py
@@ -12,7 +12,7 @@
 import xxhash
 
 from slatehoist.config.settings import RetrySettings
-from slatehoist.http import read_body, strict_connector
+from slatehoist.http import log_rejected, read_body, strict_connector
 from slatehoist.wire import FrameDecoder, WireError, encode
 from slatehoist.wire.messages import (
     AttemptRequest,
@@ -142,8 +142,8 @@
         except aiohttp.ClientConnectorError:
             reason = NotRunReason.SIDECAR_DOWN
             progress.outcome = NotRun(req.attempt_id, reason)
-        except (TimeoutError, aiohttp.ClientError, WireError):
-            pass
+        except (TimeoutError, aiohttp.ClientError, WireError) as exc:
+            log_rejected(exc, address, f"attempt {req.attempt_id}")
         silent_queries = 0
         while progress.outcome is None and silent_queries < MAX_QUERIES:
             progress.responded = False
@@ -152,8 +152,8 @@
                     yield piece
             except (IncarnationGoneError, aiohttp.ClientConnectorError):
                 break
-            except (TimeoutError, aiohttp.ClientError, WireError):
-                pass
+            except (TimeoutError, aiohttp.ClientError, WireError) as exc:
+                log_rejected(exc, address, f"query of attempt {req.attempt_id}")
             silent_queries = 0 if progress.responded else silent_queries + 1
         yield progress.outcome or Unknown(req.attempt_id, "sidecar_gone")
 
@@ -166,8 +166,13 @@
         try:
             async for piece in self._query(address, req, progress):
                 yield piece
-        except (TimeoutError, IncarnationGoneError, aiohttp.ClientError, WireError):
-            pass
+        except (
+            TimeoutError,
+            IncarnationGoneError,
+            aiohttp.ClientError,
+            WireError,
+        ) as exc:
+            log_rejected(exc, address, f"query of attempt {attempt_id}")
         yield progress.outcome or Unknown(attempt_id, "sidecar_gone")
 
     async def query_state(
@@ -191,7 +196,8 @@
                     raise IncarnationGoneError
                 state = await read_body(resp, MAX_STATE_BYTES)
                 return AttemptState(state.decode())
-        except (aiohttp.ClientError, TimeoutError, ValueError):
+        except (aiohttp.ClientError, TimeoutError, ValueError) as exc:
+            log_rejected(exc, address, f"state of attempt {attempt_id}")
             return None
 
     async def cancel(self, address: str, attempt_id: str) -> None:
@@ -208,7 +214,8 @@
                     return
             except aiohttp.ClientConnectorError:
                 return
-            except (TimeoutError, aiohttp.ClientError):
+            except (TimeoutError, aiohttp.ClientError) as exc:
+                log_rejected(exc, address, f"cancel of attempt {attempt_id}")
                 await asyncio.sleep(CANCEL_PAUSE_S)
 
     async def _post(
--- a/packages/daemon/src/slatehoist/daemon/sidecar/ranks.py
+++ b/packages/daemon/src/slatehoist/daemon/sidecar/ranks.py
@@ -15,7 +15,7 @@
 from slatehoist.coord import RankGate, RankState, RankUnreachableError, settle_arm
 from slatehoist.daemon.background import Background
 from slatehoist.daemon.sidecar.peers import GroupPeers
-from slatehoist.http import read_body
+from slatehoist.http import log_rejected, read_body
 from slatehoist.storage import PlatformError, WeightStore
 from slatehoist.wire import LinkDownError, decode
 from slatehoist.wire.messages import MapOrder, MapReply, RanksAnswer, RanksQuestion
@@ -122,6 +122,7 @@
             ) as resp:
                 return msgspec.json.decode(await read_body(resp, MAX_ANSWER_BYTES))
         except (aiohttp.ClientError, TimeoutError, msgspec.DecodeError) as exc:
+            log_rejected(exc, self._url, f"{method} {path}")
             raise RankUnreachableError(
                 f"rank {self._index} at {self._url}: {method} {path} failed: {exc!r}"
             ) from exc
--- a/packages/gateway/src/slatehoist/gateway/attempts.py
+++ b/packages/gateway/src/slatehoist/gateway/attempts.py
@@ -126,7 +126,11 @@
             self._record_failure(endpoint)
             log.info(
                 "reply_broken",
-                extra={"request": exchange.info.request_id, "why": repr(exc)},
+                extra={
+                    "request": exchange.info.request_id,
+                    "endpoint": endpoint.endpoint_id,
+                    "why": repr(exc),
+                },
             )
             return Outcome.BROKEN, None
         finally:
--- a/packages/http/src/slatehoist/http/__init__.py
+++ b/packages/http/src/slatehoist/http/__init__.py
@@ -5,6 +5,7 @@
 from slatehoist.http.client import (
     ResettingResponseHandler,
     StrictResponseHandler,
+    log_rejected,
     strict_connector,
 )
 from slatehoist.http.events import (
@@ -43,6 +44,7 @@
     "check_headers",
     "has_content",
     "is_event_stream",
+    "log_rejected",
     "media_type",
     "read_body",
     "reset_on_close",
--- a/packages/http/src/slatehoist/http/client.py
+++ b/packages/http/src/slatehoist/http/client.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import functools
+import logging
 import re
 import socket
 import struct
@@ -13,6 +14,8 @@
 
 from slatehoist.http.validation import MalformedResponseError, ResponseValidator
 
+log = logging.getLogger(__name__)
+
 #: Value of SO_LINGER with which a close resets the connection.
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 #: Informational responses (status below 200) that are accepted before the final one.
@@ -159,6 +162,23 @@
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
 
 
+def log_rejected(exc: BaseException, endpoint: str, request: str) -> None:
+    """Log that a response was rejected, if that is the cause of an error.
+
+    Parameters
+    ----------
+    endpoint : str
+        Address or URL of the sender.
+    request : str
+        Method and path, or id, of the request.
+    """
+    if isinstance(exc, MalformedResponseError):
+        log.warning(
+            "response_rejected",
+            extra={"endpoint": endpoint, "request": request, "why": str(exc)},
+        )
+
+
 def strict_connector(
     handler: type[StrictResponseHandler] = StrictResponseHandler, **options
 ) -> aiohttp.TCPConnector:
--- a/packages/http/src/slatehoist/http/validation.py
+++ b/packages/http/src/slatehoist/http/validation.py
@@ -39,11 +39,9 @@
 _CHUNK_EXTENSION = (
     rb"[ \t]*;[ \t]*" + _TOKEN + rb"(?:[ \t]*=[ \t]*(?:" + _TOKEN + b"|" + _QUOTED_TEXT
 ) + b"))?"
-_CHUNK_LINE = re.compile(
-    rb"([0-9A-Fa-f]{1,16})(?:" + _CHUNK_EXTENSION + rb")*\r\n", re.ASCII
-)
+_CHUNK_LINE = re.compile(rb"([0-9A-Fa-f]{1,16})(?:" + _CHUNK_EXTENSION + rb")*\r\n")
 #: Begin of a line with the size of a chunk, of which the rest is missing.
-_CHUNK_LINE_BEGIN = re.compile(rb"[0-9A-Fa-f]{0,16}(?:(?<=[0-9A-Fa-f])[ \t;\r].*)?")
+_CHUNK_LINE_BEGIN = re.compile(rb"[0-9A-Fa-f]{1,16}(?:[ \t;\r]|$)")
 _TRAILER_LINE = re.compile(rb"(?:" + _TOKEN + b":" + _TEXT + rb")?\r\n")
 _LINE_END = b"\r\n"
 _BLANKS = b" \t"
@@ -183,12 +181,14 @@
     def _read_chunk(self) -> bytes:
         """Return the next chunk, or the begin of one that is large."""
         buffer = self._buffer
-        line = _CHUNK_LINE.match(buffer)
-        if line is None:
-            if _CHUNK_LINE_BEGIN.fullmatch(buffer) is None:
+        if b"\n" not in buffer:
+            if _CHUNK_LINE_BEGIN.match(buffer) is None:
                 raise MalformedResponseError(f"size of a chunk {_quote(buffer)}")
             self._check_unfinished_line("size of a chunk")
             return b""
+        line = _CHUNK_LINE.match(buffer)
+        if line is None:
+            raise MalformedResponseError(f"size of a chunk {_quote(buffer)}")
         size, start = int(line[1], 16), line.end()
         head = b"%x\r\n" % size
         if size == 0:
@@ -231,7 +231,10 @@
 
     def _read_trailer(self) -> bytes:
         """Check the lines after the last chunk; return the end of the body."""
-        while (line := _TRAILER_LINE.match(self._buffer)) is not None:
+        while b"\n" in self._buffer:
+            line = _TRAILER_LINE.match(self._buffer)
+            if line is None:
+                raise MalformedResponseError(f"trailer field {_quote(self._buffer)}")
             self._take(line.end())
             if line.end() == len(_LINE_END):
                 self._read = self._read_excess
@@ -240,14 +243,8 @@
         return b""
 
     def _check_unfinished_line(self, what: str) -> None:
-        """Check that the buffer holds the begin of a line and not an invalid one.
-
-        Raises
-        ------
-        MalformedResponseError
-            If the line ends in the buffer, or is too long.
-        """
-        if b"\n" in self._buffer or len(self._buffer) > MAX_LINE_BYTES:
+        """Raise MalformedResponseError if a line without an end is too long."""
+        if len(self._buffer) > MAX_LINE_BYTES:
             raise MalformedResponseError(f"{what} {_quote(self._buffer)}")
 
 
--- a/packages/storage/src/slatehoist/storage/http.py
+++ b/packages/storage/src/slatehoist/storage/http.py
@@ -7,7 +7,7 @@
 import aiohttp
 import msgspec
 
-from slatehoist.http import read_body, response_framing
+from slatehoist.http import log_rejected, read_body, response_framing
 from slatehoist.storage.base import Check, Instance, Row, Write
 from slatehoist.storage.exceptions import (
     ConflictError,
@@ -81,6 +81,7 @@
         except aiohttp.ClientConnectorError as exc:
             raise StoreDownError(f"{url}: {exc}") from exc
         except (TimeoutError, aiohttp.ClientError) as exc:
+            log_rejected(exc, self._base_url, f"{method} {path}")
             raise OutcomeUnknownError(f"{url}: {exc!r}") from exc
         if resp.status in _REFUSAL_STATUSES:
             raise StoreDownError(f"{url}: status {resp.status}")
--- a/tests/odd_answers.py
+++ b/tests/odd_answers.py
@@ -1,5 +1,6 @@
 """Builders of odd answers, and a strict reader of answers (RFC 9112)."""
 
+import random
 import re
 from typing import NamedTuple
 
@@ -339,3 +340,67 @@
         if len(rest) < size + 2 or rest[size : size + 2] != b"\r\n":
             return None
         body, rest = body + rest[:size], rest[size + 2 :]
+
+
+_FOLD = re.compile(rb"[ \t]*\r\n[ \t]+")
+_FRAMING_FOLD = re.compile(
+    rb"\r\n(?:content-length|transfer-encoding):[^\r\n]*\r\n[ \t]", re.IGNORECASE
+)
+
+
+def repair(data: bytes) -> bytes:
+    """Return an answer after the repairs that a proxy may make, if any apply.
+
+    They are a bare LF in the head, a folded value that does not concern the framing,
+    and a missing blank before an empty reason.
+    """
+    head, blank_line, rest = data.replace(b"\r\n", b"\n").partition(b"\n\n")
+    if not blank_line:
+        return data
+    # The body begins after as many line ends as the head has.
+    lines = head.count(b"\n") + 2
+    at = -1
+    for _ in range(lines):
+        at = data.index(b"\n", at + 1)
+    head = re.sub(rb"\r?\n", b"\r\n", data[: at + 1])
+    rest = data[at + 1 :]
+    first, _, fields = head.partition(b"\r\n")
+    if re.fullmatch(rb"HTTP/1\.[01] [0-9]{3}", first):
+        first += b" "
+    if fields[:1] not in (b" ", b"\t") and not _FRAMING_FOLD.search(head):
+        body_mark = fields.endswith(b"\r\n")
+        fields = _FOLD.sub(b" ", fields) if body_mark else fields
+    if first[9:10] == b"1":
+        rest = repair(rest)
+    return first + b"\r\n" + fields + rest
+
+
+#: Bytes that random changes put into answers.
+_ODD_BYTES = (
+    *(b"\r", b"\n", b"\r\n", b" ", b"\t", b":", b";", b",", b"0", b"1", b"9", b"a"),
+    *(b"\x00", b"\x01", b"\x0b", b"\x7f", b"\x80", b"\xe9", b"=", b'"', b"chunked"),
+    *(b"Content-Length", b"Transfer-Encoding", b"HTTP/1.1 200 X\r\n", b"\r\n\r\n"),
+)
+
+
+def change(answer: bytes, rng: random.Random) -> bytes:
+    """Return an answer with one to three random changes outside of its body."""
+    for _ in range(rng.randint(1, 3)):
+        body_at = answer.find(BODY)
+        places = [
+            at
+            for at in range(len(answer) + 1)
+            if not body_at < at < body_at + len(BODY) or body_at < 0
+        ]
+        at = rng.choice(places)
+        odd = rng.choice(_ODD_BYTES)
+        match rng.randrange(4):
+            case 0:
+                answer = answer[:at] + odd + answer[at:]
+            case 1:
+                answer = answer[:at] + odd + answer[at + len(odd) :]
+            case 2:
+                answer = answer[:at] + answer[at + 1 :]
+            case _:
+                answer = answer[:at] + answer[at : at + 8] + answer[at:]
+    return answer
