--- a/packages/daemon/src/slatehoist/daemon/sidecar/endpoints.py
+++ b/packages/daemon/src/slatehoist/daemon/sidecar/endpoints.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import logging
 from collections.abc import AsyncIterator
 from typing import NamedTuple, Protocol, TypedDict
 
@@ -19,6 +20,7 @@
     OversizedBodyError,
     OversizedEventError,
     is_event_stream,
+    log_rejected,
     read_body,
     response_framing,
     strict_connector,
@@ -31,6 +33,8 @@
     Head,
 )
 
+log = logging.getLogger(__name__)
+
 #: Timeout for opening a connection to the endpoint, in seconds.
 CONNECT_TIMEOUT_S = 1.0
 #: Timeout for reading the endpoint's load or cancelling an attempt, in seconds.
@@ -121,7 +125,8 @@
                 data = await read_body(resp, MAX_REPORT_BYTES)
                 report = msgspec.json.decode(data, type=_LoadReport)
                 return Load(**report)
-        except (TimeoutError, aiohttp.ClientError, msgspec.DecodeError):
+        except (TimeoutError, aiohttp.ClientError, msgspec.DecodeError) as exc:
+            log_rejected(exc, self._url, "GET /load")
             return None
 
     def _headers(self, req: AttemptRequest) -> dict[str, str]:
@@ -146,12 +151,26 @@
 
 
 def _make_head(resp: aiohttp.ClientResponse, proves_end: bool) -> Head:
-    headers = {k: resp.headers[k] for k in FORWARDED_HEADERS if k in resp.headers}
+    headers = {
+        name: value
+        for name in FORWARDED_HEADERS
+        if (value := resp.headers.get(name)) is not None and _is_encodable(name, value)
+    }
     if not proves_end:
         headers[UNPROVED_END_HEADER] = UNPROVED_END
     return Head(resp.status, headers)
 
 
+def _is_encodable(name: str, value: str) -> bool:
+    """Return True if a header can be part of a frame; log it if it cannot."""
+    try:
+        value.encode()
+    except UnicodeEncodeError:
+        log.warning("header_ignored", extra={"header": name, "value": repr(value)})
+        return False
+    return True
+
+
 def _framing(resp: aiohttp.ClientResponse) -> Framing:
     return response_framing(resp.method, resp.status, resp.headers)
 
@@ -181,6 +200,7 @@
         except aiohttp.ClientConnectorError as exc:
             raise EndpointDownError(str(exc)) from exc
         except (TimeoutError, aiohttp.ClientError) as exc:
+            log_rejected(exc, self._url, f"attempt {req.attempt_id}")
             raise BrokenResponseError(BrokenReason.ENDPOINT_CRASHED) from exc
 
     async def cancel(self, attempt_id: str) -> None:
@@ -203,8 +223,8 @@
                     yield chunk
         except aiohttp.ClientConnectorError as exc:
             raise EndpointDownError(str(exc)) from exc
-        except (TimeoutError, aiohttp.ClientError):
-            pass
+        except (TimeoutError, aiohttp.ClientError) as exc:
+            log_rejected(exc, self._url, f"attempt {req.attempt_id}")
         while not reader.complete:
             events = reader.events
             async for chunk in self._resume(req.attempt_id, reader):
@@ -219,8 +239,8 @@
         try:
             async with self._session.delete(url, timeout=timeout):
                 pass
-        except (TimeoutError, aiohttp.ClientError):
-            pass
+        except (TimeoutError, aiohttp.ClientError) as exc:
+            log_rejected(exc, self._url, f"cancel of attempt {attempt_id}")
 
     def count_tokens(self, req: AttemptRequest, chunk: bytes) -> int:
         """Count the events of a stream, or read the usage of a complete response."""
@@ -255,6 +275,7 @@
             if await self.load() is None:
                 raise BrokenResponseError(BrokenReason.ENDPOINT_SILENT) from None
         except aiohttp.ClientError as exc:
+            log_rejected(exc, self._url, f"rest of attempt {attempt_id}")
             if await self.load() is None:
                 raise BrokenResponseError(BrokenReason.ENDPOINT_CRASHED) from exc
 
