Bound trailers and informational responses where they are read

Cause: the validator read all such lines of what had arrived before their number was checked. Why it works: over 128 trailer fields or 16 informational responses fail in the validator itself.

--- a/packages/http/src/slatehoist/http/client.py
+++ b/packages/http/src/slatehoist/http/client.py
@@ -18,11 +18,8 @@
 
 #: Value of SO_LINGER with which a close resets the connection.
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
-#: Informational responses (status below 200) that are accepted before the final one.
-MAX_INFORMATIONAL = 16
 _SWITCHING_PROTOCOLS = 101
 _MISDIRECTED = 421
-_FIRST_FINAL_STATUS = 200
 #: Begin of a head, which does not occur within another one.
 _STATUS_LINE = re.compile(r"HTTP/1\.[01] \d{3}")
 #: Bytes of a response that are accepted besides its body: head, chunk sizes, chunk
@@ -34,12 +31,14 @@
 class StrictResponseHandler(ResponseHandler):
     """Connection whose failure is never taken for the end of a response.
 
-    What it receives is validated before aiohttp parses it; a broken response closes it.
+    What it receives is validated before aiohttp parses it, and a response that breaks
+    the rules of HTTP closes the connection; see `ResponseValidator`.
+
     aiohttp takes any end of the connection for the end of a response without a length,
     also a reset. It also reads informational responses and chunk extensions without
-    end; a connection with too many of them is closed. So is one with a second response
-    to a request, which aiohttp would take for the response to the next one, or with one
-    whose head contains the begin of another: a head that was cut joins the next one.
+    end; a connection with too many of them is closed. So is one with bytes after a
+    response, which aiohttp would take for the response to the next request, or with a
+    head that contains the start of another: a head that was cut joins the next one.
     After a request that was sent to the wrong server, the connection is not used again.
     """
 
@@ -48,7 +47,6 @@
         #: None before the first request.
         self._validator: ResponseValidator | None = None
         self._received_bytes = 0
-        self._informational = 0
         #: Body of the response before.
         self._last_payload: object = None
 
@@ -56,7 +54,7 @@
         """Prepare for a response."""
         # The parent may pass bytes that were received before to `data_received`.
         self._validator = ResponseValidator(not params.get("skip_payload", False))
-        self._received_bytes = self._informational = 0
+        self._received_bytes = 0
         self._last_payload = self._payload
         super().set_response_params(**params)
 
@@ -72,14 +70,12 @@
                 MalformedResponseError(f"head within the head of status {status}")
             )
             return
-        if status < _FIRST_FINAL_STATUS:
-            self._informational += 1
         if status == _MISDIRECTED:
             self.force_close()
         super().feed_data(data, size)
 
     def data_received(self, data: bytes) -> None:
-        """Process received bytes, unless the response is broken or has no end."""
+        """Validate received bytes and let aiohttp parse those that are valid."""
         if not data or self._validator is None:
             # aiohttp goes on with bytes that it has, or keeps these for later.
             super().data_received(data)
@@ -92,6 +88,7 @@
         if valid:
             super().data_received(valid)
         else:
+            # The time-out for reads starts again whenever bytes arrive.
             self.start_timeout()
         if self._validator.excess_bytes:
             self._end_after_excess()
@@ -109,12 +106,6 @@
     def _check_size(self, received_bytes: int) -> None:
         """Fail a response that has no end in sight."""
         self._received_bytes += received_bytes
-        if self._informational > MAX_INFORMATIONAL:
-            self._give_up(
-                MalformedResponseError(
-                    f"over {MAX_INFORMATIONAL} informational responses"
-                )
-            )
         body_bytes = 0
         if self._payload is not self._last_payload:
             body_bytes = getattr(self._payload, "total_bytes", 0)
--- a/packages/http/src/slatehoist/http/validation.py
+++ b/packages/http/src/slatehoist/http/validation.py
@@ -7,18 +7,21 @@
 """
 
 import re
+from collections.abc import Callable
 
 from aiohttp.client_exceptions import ClientPayloadError
 
 from slatehoist.http.framing import Framing, has_no_body
 
-#: Largest head that is accepted, most fields in it, and largest line of it or of the
-#: chunk framing.
+#: Largest head that is accepted, largest line of it or of the chunk framing, and most
+#: fields in a head or a trailer section.
 MAX_HEAD_BYTES = 256 * 1024
-MAX_FIELDS = 128
 MAX_LINE_BYTES = 16 * 1024
-#: Bytes of a chunk that are held back until its end was received. Of a larger chunk,
-#: the beginning is passed on before.
+MAX_FIELDS = 128
+#: Informational responses (status below 200) that are accepted before the final one.
+MAX_INFORMATIONAL = 16
+#: Bytes of a chunk that are held back until its end was received. The start of a
+#: larger chunk is passed on before.
 MAX_HELD_BYTES = 64 * 1024
 #: Digits of a length: enough for any body, few enough for 64 bits.
 _MAX_LENGTH_DIGITS = 18
@@ -31,17 +34,17 @@
     rb'"(?:[\t\x20\x21\x23-\x5b\x5d-\x7e\x80-\xff]|\\[\t\x20-\x7e\x80-\xff])*"'
 )
 _STATUS_LINE = re.compile(rb"HTTP/1\.([01]) ([1-5][0-9]{2})(?: " + _TEXT + rb")?")
-#: Begin of a status line, and one that completes a part of a begin.
-_STATUS_BEGIN = re.compile(rb"HTTP/1\.[01] [1-5][0-9]{2}")
+#: Start of a status line, and a valid one that completes a part of it.
+_STATUS_START = re.compile(rb"HTTP/1\.[01] [1-5][0-9]{2}")
 _STATUS_EXAMPLE = b"HTTP/1.1 200"
-_FIELD = re.compile(b"(" + _TOKEN + b"):(" + _TEXT + b")")
+_FIELD = re.compile(_TOKEN + b":" + _TEXT)
 _FIELD_NAME = re.compile(_TOKEN)
 _CHUNK_EXTENSION = (
     rb"[ \t]*;[ \t]*" + _TOKEN + rb"(?:[ \t]*=[ \t]*(?:" + _TOKEN + b"|" + _QUOTED_TEXT
 ) + b"))?"
 _CHUNK_LINE = re.compile(rb"([0-9A-Fa-f]{1,16})(?:" + _CHUNK_EXTENSION + rb")*\r\n")
-#: Begin of a line with the size of a chunk, of which the rest is missing.
-_CHUNK_LINE_BEGIN = re.compile(rb"[0-9A-Fa-f]{1,16}(?:[ \t;\r]|$)")
+#: Start of a line with the size of a chunk, of which the rest is missing.
+_CHUNK_LINE_START = re.compile(rb"[0-9A-Fa-f]{1,16}(?:[ \t;\r]|$)")
 _TRAILER_LINE = re.compile(rb"(?:" + _TOKEN + b":" + _TEXT + rb")?\r\n")
 _LINE_END = b"\r\n"
 _BLANKS = b" \t"
@@ -76,13 +79,17 @@
     def __init__(self, has_body: bool = True) -> None:
         self._has_body = has_body
         self._buffer = bytearray()
-        self._read = self._read_head
-        #: Lines of the head that were read; bytes of the buffer that they are in, and
-        #: that were searched for the end of the next line.
+        #: Reads the next part of the response. It returns nothing if more bytes are
+        #: needed, and replaces itself when another kind of part follows.
+        self._read: Callable[[], bytes] = self._read_head
+        #: Lines of the head that were read.
         self._lines: list[bytes] = []
+        #: Position in the buffer at which the next line of the head begins, and the one
+        #: up to which its end was searched for.
         self._line_start = self._searched = 0
-        #: Bytes of the body, or of a chunk that is passed on in parts, to come.
+        #: Bytes to come of the body, or of a chunk that is passed on in parts.
         self._left = 0
+        self._informational = self._trailers = 0
         self.excess_bytes = 0
 
     def feed(self, data: bytes) -> bytes:
@@ -100,7 +107,7 @@
         return b"".join(parts)
 
     def _take(self, size: int) -> bytes:
-        """Remove bytes from the begin of the buffer, and return them."""
+        """Remove bytes from the start of the buffer, and return them."""
         part = bytes(self._buffer[:size])
         del self._buffer[:size]
         return part
@@ -108,7 +115,7 @@
     def _read_head(self) -> bytes:
         buffer = self._buffer
         if not self._lines:
-            _check_status_begin(bytes(buffer[: len(_STATUS_EXAMPLE)]))
+            _check_status_start(bytes(buffer[: len(_STATUS_EXAMPLE)]))
         while (end := buffer.find(b"\n", self._searched)) >= 0:
             line = bytes(buffer[self._line_start : end]).removesuffix(b"\r")
             self._line_start = self._searched = end + 1
@@ -153,8 +160,16 @@
         version, status = _STATUS_LINE.fullmatch(lines[0]).groups()
         framing, self._left = _read_framing(version, lines)
         if int(status) < _FIRST_FINAL_STATUS:
-            self._read = self._read_head
-        elif not self._has_body or has_no_body(int(status)):
+            self._informational += 1
+            if self._informational > MAX_INFORMATIONAL:
+                raise MalformedResponseError(
+                    f"over {MAX_INFORMATIONAL} informational responses"
+                )
+        elif (
+            not self._has_body
+            or has_no_body(int(status))
+            or (framing is Framing.LENGTH and not self._left)
+        ):
             self._read = self._read_excess
         else:
             self._read = {
@@ -179,10 +194,10 @@
         return b""
 
     def _read_chunk(self) -> bytes:
-        """Return the next chunk, or the begin of one that is large."""
+        """Return the next chunk, or the start of one that is large."""
         buffer = self._buffer
         if b"\n" not in buffer:
-            if _CHUNK_LINE_BEGIN.match(buffer) is None:
+            if _CHUNK_LINE_START.match(buffer) is None:
                 raise MalformedResponseError(f"size of a chunk {_quote(buffer)}")
             self._check_unfinished_line("size of a chunk")
             return b""
@@ -239,6 +254,9 @@
             if line.end() == len(_LINE_END):
                 self._read = self._read_excess
                 return _LINE_END
+            self._trailers += 1
+            if self._trailers > MAX_FIELDS:
+                raise MalformedResponseError(f"over {MAX_FIELDS} trailer fields")
         self._check_unfinished_line("trailer field")
         return b""
 
@@ -248,10 +266,10 @@
             raise MalformedResponseError(f"{what} {_quote(self._buffer)}")
 
 
-def _check_status_begin(begin: bytes) -> None:
-    """Raise MalformedResponseError unless a status line can begin like this."""
-    if _STATUS_BEGIN.fullmatch(begin + _STATUS_EXAMPLE[len(begin) :]) is None:
-        raise MalformedResponseError(f"status line {_quote(begin)}")
+def _check_status_start(start: bytes) -> None:
+    """Raise MalformedResponseError unless a status line can start like this."""
+    if _STATUS_START.fullmatch(start + _STATUS_EXAMPLE[len(start) :]) is None:
+        raise MalformedResponseError(f"status line {_quote(start)}")
 
 
 def _check_line_size(size: int) -> None:
@@ -318,5 +336,5 @@
 
 
 def _quote(data: bytes) -> str:
-    """Return the begin of some bytes as they are shown in a message."""
+    """Return the first of some bytes as they are shown in a message."""
     return repr(bytes(data[:_MAX_QUOTED_BYTES]))
--- a/packages/http/tests/test_http_validation.py
+++ b/packages/http/tests/test_http_validation.py
@@ -180,14 +180,26 @@
                         validator.feed(rest + end)
 
     def test_bytes_after_a_response_are_counted_and_not_passed_on(self):
-        for answer in (make_answer(), make_chunked(CHUNK, LAST_CHUNK)):
-            validator = ResponseValidator()
-            whole = validator.feed(answer)
-            self.assertTrue(whole.endswith((BODY, LAST_CHUNK)))
-            self.assertEqual(validator.feed(b"xyz"), b"")
-            self.assertEqual(validator.excess_bytes, 3)
-
-    def test_lines_without_end_are_rejected_soon(self):
+        empty = make_answer(framing=b"Content-Length: 0", body=b"")
+        no_content = make_answer(
+            framing=b"", body=b"", status_line=b"HTTP/1.1 204 No Content"
+        )
+        for answer in (
+            make_answer(),
+            make_chunked(CHUNK, LAST_CHUNK),
+            empty,
+            no_content,
+        ):
+            with self.subTest(answer=answer):
+                validator = ResponseValidator()
+                whole = validator.feed(answer)
+                self.assertEqual(validator.feed(b"xyz"), b"")
+                self.assertEqual(validator.excess_bytes, 3)
+                at_once = ResponseValidator()
+                self.assertEqual(at_once.feed(answer + b"xyz"), whole)
+                self.assertEqual(at_once.excess_bytes, 3)
+
+    def test_responses_without_end_are_rejected_soon(self):
         for begin, piece, limit in (
             (b"HTTP/1.1 200 ", b"x", MAX_LINE_BYTES),
             (b"HTTP/1.1 200 X\r\nX: ", b"x", MAX_LINE_BYTES),
@@ -196,6 +208,8 @@
             (b"HTTP/1.1 200 X\r\n", b"X: 1\r\n", MAX_LINE_BYTES),
             (make_chunked(b"1;"), b"x", MAX_LINE_BYTES),
             (make_chunked(b"0\r\nX:"), b"x", MAX_LINE_BYTES),
+            (make_chunked(b"0\r\n"), b"X: 1\r\n", MAX_LINE_BYTES),
+            (b"HTTP/1.1 103 X\r\n\r\n", b"HTTP/1.1 102 X\r\n\r\n", MAX_LINE_BYTES),
         ):
             with self.subTest(begin=begin, piece=piece[:9]):
                 validator = ResponseValidator()
