--- a/tests/odd_answers.py
+++ b/tests/odd_answers.py
@@ -354,22 +354,16 @@
     They are a bare LF in the head, a folded value that does not concern the framing,
     and a missing blank before an empty reason.
     """
-    head, blank_line, rest = data.replace(b"\r\n", b"\n").partition(b"\n\n")
-    if not blank_line:
+    blank_line = re.search(rb"\n\r?\n", data)
+    if blank_line is None:
         return data
-    # The body begins after as many line ends as the head has.
-    lines = head.count(b"\n") + 2
-    at = -1
-    for _ in range(lines):
-        at = data.index(b"\n", at + 1)
-    head = re.sub(rb"\r?\n", b"\r\n", data[: at + 1])
-    rest = data[at + 1 :]
+    head = re.sub(rb"\r?\n", b"\r\n", data[: blank_line.end()])
+    rest = data[blank_line.end() :]
     first, _, fields = head.partition(b"\r\n")
     if re.fullmatch(rb"HTTP/1\.[01] [0-9]{3}", first):
         first += b" "
     if fields[:1] not in (b" ", b"\t") and not _FRAMING_FOLD.search(head):
-        body_mark = fields.endswith(b"\r\n")
-        fields = _FOLD.sub(b" ", fields) if body_mark else fields
+        fields = _FOLD.sub(b" ", fields)
     if first[9:10] == b"1":
         rest = repair(rest)
     return first + b"\r\n" + fields + rest
