Log responses that the parser or a limit rejects, too

Operators saw no line if a rank's or the store's answer had a field over 8 KiB, a cut body or a large one. Cause: only errors of the validator were logged. Why it works: log_rejected also logs the errors that aiohttp raises for a response itself; errors of connections stay with their handlers.

--- a/packages/http/src/slatehoist/http/client.py
+++ b/packages/http/src/slatehoist/http/client.py
@@ -8,7 +8,7 @@
 import struct
 
 import aiohttp
-from aiohttp.client_exceptions import ClientPayloadError
+from aiohttp.client_exceptions import ClientPayloadError, ClientResponseError
 from aiohttp.client_proto import ResponseHandler
 from aiohttp.http import RawResponseMessage
 
@@ -154,7 +154,9 @@
 
 
 def log_rejected(exc: BaseException, endpoint: str, request: str) -> None:
-    """Log that a response was rejected, if that is the cause of an error.
+    """Log that a response was rejected or cut off, if that is the cause of an error.
+
+    Errors of connections are not logged: their handlers do that, or expect them.
 
     Parameters
     ----------
@@ -163,7 +165,7 @@
     request : str
         Method and path, or id, of the request.
     """
-    if isinstance(exc, MalformedResponseError):
+    if isinstance(exc, ClientPayloadError | ClientResponseError):
         log.warning(
             "response_rejected",
             extra={"endpoint": endpoint, "request": request, "why": str(exc)},
--- a/tests/odd_answers.py
+++ b/tests/odd_answers.py
@@ -102,7 +102,11 @@
         (b"Content-Type", make_answer(b"Content-Type: a/b" + bytes([byte]) + b"c")),
     )
     if not (byte == 0x0D and name == b"X-B")  # CR CR LF is listed below.
-} | {"CR before the line end": make_answer(b"X-A: b\r")}
+} | {
+    "CR before the line end": make_answer(b"X-A: b\r"),
+    "20,000 bytes": make_answer(b"X-A: " + b"x" * 20000),
+    "200 fields": make_answer(*[b"X-A: 1"] * 200),
+}
 
 _CODINGS = (
     *(b"ch,unked", b"chunked, chunked", b"gzip, chunked", b"chunked, gzip", b"gzip"),
--- a/tests/test_platform_broken_readers.py
+++ b/tests/test_platform_broken_readers.py
@@ -9,7 +9,7 @@
 from adapter.store import PlatformTable
 
 from http_parsers import PARSERS, use_parser
-from odd_answers import BROKEN, SOUND
+from odd_answers import BROKEN, SOUND, make_answer
 from scripted_server import ScriptedServerTestCase
 from slatehoist.cli.client import Api, UnreachableError
 from slatehoist.cli.fleet import read_processes
@@ -126,6 +126,28 @@
 
         await self.check_all(check, b"{}")
 
+    # Guards against an answer that only aiohttp's limits reject, without a log line.
+    async def test_valid_answer_that_the_parser_rejects_is_logged(self):
+        table = PlatformTable(self.address, self.session)
+
+        async def check():
+            with (
+                self.assertLogs("slatehoist.http") as log,
+                self.assertRaises(StoreDownError),
+            ):
+                await table.get("t", "k")
+            self.check_logged(log, "GET /api/rows-get")
+
+        for parser in PARSERS:
+            for what, answer in (
+                ("large field", make_answer(b"X-A: " + b"x" * 9000)),
+                ("cut body", make_answer(framing=b"Content-Length: 29")),
+            ):
+                self.server.closes_after_script = True
+                self.server.answer(answer, NO_ROWS)
+                with use_parser(parser), self.subTest(parser=parser, what=what):
+                    await check()
+
     async def test_command_line_names_the_reason(self):
         api = Api(f"http://{self.address}", "token")
 
