Show that large uploads end a gateway and the requests in progress

Tried: 70 uploads of maxBodyBytes by one member's callers within 2.7 s, below the link's speed, while 12 kept channels of another member are in use; a stand-in of the platform kills the gateway at 300 MB. And the same with uploads of 600 bytes.

Code at fault: Gateway._read_body bounds one body, but not all together.

--- a/review/harness_3/client.py
+++ b/review/harness_3/client.py
@@ -4,6 +4,9 @@
 import socket
 from typing import NamedTuple
 
+#: End of a body in chunks; the stand-ins send no trailers.
+LAST_CHUNK = b"\r\n0\r\n\r\n"
+
 
 class Answer(NamedTuple):
     """Answer to a request.
@@ -13,7 +16,7 @@
     status : int
         0 if the channel ended, or the time was over, before the head.
     is_whole : bool
-        True if the body has the length that the head states.
+        True if the body has the length that the head states, or its last chunk.
     end : str
         ``whole``, ``closed`` or ``deadline``.
     """
@@ -47,9 +50,22 @@
         """Close the channel."""
         self._sock.close()
 
-    async def send(self, data: bytes) -> None:
-        """Send bytes."""
-        await asyncio.get_running_loop().sock_sendall(self._sock, data)
+    async def send(self, data: bytes, bytes_per_s: float | None = None) -> None:
+        """Send bytes, at a speed if one is given.
+
+        Raises
+        ------
+        OSError
+            If the channel is closed.
+        """
+        loop = asyncio.get_running_loop()
+        part = len(data) if bytes_per_s is None else 65536
+        began_at = loop.time()
+        for start in range(0, len(data), part):
+            await loop.sock_sendall(self._sock, data[start : start + part])
+            if bytes_per_s is not None:
+                due_at = began_at + (start + part) / bytes_per_s
+                await asyncio.sleep(max(0.0, due_at - loop.time()))
 
     async def read_answer(
         self, timeout_s: float, bytes_per_s: float | None = None
@@ -100,14 +116,17 @@
 
 
 def _answer_size(data: bytes) -> int | None:
-    """Return the bytes of a whole answer with a length, or None if not yet known."""
-    head, blank, _ = data.partition(b"\r\n\r\n")
+    """Return the bytes of a whole answer, or None if they are not yet known."""
+    head, blank, body = data.partition(b"\r\n\r\n")
     if not blank:
         return None
     for line in head.lower().split(b"\r\n")[1:]:
         name, _, value = line.partition(b":")
         if name == b"content-length":
             return len(head) + len(blank) + int(value)
+        if name == b"transfer-encoding":
+            end = body.find(LAST_CHUNK)
+            return None if end < 0 else len(data) - len(body) + end + len(LAST_CHUNK)
     return None
 
 
@@ -118,6 +137,7 @@
     body: bytes = b"",
     deadline_ms: int = 3000,
     headers: tuple[str, ...] = (),
+    credential: str = "key-1",
 ) -> bytes:
     """Return the bytes of a client's request."""
     lines = [
@@ -125,7 +145,7 @@
         "Host: api.example",
         f"Request-Id: {request_id}",
         f"Deadline-Ms: {deadline_ms}",
-        "Credential: key-1",
+        f"Credential: {credential}",
         *headers,
     ]
     if body or method == "POST":
--- a/review/harness_3/deployment.py
+++ b/review/harness_3/deployment.py
@@ -163,6 +163,10 @@
         except (TimeoutError, OSError):
             return False
 
+    def kill(self, gateway: Gateway) -> None:
+        """Kill a gateway, as the platform does with one that exceeds its memory."""
+        self.processes[gateway.name].kill()
+
     def terminate(self, gateway: Gateway) -> None:
         """Stop a gateway as the platform does: by SIGTERM."""
         self.processes[gateway.name].send_signal(signal.SIGTERM)
@@ -207,7 +211,10 @@
             "headerTimeoutMs": 3000,
             "idleTimeoutMs": 15000,
         },
-        "tenants": [{"name": "member-1", "apiKeys": ["key-1"], "priority": 1}],
+        "tenants": [
+            {"name": f"member-{number}", "apiKeys": [f"key-{number}"], "priority": 1}
+            for number in (1, 2)
+        ],
         **fields,
     }
 
