Show that a rolling restart of agents and a late hold split the maps

Tried: a switch ends well while the group is idle; then the agent of the rank that was held and the agent of the coordinator are restarted one after the other. The server carries out one hold 6 s late, while the second agent is down. And the same with that hold answered at once.

Code at fault: an agent that was started while its rank was not held takes its predecessor's grants for void, and so undoes a switch without a fence at the coordinator's rank, which may still be armed.

--- a/review/11/case.py
+++ b/review/11/case.py
@@ -1,112 +1,42 @@
 """A server carries an order out late while agents are restarted and the group is idle.
 
-The group switches to a new map. The agent beside the rank that holds the group is
-stopped by SIGTERM, as in a rolling restart, and started again a second later. Without
-the disruption, that server answers all orders at once.
+The group switches to a new map, and the switch ends as it should. Then the agents are
+stopped by SIGTERM and started again, one after the other, as in a rolling restart.
+Without the disruption, the server answers all orders at once.
 """
 
 import asyncio
-import os
 import pathlib
-import subprocess
 import sys
 import tempfile
 import time
 
-from harness_3.deployment import ROOT, Record, run_case
+from harness_3.agents import SERVICE, Agents
+from harness_3.deployment import Record, run_case
 from harness_3.ranks import RankGroup, loopback_prefix, make_engine
 
 from slatehoist_standins.deployment_store import DeploymentStore
 from slatehoist_standins.fleet import free_port
 
 RANKS = 3
-SERVICE = "model"
-METRICS_PORT = 9465
 #: Seconds until an order without an answer is carried out; the pages allow 2 to 12.
-LATE_S = 8.0
-#: Seconds from the end of a stopped agent until the platform starts it again.
-RESTART_S = 1.0
+LATE_S = 6.0
+#: Seconds from the switch until the agents of ranks 1 and 0 get SIGTERM. The second one
+#: has not been heard of for more than half a second when the late order is carried out.
+FIRST_RESTART_S = 1.0
+SECOND_RESTART_S = LATE_S - 1.0
 #: Seconds of requests before other experts are in demand, and after the idle time.
 BEFORE_S = 5.0
 AFTER_S = 4.0
 #: Seconds without requests, from the switch on.
 IDLE_S = 13.0
-#: Longest seconds until the switch begins, and until a stopped agent has ended.
+#: Longest seconds until the switch begins.
 SWITCH_TIMEOUT_S = 15.0
-STOP_TIMEOUT_S = 8.0
 #: Experts in demand, before and after the change.
 FAVOURITES = (0, 3)
 OTHER_FAVOURITES = (1, 4)
 
 
-class Agents:
-    """Agent processes of the group, one at the loopback address of each rank."""
-
-    def __init__(self, folder: pathlib.Path, record: Record) -> None:
-        self._folder = folder
-        self._record = record
-        self._processes: dict[int, subprocess.Popen] = {}
-        self._paths: list[pathlib.Path] = []
-
-    def configure(self, hosts: list[str], addresses: list[str], store: str) -> None:
-        """Write the settings file of each agent."""
-        port = free_port()
-        for rank, (host, address) in enumerate(zip(hosts, addresses, strict=True)):
-            path = self._folder / f"side-{rank}.conf"
-            path.write_text(
-                f"node=side-{rank}\nrole=agent\nmachineClass=side\nserves=side\n"
-                f"ip={host}\nzone=a\nregion=region\nzones.a=region\n"
-                f"internalPorts={port},{port + 15}\napp={address}\n"
-                f"service={SERVICE}\nlimits.linkMbps=10\nlimits.memoryMb=168\n"
-                "bounds.contactMs=3000\nbounds.graceS=8\nbounds.stall_ms=1500\n"
-                f"provider.addr={store}\n"
-            )
-            self._paths.append(path)
-
-    def start(self, rank: int) -> None:
-        """Start an agent with the command of the deploy file."""
-        log = open(self._folder / f"side-{rank}.log", "ab")  # noqa: SIM115
-        self._processes[rank] = subprocess.Popen(
-            [
-                sys.executable,
-                "platform/launch.py",
-                "agent",
-                "--metrics",
-                str(METRICS_PORT),
-            ],
-            cwd=ROOT,
-            env={
-                "PATH": os.environ["PATH"],
-                "HOME": os.environ.get("HOME", "/"),
-                "SLATEHOIST_BOOT": str(self._paths[rank]),
-                "PYTHONPATH": str(ROOT / "target" / "deps"),
-            },
-            stdin=subprocess.DEVNULL,
-            stdout=log,
-            stderr=log,
-        )
-        log.close()
-        self._record.write(f"agent {rank} is started")
-
-    async def restart(self, rank: int) -> None:
-        """Stop an agent by SIGTERM, and start it again when it has ended."""
-        proc = self._processes[rank]
-        proc.terminate()
-        self._record.write(f"agent {rank} gets SIGTERM")
-        async with asyncio.timeout(STOP_TIMEOUT_S):
-            while proc.poll() is None:
-                await asyncio.sleep(0.02)
-        await asyncio.sleep(RESTART_S)
-        self.start(rank)
-
-    def kill(self) -> None:
-        """End all agents."""
-        for proc in self._processes.values():
-            if proc.poll() is None:
-                proc.kill()
-            proc.wait()
-
-
 async def case(record: Record, trouble: bool) -> str:
     """Switch the group's map, and return how the rule was broken."""
     store = DeploymentStore()
@@ -130,6 +60,14 @@
         agents = Agents(pathlib.Path(folder), record)
         agents.configure(hosts, group.addresses, store_address)
 
+        async def roll(rank: int) -> None:
+            """Restart the agent beside the rank that is held, then that of rank 0."""
+            began_at = time.monotonic()
+            await asyncio.sleep(FIRST_RESTART_S)
+            await agents.restart(rank)
+            await asyncio.sleep(began_at + SECOND_RESTART_S - time.monotonic())
+            await agents.restart(0)
+
         def on_hold(rank: int, body: dict) -> float | None:
             """Begin the disruption with the first hold of the second switch."""
             if body["op"] != "hold" or switching.is_set():
@@ -137,7 +75,7 @@
             switching.set()
             group.busy_until = 0.0
             record.write("the last requests have ended: the group is idle")
-            restarts.append(asyncio.create_task(agents.restart(rank)))
+            restarts.append(asyncio.create_task(roll(rank)))
             return LATE_S if trouble else None
 
         try:
@@ -163,6 +101,7 @@
             agents.kill()
             await group.stop()
             await store.stop()
+    record.write(f"{len(group.violations)} passes began with different maps")
     if group.violations:
         first = group.violations[0]
         return f"MAP: pass {first.step} began while ranks had the maps {first.versions}"
