--- a/review/11/case.py
+++ b/review/11/case.py
@@ -98,6 +98,8 @@
             await asyncio.sleep(AFTER_S)
             record.write(f"passes {before + 1} to {group.step} were begun")
         finally:
+            for task in restarts:
+                task.cancel()
             agents.kill()
             await group.stop()
             await store.stop()
