--- a/review/11/case.py
+++ b/review/11/case.py
@@ -69,8 +69,9 @@
             await agents.restart(0)
 
         def on_hold(rank: int, body: dict) -> float | None:
-            """Begin the disruption with the first hold of the second switch."""
-            if body["op"] != "hold" or switching.is_set():
+            """Begin with the first hold of the second switch that is not refused."""
+            is_hold = body["op"] == "hold" and body["step"] > group.step
+            if not is_hold or switching.is_set():
                 return None
             switching.set()
             group.busy_until = 0.0
