--- a/review/11/case.py
+++ b/review/11/case.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import os
 import pathlib
 import sys
 import tempfile
@@ -109,9 +110,10 @@
         first = group.violations[0]
         return f"MAP: pass {first.step} began while ranks had the maps {first.versions}"
     if group.step == before:
-        return "MAP: no pass was begun any more"
+        raise RuntimeError("no pass was begun any more")
     return ""
 
 
 if __name__ == "__main__":
-    sys.exit(run_case(str(pathlib.Path(__file__).parent), case))
+    folder = str(pathlib.Path(__file__).parent)
+    sys.exit(run_case(folder, case, os.environ.get("TROUBLE", "1") != "0"))
--- a/review/harness_3/deployment.py
+++ b/review/harness_3/deployment.py
@@ -237,7 +237,7 @@
         self._file.close()
 
 
-def run_case(folder: str, case) -> int:
+def run_case(folder: str, case, trouble: bool) -> int:
     """Run a case, and return the exit code: 1 broken, 0 held, 2 could not run.
 
     Parameters
@@ -245,9 +245,10 @@
     case : callable
         Coroutine function of the record and of whether the disruption takes place. It
         returns a text that says how the rule was broken, or an empty one if it held.
+    trouble : bool
+        Whether the disruption takes place.
     """
     record = Record(pathlib.Path(folder))
-    trouble = os.environ.get("TROUBLE", "1") != "0"
     record.write(f"disruption: {'yes' if trouble else 'no'}")
 
     async def limited() -> str:
