Let an agent conclude from its rank's first report what was granted

Cause: an agent that starts took a rank that is not held for proof that its predecessor's grants are of no effect any more. A switch that has ended well leaves the ranks armed until their pass begins, and an idle group begins none. A hold that is carried out late brings the hold back, and the agent undid the switch without the coordinator's rank. It also kept its newest grant only, and forgot what its predecessor had refused.

Now the first report decides: each pass at which the rank is held or armed by then may have been granted, and may have been refused, so it gets no grant either. Before that report any pass may have been granted. Grants and refusals are kept as the newest pass of an epoch, so late holds of earlier passes count.

--- a/packages/maps/src/slatehoist/maps/coordinator.py
+++ b/packages/maps/src/slatehoist/maps/coordinator.py
@@ -248,13 +248,12 @@
         if placement is None:
             self._log_settlement("map_unknown", holders, reports)
             return True
-        version = switch_version(reports.values())
         # If another rank is a holder, its agent may have granted the switch.
         granted = holders != [own.rank] or self._grants.may_have_granted(
-            own.epoch, version, own.held
+            own.epoch, own.held
         )
         if not granted:
-            self._grants.deny(version, own.held)
+            self._grants.deny(own.epoch, own.held)
         self._grants.settling = True
         try:
             async with asyncio.timeout(self._settle_timeout_s):
--- a/packages/maps/src/slatehoist/maps/grants.py
+++ b/packages/maps/src/slatehoist/maps/grants.py
@@ -5,9 +5,14 @@
 granted. If it later settles the switch and has granted nothing, it knows that the
 coordinator's rank is not armed, even if that rank is unreachable.
 
-The record is lost when the agent ends. An agent that finds its rank held when it starts
-therefore assumes that its predecessor has granted the switch. If the rank is not held,
-the predecessor's grants are of no effect any more: their switches have ended.
+The record is lost when the agent ends, so an agent knows nothing of its predecessor's
+grants but what the first report of its rank shows. A grant has been given only while
+the rank was held and armed for that switch, and takes effect until the pass begins. A
+switch that has ended well leaves the rank armed, and an order that is carried out late
+may hold it again. So the predecessor may have granted, or may have refused, each switch
+at which the rank was held or armed when it was first seen. For any later pass the rank
+was not armed yet, or was disarmed because the coordinator's rank could no longer become
+armed.
 """
 
 import asyncio
@@ -58,29 +63,35 @@
         self._tasks: set[asyncio.Task] = set()
         #: Version and step that this agent last granted.
         self.granted: tuple[int, int] | None = None
-        #: Epoch and step at which the own rank was held when it was first seen; the
-        #: step is None if it was not held. None before.
-        self._first_hold: tuple[int, int | None] | None = None
-        #: Version and step that this agent began to undo, and never grants any more.
-        self._denied: tuple[int, int] | None = None
+        #: Epoch and newest pass for which this agent or its predecessor may have given
+        #: a grant; None until the own rank was seen.
+        self._granted_until: tuple[int, int] | None = None
+        #: Epoch and newest pass for which no grants are given any more.
+        self._denied_until: tuple[int, int] | None = None
         #: True while this agent settles a switch; it makes no new grants meanwhile.
         self.settling = False
 
     def record_report(self, report: RankReport) -> None:
         """Record a report of the own rank; only the first one counts."""
-        if self._first_hold is None:
-            self._first_hold = (report.epoch, report.held)
+        if self._granted_until is None:
+            armed_step = report.armed.step if report.armed else 0
+            step = max(report.held or 0, armed_step)
+            self._granted_until = self._denied_until = report.epoch, step
 
-    def may_have_granted(self, epoch: int, version: int, step: int) -> bool:
-        """Return True if this agent or its predecessor may have granted a switch."""
-        return (version, step) == self.granted or (epoch, step) == self._first_hold
+    def may_have_granted(self, epoch: int, step: int) -> bool:
+        """Return True if a switch at this pass, or at a later one, may be granted.
 
-    def deny(self, version: int, step: int) -> None:
-        """Grant a switch never any more, since its settlement relies on that.
+        The agent keeps its newest grant only. A hold of an earlier pass is an order
+        that was carried out late.
+        """
+        return self._granted_until is None or (epoch, step) <= self._granted_until
+
+    def deny(self, epoch: int, step: int) -> None:
+        """Give no grants for a pass any more, since a settlement relies on that.
 
         The settlement may be interrupted, and others may then be begun.
         """
-        self._denied = (version, step)
+        self._denied_until = max(self._denied_until, (epoch, step))
 
     def handle_message(
         self, message: GrantRequest | GrantResponse, sender: Address
@@ -106,24 +117,25 @@
         """
         key = (request.version, request.step)
         granted = key == self.granted
-        if not granted and not self._forbids(key):
+        if not granted:
             try:
                 report = await self._own_client.report()
             except RankUnreachableError as exc:
                 log.warning("grant_not_answered", extra={"why": str(exc)})
                 return
-            granted = may_grant(report, *key) and not self._forbids(key)
+            self.record_report(report)
+            pass_id = report.epoch, request.step
+            is_denied = self.settling or pass_id <= self._denied_until
+            granted = may_grant(report, *key) and not is_denied
             if granted:
                 self.granted = key
+                self._granted_until = max(self._granted_until, pass_id)
         log.info(
             "grant_decided",
             extra={"version": key[0], "step": key[1], "granted": granted},
         )
         self._send(GrantResponse(*key, granted), sender)
 
-    def _forbids(self, key: tuple[int, int]) -> bool:
-        return self.settling or key == self._denied
-
     async def request(
         self,
         own_state: PeerState,
--- a/packages/maps/tests/group_world.py
+++ b/packages/maps/tests/group_world.py
@@ -21,6 +21,7 @@
     Answer,
     GroupSpec,
     RankCounts,
+    RankReport,
     RankStatus,
     RankUnreachableError,
     Subscription,
@@ -34,6 +35,10 @@
 #: Seconds between two instances, and for a request on the same one.
 DELAY_S = 0.001
 LOCAL_DELAY_S = 0.002
+#: Seconds after which a query or an order to a rank that does not answer is given up,
+#: and the same for an order to the rank on the own instance.
+UNREACHABLE_S = 0.25
+LOCAL_ORDER_TIMEOUT_S = 0.02
 #: Seconds between passes.
 PASS_S = 0.06
 #: Counts that the requests of one rank add to each set in one pass.
@@ -196,16 +201,23 @@
         )
 
     async def report(self):
-        await self._exchange(0, 300)
-        return self._world.engine.reports()[self._rank]._replace(running=1)
+        await self._query(0, 300)
+        return self._world.report(self._rank)
+
+    async def _query(self, request_bytes: int, answer_bytes: int) -> None:
+        if self._world.is_cut_off(self._host, self._world.host(self._rank)):
+            await asyncio.sleep(UNREACHABLE_S)
+            raise RankUnreachableError(f"rank {self._rank} is cut off")
+        await self._exchange(request_bytes, answer_bytes)
+        await self._world.wait_while_frozen(self._host)
 
     async def counts(self):
-        await self._exchange(0, 10_000)
+        await self._query(0, 10_000)
         engine = self._world.engine
         return RankCounts(engine.epoch, engine.step, list(engine.counts[self._rank]))
 
     async def experts(self):
-        await self._exchange(0, 400)
+        await self._query(0, 400)
         version = self._world.engine.maps[self._rank]
         placement = self._world.engine.rank_maps[self._rank][version]
         return version, [list(ranks[self._rank]) for ranks in placement]
@@ -227,12 +239,23 @@
         return await self._order("release", 60, epoch, step)
 
     async def _order(self, order, size, epoch, *args):
+        if self._world.is_cut_off(self._host, self._world.host(self._rank)):
+            await asyncio.sleep(UNREACHABLE_S)
+            return Answer.UNKNOWN
         await self._exchange(size, 40)
-        if self._world.host(self._rank) != self._host:
+        is_local = self._world.host(self._rank) == self._host
+        if not is_local:
             self._world.remote_orders += 1
-        answer = self._world.engine.carry_out(self._rank, order, epoch, args)
-        self._world.on_order(self._rank, order, answer)
-        return answer
+        delay_s = self._world.lateness(self._rank, order, args)
+        if delay_s is None:
+            answer = self._world.carry_out(self._rank, order, epoch, args)
+            await self._world.wait_while_frozen(self._host)
+            return answer
+        asyncio.get_running_loop().call_later(
+            delay_s, self._world.carry_out, self._rank, order, epoch, args
+        )
+        await asyncio.sleep(LOCAL_ORDER_TIMEOUT_S if is_local else UNREACHABLE_S)
+        return Answer.UNKNOWN
 
 
 class UnreachableRank:
@@ -302,13 +325,21 @@
         self.list_reads = 0
         #: Called after each order with the rank, the order and the answer.
         self.on_order: Callable[[int, str, Answer], None] = lambda *order: None
-        #: Hosts that neither send nor receive, and calls at given times, in order.
+        #: Called with the rank, the order and its arguments before each order; returns
+        #: the seconds after which it is carried out without an answer, or None.
+        self.lateness: Callable[[int, str, tuple], float | None] = lambda *order: None
+        #: Hosts whose agents neither send nor receive, and calls at given times, in
+        #: order.
         self.stopped_hosts: set[str] = set()
+        #: Hosts whose ranks, too, neither send nor receive.
+        self.cut_off_hosts: set[str] = set()
         self.events: list[tuple[float, object]] = []
         #: Times and skews of the passes.
         self.passes: list[tuple[float, float]] = []
         #: Passes that were due while they were held.
         self.held_passes = 0
+        #: Times until which the agents of hosts stand still.
+        self.frozen_until: dict[str, float] = {}
         #: Times until which the instances handle the messages that they have received.
         self._busy_until: dict[str, float] = {}
         #: Times from which the group used a version.
@@ -341,7 +372,7 @@
 
     async def _main(self, seconds: float) -> None:
         loop = asyncio.get_running_loop()
-        self._stopping = asyncio.Event()
+        self._stopping = [asyncio.Event() for _ in range(self.size.ranks)]
         self.agents: list[Agent] = [None] * self.size.ranks
         self._runs: list[asyncio.Task] = [None] * self.size.ranks
         for rank in range(self.size.ranks):
@@ -350,7 +381,8 @@
             loop.call_at(at, event)
         passes = asyncio.create_task(self._run_passes())
         await asyncio.sleep(seconds)
-        self._stopping.set()
+        for stopping in self._stopping:
+            stopping.set()
         await asyncio.gather(*self._runs, return_exceptions=True)
         passes.cancel()
 
@@ -358,17 +390,40 @@
         """Start the agent of a rank, which knows nothing of the one before."""
         loop = asyncio.get_running_loop()
         agent = self.agents[rank] = self._agent(rank, loop.time)
+        stopping = self._stopping[rank] = asyncio.Event()
         token = _agent_rank.set(rank)
-        self._runs[rank] = asyncio.create_task(agent.run(self._stopping))
+        self._runs[rank] = asyncio.create_task(agent.run(stopping))
         _agent_rank.reset(token)
 
     def kill_agents(self) -> None:
         """Kill all agents; orders that have not reached a rank are lost."""
-        loop = asyncio.get_running_loop()
         for rank in range(self.size.ranks):
-            self.sockets.pop(self.host(rank), None)
-            for task in loop.agent_tasks.pop(rank, set()):
-                task.cancel()
+            self.kill_agent(rank)
+
+    def kill_agent(self, rank: int) -> None:
+        """Kill the agent of a rank."""
+        self.sockets.pop(self.host(rank), None)
+        for task in asyncio.get_running_loop().agent_tasks.pop(rank, set()):
+            task.cancel()
+
+    def stop_agent(self, rank: int) -> None:
+        """Let the agent of a rank end as it does after SIGTERM."""
+        self._stopping[rank].set()
+
+    def report(self, rank: int) -> RankReport:
+        """Return the report of a rank, which has requests unless the group is idle."""
+        is_idle = asyncio.get_running_loop().time() < self.engine.idle_until
+        return self.engine.reports()[rank]._replace(running=int(not is_idle))
+
+    def carry_out(self, rank: int, order: str, epoch: int, args: tuple) -> Answer:
+        """Let a rank carry out an order."""
+        answer = self.engine.carry_out(rank, order, epoch, args)
+        self.on_order(rank, order, answer)
+        return answer
+
+    def is_cut_off(self, source: str, target: str) -> bool:
+        """Return True if one of two different hosts has no network."""
+        return source != target and not self.cut_off_hosts.isdisjoint((source, target))
 
     def _agent(self, rank: int, clock) -> Agent:
         host = self.host(rank)
@@ -428,7 +483,13 @@
         """Deliver a datagram after the time that it takes on both links."""
         if target not in self.links or source in self.stopped_hosts:
             return
+        if self.is_cut_off(source, target):
+            return
         loop = asyncio.get_running_loop()
+        thaws_at = self.frozen_until.get(source, 0.0)
+        if loop.time() < thaws_at:
+            loop.call_at(thaws_at, self.send_datagram, source, target, data)
+            return
         size = len(data) + DATAGRAM_OVERHEAD
         sent_at = self.links[source].send(size, loop.time())
         arrives_at = self.links[target].receive(size, sent_at + DELAY_S)
@@ -438,7 +499,14 @@
         loop.call_at(handled_at, self._deliver, source, target, data)
 
     def _deliver(self, source: str, target: str, data: bytes) -> None:
+        loop = asyncio.get_running_loop()
+        thaws_at = self.frozen_until.get(target, 0.0)
+        if loop.time() < thaws_at:
+            loop.call_at(thaws_at, self._deliver, source, target, data)
+            return
         protocol = self.sockets.get(target)
+        if self.is_cut_off(source, target):
+            return
         if protocol is not None and target not in self.stopped_hosts:
             protocol.datagram_received(data, (source, PORT))
 
@@ -446,11 +514,18 @@
         self, source: str, target: str, request_bytes: int, answer_bytes: int
     ) -> None:
         """Wait for the time that a request and its answer take."""
+        loop = asyncio.get_running_loop()
+        await self.wait_while_frozen(source)
         if source == target:
             await asyncio.sleep(LOCAL_DELAY_S)
             return
-        loop = asyncio.get_running_loop()
         size = request_bytes + REQUEST_OVERHEAD
         sent_at = self.links[source].send(size, loop.time())
         arrives_at = self.links[target].receive(size, sent_at + DELAY_S)
         await asyncio.sleep(arrives_at + DELAY_S - loop.time())
+
+    async def wait_while_frozen(self, host: str) -> None:
+        """Wait until the agent of a host goes on."""
+        loop = asyncio.get_running_loop()
+        while loop.time() < self.frozen_until.get(host, 0.0):
+            await asyncio.sleep(self.frozen_until[host] - loop.time())
--- a/packages/maps/tests/map_builders.py
+++ b/packages/maps/tests/map_builders.py
@@ -13,6 +13,11 @@
 IDLE_S = 4.0
 
 
+def make_report(rank: int, **fields) -> RankReport:
+    """Return a rank's report with defaults for the fields that are not given."""
+    return RankReport("g", 1, rank, 3, True, 12, 0)._replace(**fields)
+
+
 class _InstantSelector(selectors.SelectSelector):
     """Selector that advances the virtual time instead of waiting."""
 
