Settle a hold by the version and the pass of one switch

Cause: a settlement took the pass from the hold and the version from whichever ranks were armed, though these may belong to two switches. So ranks were armed for a pass that their switch had not held. A rank that refused a fence was taken for armed, also if it was copying a newer version. The holds of all passes were released once one switch was settled. Fences above version 0 were refused for good if ranks report no prepared version after a switch.

Now a settlement concerns the first held pass only. If a new report shows a rank that is armed for another pass, no rank is or can become armed for the held one (a version is armed after all ranks have prepared it, and an armed rank prepares nothing): the hold is late, and is released and nothing else. Otherwise the coordinator's rank decides by what it reports to be armed for, and fences are raised until they are accepted. A switch that a rank refuses to finish is undone everywhere, so nothing is impossible for good but a silent rank that may have a grant. That rank is asked directly, also in an idle group, and the log line says what a settlement was decided by.

The exploration of two coordinators also lets both hold the same rank; that held before, too. _without_fence returns what the method now returns for a fenced rank.

--- a/packages/maps/src/slatehoist/maps/coordinator.py
+++ b/packages/maps/src/slatehoist/maps/coordinator.py
@@ -39,6 +39,7 @@
     Settlement,
     Switch,
     coordinator_of,
+    held_version,
     next_version,
     switch_version,
 )
@@ -72,6 +73,8 @@
 #: Seconds between rounds of probes. Probes are spaced out for two reasons: each one is
 #: a billed call, and the settlement is delayed while a probe waits for an answer.
 PROBE_INTERVAL_S = 0.3
+#: The same for the rank of a coordinator whose switch can't be settled without it.
+SETTLE_PROBE_INTERVAL_S = 2.0
 #: Seconds after a plan that gained too little in which none is made unless the skew has
 #: risen. A plan takes a large part of the processor time of this instance.
 REPLAN_INTERVAL_S = 0.5
@@ -233,27 +236,30 @@
         """
         await self._probe_silent_ranks(now)
         now = self._clock()
-        holders = [
-            state.rank
+        held = {
+            state.rank: state.held
             for state in self._group.fresh_states(now)
             if state.held is not None and self._is_interrupted(state.rank, now)
-        ]
-        if not holders:
-            return False
-        reports = {
-            state.rank: state.to_report() for state in self._group.fresh_states(now)
         }
+        if not held:
+            return False
+        # Holds of different passes belong to different switches. The first of these
+        # passes is the one that the group waits for.
+        step = min(held.values())
+        holders = [rank for rank in held if held[rank] == step]
         own = self._own_state
-        placement = self._known_maps.get(own.epoch, own.map_version)
-        if placement is None:
-            self._log_settlement("map_unknown", holders, reports)
-            return True
         # If another rank is a holder, its agent may have granted the switch.
         granted = holders != [own.rank] or self._grants.may_have_granted(
-            own.epoch, own.held
+            own.epoch, step
         )
-        if not granted:
-            self._grants.deny(own.epoch, own.held)
+        if granted:
+            await self._probe_coordinator(step)
+        else:
+            self._grants.deny(own.epoch, step)
+        reports = self._fresh_reports()
+        if any(rank not in reports for rank in holders):
+            return True
+        placement = self._known_maps.get(own.epoch, own.map_version)
         self._grants.settling = True
         try:
             async with asyncio.timeout(self._settle_timeout_s):
@@ -267,21 +273,57 @@
         except TimeoutError:
             longer_s = min(2 * self._settle_timeout_s, MAX_SETTLE_TIMEOUT_S)
             self._settle_timeout_s = longer_s
-            self._log_settlement("unfinished", holders, reports)
+            self._log_settlement("unfinished", step, holders, reports, granted)
             return True
         finally:
             self._grants.settling = False
+        self._metrics.settled.labels(settlement.value).inc()
+        outcome = settlement.value
         if settlement is not Settlement.IMPOSSIBLE:
             self._settle_timeout_s = SETTLE_TIMEOUT_S
-        self._metrics.settled.labels(settlement.value).inc()
-        self._log_settlement(settlement.value, holders, reports)
+        elif placement is None:
+            outcome = "map_unknown"
+        self._log_settlement(outcome, step, holders, reports, granted)
         return True
 
+    def _fresh_reports(self) -> dict[int, RankReport]:
+        states = self._group.fresh_states(self._clock())
+        return {state.rank: state.to_report() for state in states}
+
+    async def _probe_coordinator(self, step: int) -> None:
+        """Request a report of the rank whose agent began a switch, if it is silent.
+
+        The switch can't be settled without this rank, and the group may be idle.
+        """
+        now = self._clock()
+        rank = coordinator_of(held_version(self._fresh_reports(), step))
+        address = self._group.address(rank)
+        is_silent = self._group.state(rank, now) is None
+        if (
+            not is_silent
+            or address is None
+            or now - self._probed_at < SETTLE_PROBE_INTERVAL_S
+        ):
+            return
+        self._probed_at = now
+        await self._probe([address])
+
     def _log_settlement(
-        self, settlement: str, holders: Sequence[int], reports: Mapping[int, RankReport]
+        self,
+        settlement: str,
+        step: int,
+        holders: Sequence[int],
+        reports: Mapping[int, RankReport],
+        granted: bool,
     ) -> None:
-        """Log a settlement; one that cannot end, at most every ten seconds."""
+        """Log a settlement; one that cannot end, at most every ten seconds.
+
+        The line states what the settlement was decided by: whether a grant may have
+        been given, and whether the coordinator's rank was asked.
+        """
         now = self._clock()
+        version = held_version(reports, step)
+        coordinator = coordinator_of(version)
         logged, logged_at = self._settle_logged
         is_end = settlement in (Settlement.FINISHED, Settlement.UNDONE)
         if (
@@ -295,7 +337,13 @@
             "hold_settled",
             extra={
                 "holders": holders,
+                "step": step,
+                "version": version,
                 "settlement": settlement,
+                "coordinator": coordinator,
+                "coordinator_silent": coordinator not in reports,
+                "may_be_granted": granted,
+                "held_ms": milliseconds(self._group.held_for_s(holders[0], now)),
                 "asked": sorted(reports),
                 "unanswered": dict(self._orders.unanswered),
             },
--- a/packages/maps/src/slatehoist/maps/switch.py
+++ b/packages/maps/src/slatehoist/maps/switch.py
@@ -24,14 +24,18 @@
 - The coordinator arms its own rank last, and only with a grant of the holder's agent.
   If the holder's agent has granted nothing, the coordinator's rank is not armed. So the
   holder's agent can undo the switch while the coordinator's instance is frozen and the
-  coordinator's rank unreachable. An agent that was started while the group was held
-  does not know that, and waits for the coordinator's rank.
+  coordinator's rank unreachable. An agent that does not know what was granted waits for
+  the coordinator's rank; see `grants`.
 - An order without an answer may still be carried out seconds later. A late arm is
   fenced off by preparing a newer version at that rank: a rank has a single prepared
   version, it can be armed for no other one, and it refuses to prepare while it is
   armed. So the fence succeeds only at a rank that is not armed. If it succeeds at the
   coordinator's rank, the switch is undone; if not, that rank is armed, and the switch
   is finished.
+- A version is armed for a single pass, and only after all ranks have prepared it. A
+  rank that is armed prepares nothing. So while one rank is armed for another pass than
+  the one that is held, no rank is or can become armed for the held pass: that hold is
+  obsolete. It belongs to a switch that has ended, and is carried out late.
 - A version is used by one coordinator only, and contains that coordinator's rank. It
   is drawn at random, since an agent that was started again does not know all versions
   of its predecessor: orders to prepare them may still be carried out.
@@ -45,7 +49,7 @@
 from typing import NamedTuple, Protocol
 
 from slatehoist.maps.placement import Placement
-from slatehoist.maps.rank import Answer, RankClient, RankReport
+from slatehoist.maps.rank import Answer, Armed, RankClient, RankReport
 
 log = logging.getLogger(__name__)
 
@@ -118,6 +122,17 @@
     return max(armed or [report.prepared or 0 for report in reports])
 
 
+def held_version(reports: Mapping[int, RankReport], step: int) -> int:
+    """Return the version of the switch for which a pass is held.
+
+    This is the newest version that a rank is armed for at that pass. If there is none,
+    no rank is armed yet, and it is the newest version that a rank has prepared.
+    """
+    armed = [report.armed for report in reports.values() if report.armed]
+    versions = [version for version, armed_step in armed if armed_step == step]
+    return max(versions or [report.prepared or 0 for report in reports.values()])
+
+
 class EpochChangedError(Exception):
     """Raised if the group restarted: its new epoch refuses orders of the old one."""
 
@@ -127,7 +142,8 @@
 
     `NOT_PREPARED`, `OUTDATED` and `NOT_HELD` mean that it ended before the group was
     held; `UNDONE`, that a rank refused to be armed; `ABANDONED`, that the coordinator
-    got no grant and left the group held for settlement.
+    got no grant, or met another switch at the same pass, and left the group held for
+    settlement.
     """
 
     SWITCHED = "switched"
@@ -141,12 +157,14 @@
 class Settlement(StrEnum):
     """Outcome of the settlement of an interrupted switch.
 
-    With `IMPOSSIBLE`, the group stays held, and the next cycle of the leading agent's
+    With `OBSOLETE`, the group was held by a late order of a switch that has ended. With
+    `IMPOSSIBLE`, the group stays held, and the next cycle of the leading agent's
     coordinator tries again.
     """
 
     FINISHED = "finished"
     UNDONE = "undone"
+    OBSOLETE = "obsolete"
     IMPOSSIBLE = "impossible"
 
 
@@ -265,8 +283,11 @@
             armed = await self._arm_ranks([self._own_rank], epoch, version, step)
         self.arming_s = self._clock() - held_at
         if not armed:
-            fence = next_version([version], self._own_rank)
-            await self._undo_ranks(others, epoch, version, fence, view.placement)
+            everyone = range(len(self._clients))
+            if not await self._undo_ranks(
+                everyone, epoch, version, step, view.placement
+            ):
+                return Result.ABANDONED
         await self._order_until_answered(self._holder, "release", epoch, step)
         return Result.SWITCHED if armed else Result.UNDONE
 
@@ -356,43 +377,57 @@
         ranks: Sequence[int],
         epoch: int,
         version: int,
-        fence: int,
+        step: int,
         placement: Placement,
-    ) -> None:
-        """Disarm ranks, and fence off arm orders that may still be carried out."""
-        await asyncio.gather(
-            *(self._undo_rank(rank, epoch, version, fence, placement) for rank in ranks)
+    ) -> bool:
+        """Disarm ranks, and fence off arm orders that may still be carried out.
+
+        Return False if one of them is armed for another version at the same pass.
+        """
+        undone = await asyncio.gather(
+            *(self._undo_rank(rank, epoch, version, step, placement) for rank in ranks)
         )
+        return all(undone)
 
     async def _undo_rank(
-        self, rank: int, epoch: int, version: int, fence: int, placement: Placement
-    ) -> None:
+        self, rank: int, epoch: int, version: int, step: int, placement: Placement
+    ) -> bool:
         while True:
             await self._order_until_answered(rank, "disarm", epoch, version)
-            if await self._fence_rank(rank, epoch, version, fence, placement):
-                return
+            armed = await self._fence_rank(rank, epoch, version, placement)
+            if armed is None:
+                return True
+            if armed.version != version:
+                return armed.step != step
             await asyncio.sleep(RETRY_INTERVAL_S)
 
     async def _fence_rank(
-        self, rank: int, epoch: int, version: int, fence: int, placement: Placement
-    ) -> bool:
-        """Make a rank refuse late arms of a version, by preparing a newer version.
+        self, rank: int, epoch: int, version: int, placement: Placement
+    ) -> Armed | None:
+        """Make a rank refuse late arms, by preparing a version above all that it has.
 
-        Return False if the rank is armed, since then it refuses to prepare.
+        Return None, or what the rank is armed for, since then it refuses to prepare.
         """
-        answer = await self._order_until_answered(
-            rank, "prepare", epoch, fence, placement
-        )
-        if answer is not Answer.REFUSED:
-            return True
-        report = await self._clients[rank].report()
-        if report.epoch != epoch:
-            raise EpochChangedError(
-                f"rank {rank} is in epoch {report.epoch} instead of {epoch}"
+        fence = next_version([version], self._own_rank)
+        while True:
+            answer = await self._order_until_answered(
+                rank, "prepare", epoch, fence, placement
             )
-        # The order is also refused if the rank has prepared a newer version than the
-        # fence. Then it cannot be armed for this version either.
-        return (report.prepared or 0) > version
+            if answer is not Answer.REFUSED:
+                return None
+            report = await self._clients[rank].report()
+            if report.epoch != epoch:
+                raise EpochChangedError(
+                    f"rank {rank} is in epoch {report.epoch} instead of {epoch}"
+                )
+            if report.armed:
+                return report.armed
+            # The rank has, or is copying, a newer version than the fence. It reports
+            # that version only when the copy is complete.
+            spread = VERSION_SPREAD * VERSION_STRIDE
+            newest = max(fence + spread, report.prepared or 0, report.map_version)
+            fence = next_version([newest], self._own_rank)
+            await asyncio.sleep(RETRY_INTERVAL_S)
 
     async def _order_until_answered(
         self, rank: int, order: str, epoch: int, *args
@@ -416,7 +451,7 @@
         epoch: int,
         reports: Mapping[int, RankReport],
         holders: Sequence[int],
-        placement: Placement,
+        placement: Placement | None,
         granted: bool,
     ) -> Settlement:
         """Finish or undo an interrupted switch, and release the group.
@@ -425,41 +460,85 @@
         is undone if the coordinator's rank can be fenced, or if that rank is
         unreachable but the coordinator has no grant: in both cases the rank is not
         armed, and cannot become so. The switch is finished if the coordinator's rank is
-        armed. The group stays held (`Settlement.IMPOSSIBLE`) if the state of that rank
-        is unknown, or if another rank refuses to be armed.
+        armed, and undone at all ranks if another one refuses to be armed. An obsolete
+        hold is released. The group stays held (`Settlement.IMPOSSIBLE`) if the state of
+        the coordinator's rank is unknown, or if a rank is armed for another version at
+        the same pass, which the next cycle settles.
 
         Parameters
         ----------
         reports : mapping of int to RankReport
-            Reports of the ranks that are reachable.
+            Reports of the ranks that are reachable. They show where to look; what is
+            done follows from answers to orders and from newer reports.
         holders : sequence of int
-            Ranks that hold the group for an interrupted switch.
-        placement : list
-            Map in use.
+            Ranks that hold the same pass for an interrupted switch.
+        placement : list or None
+            Map in use, which fences need; None if it is unknown.
         granted : bool
             False if the own rank is the only holder, and its agent has certainly not
             allowed the coordinator to arm the coordinator's rank. True if it may have,
             or if another rank is a holder, whose agent may have.
         """
-        holder = holders[0]
-        step = reports[holder].held
-        version = switch_version(reports.values())
+        step = reports[holders[0]].held
+        if await self._is_obsolete(epoch, step, reports):
+            settlement = Settlement.OBSOLETE
+        elif placement is None:
+            return Settlement.IMPOSSIBLE
+        else:
+            version = held_version(reports, step)
+            settlement = await self._end_switch(
+                epoch, version, step, reports, placement, granted
+            )
+        if settlement is not Settlement.IMPOSSIBLE:
+            for rank in holders:
+                await self._order_until_answered(rank, "release", epoch, step)
+        return settlement
+
+    async def _is_obsolete(
+        self, epoch: int, step: int, reports: Mapping[int, RankReport]
+    ) -> bool:
+        """Return True if a rank is armed for another pass than the one that is held.
+
+        This is checked in a new report: in an older one, the rank may have been armed
+        for a pass that began before the group was held.
+        """
+        for rank, report in reports.items():
+            if report.armed is None or report.armed.step == step:
+                continue
+            newest = await self._clients[rank].report()
+            if newest.epoch == epoch and newest.armed and newest.armed.step != step:
+                return True
+        return False
+
+    async def _end_switch(
+        self,
+        epoch: int,
+        version: int,
+        step: int,
+        reports: Mapping[int, RankReport],
+        placement: Placement,
+        granted: bool,
+    ) -> Settlement:
+        """Undo the switch to a version, or finish it; the group stays held."""
         coordinator = coordinator_of(version)
-        fence = next_version([version], self._own_rank)
         others = self._ranks_except(coordinator)
+        armed = None
         if coordinator in reports:
-            undone = await self._fence_rank(
-                coordinator, epoch, version, fence, placement
-            )
-        elif not granted:
-            undone = True
-        else:
+            armed = await self._fence_rank(coordinator, epoch, version, placement)
+        elif granted or not await self._is_held_for(version, step):
             return Settlement.IMPOSSIBLE
-        if undone:
-            await self._undo_ranks(others, epoch, version, fence, placement)
-        elif not await self._arm_ranks(others, epoch, version, step):
+        if armed == (version, step):
+            if await self._arm_ranks(others, epoch, version, step):
+                return Settlement.FINISHED
+            # Its coordinator can't finish it either, so it has not been released.
+            others = range(len(self._clients))
+            armed = None
+        undone = await self._undo_ranks(others, epoch, version, step, placement)
+        if not undone or (armed is not None and armed.step == step):
             return Settlement.IMPOSSIBLE
-        for rank in holders:
-            held = reports[rank].held
-            await self._order_until_answered(rank, "release", epoch, held)
-        return Settlement.UNDONE if undone else Settlement.FINISHED
+        return Settlement.UNDONE
+
+    async def _is_held_for(self, version: int, step: int) -> bool:
+        """Return True if the own rank holds a pass, and for no other version."""
+        report = await self._clients[self._own_rank].report()
+        return report.held == step and report.armed in (None, (version, step))
--- a/packages/maps/tests/test_maps_switch_exploration.py
+++ b/packages/maps/tests/test_maps_switch_exploration.py
@@ -156,7 +156,7 @@
         return await send(rank, order, epoch, *args)
 
     async def _without_fence(self, *args):
-        return True
+        return None
 
     async def _wait_while_frozen(self) -> None:
         while self.is_frozen():
@@ -266,6 +266,9 @@
     ----------
     delay_s : float
         Seconds between the starts of the two coordinators.
+    same_holder : bool
+        True if both hold the group at rank 2, as they do while each of them takes the
+        other one's agent for failed.
     """
 
     def __init__(
@@ -274,9 +277,11 @@
         delay_s: float,
         mutation: str = "",
         passes_ahead: int = 1,
+        same_holder: bool = False,
     ) -> None:
         super().__init__(faults, mutation, passes_ahead)
         self.delay_s = delay_s
+        self.same_holder = same_holder
         self.grants: dict[int, tuple[int, int]] = {}
 
     async def _settle(self) -> None:
@@ -289,7 +294,7 @@
 
     async def _switch_once(self, own: int, delay_s: float) -> None:
         await asyncio.sleep(delay_s)
-        holder = (own + 1) % RANKS
+        holder = 2 if self.same_holder else (own + 1) % RANKS
         clients = [FakeRank(self, index, True) for index in range(RANKS)]
         switch = self._make_switch(clients, own, holder)
         switch._request_grant = functools.partial(self._request_grant_from, holder)
@@ -325,21 +330,23 @@
     Return the number of simulations, and the delays and faults of the violating ones.
     """
     count, violating = 0, []
-    for delay_s, ahead in itertools.product(COORDINATOR_DELAYS_S, (1, 2)):
-        base = TwoCoordinatorsSimulation({}, delay_s, mutation, ahead)
+    for delay_s, ahead, same_holder in itertools.product(
+        COORDINATOR_DELAYS_S, (1, 2), (False, True)
+    ):
+        base = TwoCoordinatorsSimulation({}, delay_s, mutation, ahead, same_holder)
         base.run()
         count += 1
         if base.engine.violations:
-            violating.append((delay_s, {}))
+            violating.append((delay_s, same_holder, {}))
         for order in range(base.orders):
             for event in TWO_COORDINATORS_EVENTS:
                 simulation = TwoCoordinatorsSimulation(
-                    {order: event}, delay_s, mutation, ahead
+                    {order: event}, delay_s, mutation, ahead, same_holder
                 )
                 simulation.run()
                 count += 1
                 if simulation.engine.violations:
-                    violating.append((delay_s, {order: event}))
+                    violating.append((delay_s, same_holder, {order: event}))
                     if mutation:
                         return count, violating
     return count, violating
