Take only a whole success for evidence that a request ran

Cause: each delivered answer counted as a success of the request, whatever its status. So did a 2xx whose server states that nothing was run, and the rest of a stream that was resumed.

Now a request has run if its answer is a whole 2xx of the server's own, without Not-Run, and not the continuation of a stream. An answer without a length shows it once the list shows that its server has lived on.

Evidence: test_request_is_blocked_whatever_one_server_answers failed for each kind of answer but 500 and 503 at (6 of 8 combinations of place and number of gateways each); none of them now.

--- a/packages/gateway/src/slatehoist/gateway/attempts.py
+++ b/packages/gateway/src/slatehoist/gateway/attempts.py
@@ -98,6 +98,7 @@
         exchange.sent_at = exchange.last_data_at = self._clock()
         exchange.framing = None
         exchange.succeeded = False
+        exchange.resumed = bool(exchange.last_event_id)
         exchange.reply_bytes = exchange.partial_event_bytes = 0
         record = self._health.get_record(endpoint.endpoint_id)
         record.inflight += 1
@@ -185,7 +186,7 @@
         self._holds.record_reply(endpoint, info, now, exchange.sent_at)
         self._cold.record_reply(exchange.service, endpoint, info, now, exchange.sent_at)
         if reply.status in _SUCCESS_STATUSES:
-            exchange.succeeded = True
+            exchange.succeeded = not info.not_run
             if not info.authentic:
                 raise BrokenReplyError(
                     f"{endpoint.address}: response lacks proof of origin"
--- a/packages/gateway/src/slatehoist/gateway/crash_guard.py
+++ b/packages/gateway/src/slatehoist/gateway/crash_guard.py
@@ -118,19 +118,27 @@
     def record_delivery(
         self, exchange: Exchange, endpoint: Endpoint, sent_at: float
     ) -> None:
-        """Record that a request was answered, unless a crash may have ended the body.
+        """Record what the answer of a request shows: whether it ran to its end.
 
-        Such a body cannot be told from a whole one, so it is passed on. The endpoint is
-        probed unless all parts of the prompt have succeeded before. An error status or
-        an empty body does not show that the endpoint can answer the prompt.
+        Only a whole success of the endpoint's own shows that. An error status or a
+        redirect may come from an endpoint that has not run the request or read its
+        body, and the rest of a resumed stream is not the whole request. An empty body
+        does not show that the endpoint can answer the prompt.
+
+        If a crash may have ended the body, it cannot be told from a whole one. It is
+        passed on, and the endpoint is probed unless all parts of the prompt have
+        succeeded before.
         """
         has_answer = exchange.succeeded and exchange.reply_bytes > 0
         parts = exchange.parts if has_answer else ()
-        if exchange.framing.proves_end:
-            self._crashes.record_success(exchange.digest, parts)
-        else:
-            request = LostRequest(exchange.digest, parts, is_delivered=True)
+        has_run = exchange.succeeded and not exchange.resumed
+        if not exchange.framing.proves_end:
+            request = LostRequest(exchange.digest, parts, True, has_run)
             self._crashes.record_loss(endpoint, request, sent_at)
             tally, now = self._crashes.parts.tally, self._clock()
             if not all(tally.is_proven(part, now) for part in parts):
                 self._probes.start(endpoint)
+        elif has_run:
+            self._crashes.record_success(exchange.digest, parts)
+        elif parts:
+            self._crashes.record_part_success(parts)
--- a/packages/gateway/src/slatehoist/gateway/crash_reports.py
+++ b/packages/gateway/src/slatehoist/gateway/crash_reports.py
@@ -112,13 +112,15 @@
         digests = [request.digest for request in closed]
         log.info("losses_outlived", extra={"digests": digests})
         for request in closed:
-            if request.is_delivered:
-                self._record_part_success(request.parts)
+            if request.has_run:
+                self.record_success(request.digest, request.parts)
+            elif request.is_delivered:
+                self.record_part_success(request.parts)
 
     def record_success(self, digest: str, parts: Sequence[PromptPart] = ()) -> None:
         """Record that a request succeeded; report it if it was in a crash before."""
         self._ledger.record_success(digest)
-        self._record_part_success(parts)
+        self.record_part_success(parts)
         if not self._tally.record_success(digest, self._clock()):
             return
         for stored in [key for key in self._stored if key.startswith(f"{digest}/")]:
@@ -130,14 +132,15 @@
         log.info("request_cleared", extra={"digest": digest})
         self._write_needed.set()
 
-    def _record_part_success(self, parts: Sequence[PromptPart]) -> None:
+    def record_part_success(self, parts: Sequence[PromptPart]) -> None:
+        """Record that an endpoint has answered a prompt with these parts."""
         if self.parts.record_success(parts):
             self._write_needed.set()
 
     def _report_crash(self, crash: Crash, now: float) -> None:
         crash_id = crash.crash_id
         self.parts.record_own_crash(crash, now)
-        for digest, parts, _ in crash.requests:
+        for digest, parts, *_ in crash.requests:
             crashes = self._tally.record_crash(digest, crash_id, now)
             self._stored.pop(self._success_key(digest), None)
             self._metrics.crash_reports.labels("own").inc()
--- a/packages/gateway/src/slatehoist/gateway/exchange.py
+++ b/packages/gateway/src/slatehoist/gateway/exchange.py
@@ -139,8 +139,11 @@
         self.sent_at = arrived_at
         #: Time at which the current attempt was sent or its response last had data.
         self.last_data_at = arrived_at
-        #: True if the current attempt's response has a success status.
+        #: True if the current attempt's response has a success status, and the endpoint
+        #: does not state that it did not run the request.
         self.succeeded = False
+        #: True if the current attempt continues a stream after one of its events.
+        self.resumed = False
         #: What marks the end of the current attempt's response; None before its head.
         self.framing: Framing | None = None
         #: Bytes of the current attempt's body that were received.
--- a/packages/gateway/src/slatehoist/gateway/losses.py
+++ b/packages/gateway/src/slatehoist/gateway/losses.py
@@ -32,11 +32,14 @@
         Parts of its prompt that other requests may share.
     is_delivered : bool
         True if it has a response that is whole unless its endpoint has crashed.
+    has_run : bool
+        True if that response shows that the request ran to its end.
     """
 
     digest: str
     parts: tuple[PromptPart, ...] = ()
     is_delivered: bool = False
+    has_run: bool = False
 
 
 class Crash(NamedTuple):
--- a/packages/gateway/tests/gateway_fleet.py
+++ b/packages/gateway/tests/gateway_fleet.py
@@ -60,8 +60,10 @@
 POISON_PART = "bad"
 #: Header of the simulated requests that lists the parts of their prompts.
 _PARTS = "Parts"
-#: Header of the simulated responses with the seconds of backoff.
+#: Header of the simulated responses with the seconds of backoff, and the one by which a
+#: server states that it did not run the request.
 _REST = "Rest"
+_NOT_RUN = "Not-Run"
 
 
 class SharedTable:
@@ -230,14 +232,23 @@
     body = b"whole"
 
     def __init__(
-        self, framed: bool = True, status: int = 200, rest_s: float = 0.0
+        self,
+        framed: bool = True,
+        status: int = 200,
+        rest_s: float = 0.0,
+        body: bytes | None = None,
+        not_run: bool = False,
     ) -> None:
         self.status = status
-        self.headers = {"Content-Length": "5"} if framed else {}
+        if body is not None:
+            self.body = body
+        self.headers = {"Content-Length": str(len(self.body))} if framed else {}
         if rest_s:
             self.headers[_REST] = str(rest_s)
+        if not_run or status == 503:
+            self.headers[_NOT_RUN] = "1"
         self.content = self
-        self._pieces = [self.body]
+        self._pieces = [self.body] if self.body else []
 
     async def readany(self) -> bytes:
         return self._pieces.pop() if self._pieces else b""
@@ -293,6 +304,11 @@
         if req.body != POISON and not is_poison_part:
             await self._run(server)
             return SimulatedReply(framed=self._fleet.framed)
+        arrivals = self._fleet.poison_arrivals
+        arrivals.append(self._fleet.now)
+        answer = self._fleet.answer_poison(len(arrivals) - 1)
+        if answer is not None:
+            return answer
         server.crash(self._fleet.now)
         if server.ending == "reset":
             raise BrokenReplyError("reset")
@@ -345,7 +361,7 @@
     def read_reply(self, status: int, headers: Any) -> ReplyInfo:
         return ReplyInfo(
             "id",
-            not_run=status == 503,
+            not_run=_NOT_RUN in headers,
             wrong_instance=False,
             authentic=True,
             retry_after_s=float(headers[_REST]) if _REST in headers else None,
@@ -451,6 +467,7 @@
         engine: EngineSpec | None = None,
         parts: tuple[str, ...] = (),
         objective_s: float = SILENCE_S,
+        last_event_id: str = "",
     ) -> Exchange:
         """Send a request until the gateway answers it or the caller leaves.
 
@@ -467,6 +484,7 @@
         exchange = Exchange(
             req, body, info, route, Service("app", engine), "t", now, now + 5
         )
+        exchange.last_event_id = last_event_id
         task = asyncio.create_task(self._forwarder.forward(exchange))
         if caller_leaves:
             await asyncio.sleep(SILENCE_S / 3)
@@ -491,6 +509,11 @@
         Seconds for which a sound request runs.
     poison_part_arrivals : list of PartArrival
         Arrivals at servers of requests with `POISON_PART`.
+    poison_arrivals : list of float
+        Times at which requests that crash servers arrived there.
+    answer_poison : callable
+        Returns the answer to the poison request of a number, from 0, or None if it
+        crashes its server.
     draw_rest_s, draw_reply_delay_s : callable
         Return the seconds of backoff that a server demands for a request, 0 if
         it takes the request, and the seconds until its answer arrives.
@@ -515,6 +538,8 @@
         self.part_crashes = True
         self.run_s = 0.0
         self.poison_part_arrivals: list[PartArrival] = []
+        self.poison_arrivals: list[float] = []
+        self.answer_poison: Callable[[int], SimulatedReply | None] = lambda number: None
         self.draw_rest_s: Callable[[], float] = lambda: 0.0
         self.draw_reply_delay_s: Callable[[], float] = lambda: 0.0
         self.rests: list[Rest] = []
--- a/packages/gateway/tests/test_gateway_crashes.py
+++ b/packages/gateway/tests/test_gateway_crashes.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import itertools
 import unittest
 
 from gateway_builders import make_endpoint, make_engine
@@ -14,10 +15,11 @@
     Fleet,
     Server,
     SimulatedGateway,
+    SimulatedReply,
 )
 
 from slatehoist.gateway.crash_reports import CRASHES
-from slatehoist.gateway.exchange import request_digest
+from slatehoist.gateway.exchange import Exchange, request_digest
 from slatehoist.gateway.losses import Crash, LossLedger, LostRequest
 from slatehoist.routing import CRASH_RETENTION_S
 from slatehoist.routing.crashes import MAX_CRASHES
@@ -44,9 +46,10 @@
         fleet: Fleet,
         caller_leaves: bool = False,
         pause_s: float = RESEND_PAUSE_S,
+        for_s: float = RESEND_FOR_S,
     ) -> None:
         """Send a poison request again and again, each time through any gateway."""
-        ends_at = fleet.now + RESEND_FOR_S
+        ends_at = fleet.now + for_s
         while fleet.now < ends_at:
             gateway = fleet.rng.choice(fleet.gateways)
             await gateway.send(caller_leaves=caller_leaves)
@@ -56,7 +59,8 @@
         crashes = fleet.crash_times()
         if len(crashes) < MAX_CRASHES:
             return 0
-        return fleet.count_arrivals(after=crashes[MAX_CRASHES - 1] + NEWS_S)
+        after = crashes[MAX_CRASHES - 1] + NEWS_S
+        return sum(at > after for at in fleet.poison_arrivals)
 
 
 class EndingTests(CrashTestCase):
@@ -223,9 +227,91 @@
         self.assertLessEqual(self.count_late_retries(fleet), MAX_LATE_RETRIES)
 
 
+#: Answers that a server may give to a request which crashes all others.
+SINGLE_ANSWERS = {
+    "rejected": lambda: SimulatedReply(status=413, not_run=True),
+    "rejected without a statement": lambda: SimulatedReply(status=400),
+    "not found": lambda: SimulatedReply(status=404),
+    "redirected": lambda: SimulatedReply(status=302),
+    "not modified": lambda: SimulatedReply(status=304, body=b""),
+    "server error": lambda: SimulatedReply(status=500),
+    "refused": lambda: SimulatedReply(status=503),
+    "success that was not run": lambda: SimulatedReply(not_run=True),
+}
+
+
+class SingleAnswerTests(CrashTestCase):
+    """One answer among the crashes of a request does not keep it from being blocked."""
+
+    PAUSE_S, FOR_S = 2.0, 24.0
+
+    async def play(self, kind: str, places: set[int], gateways: int, **faults) -> Fleet:
+        """Send a poison request, and answer it at the given places of the series."""
+        fleet = await self.start_fleet(servers=6, gateways=gateways, **faults)
+        fleet.answer_poison = lambda number: (
+            SINGLE_ANSWERS[kind]() if number in places else None
+        )
+        await self.resend(fleet, pause_s=self.PAUSE_S, for_s=self.FOR_S)
+        self.assertGreaterEqual(len(fleet.crash_times()), MAX_CRASHES)
+        return fleet
+
+    # Guards against a request that is never blocked since one server answered it, be it
+    # without having run it (BUDGET).
+    async def test_request_is_blocked_whatever_one_server_answers(self):
+        for kind in SINGLE_ANSWERS:
+            for place, gateways in itertools.product(range(4), (1, 2)):
+                with self.subTest(kind=kind, place=place, gateways=gateways):
+                    fleet = await self.play(kind, {place}, gateways, down_s=1.0)
+                    self.assertLessEqual(
+                        self.count_late_retries(fleet), MAX_LATE_RETRIES
+                    )
+
+    async def test_request_is_blocked_if_servers_come_back_under_new_ids(self):
+        for kind in ("rejected", "redirected"):
+            for place in range(4):
+                with self.subTest(kind=kind, place=place):
+                    fleet = await self.play(kind, {place}, 2, down_s=1.0, replaced=True)
+                    self.assertLessEqual(
+                        self.count_late_retries(fleet), MAX_LATE_RETRIES
+                    )
+
+
 class SoundRequestTests(CrashTestCase):
     """A request that crashes no server is not blocked."""
 
+    async def send_often(
+        self, fleet: Fleet, seconds: float, per_s: float
+    ) -> list[Exchange]:
+        """Send the same sound request again and again, and return the exchanges."""
+        sent = []
+        for _ in range(round(seconds * per_s)):
+            gateway = fleet.rng.choice(fleet.gateways)
+            sent.append(asyncio.create_task(gateway.send(b"sound", objective_s=5.0)))
+            await fleet.advance(1.0 / per_s)
+        await asyncio.gather(*sent)
+        return [task.result() for task in sent]
+
+    async def test_request_is_served_beside_one_that_crashes_servers(self):
+        fleet = await self.start_fleet(servers=12, gateways=2, down_s=1.0)
+        fleet.run_s = 0.2
+        fleet.answer_poison = lambda number: (
+            SINGLE_ANSWERS["rejected"]() if number == 1 else None
+        )
+        poison = [
+            asyncio.create_task(self.send_poison_later(fleet, 2.0 * number))
+            for number in range(10)
+        ]
+        sent = await self.send_often(fleet, 22.0, 10.0)
+        await asyncio.gather(*poison)
+        self.assertFalse(any(exchange.blocked for exchange in sent))
+        self.assertLessEqual(self.count_late_retries(fleet), MAX_LATE_RETRIES)
+
+    async def send_poison_later(self, fleet: Fleet, after_s: float) -> None:
+        sent_at = fleet.now + after_s
+        while fleet.now < sent_at:
+            await asyncio.sleep(0)
+        await fleet.rng.choice(fleet.gateways).send()
+
     async def test_resets_by_servers_that_live_on_do_not_block(self):
         fleet = await self.start_fleet()
         gateway = fleet.gateways[0]
