Block a request for crashes that its successes do not make up for

Cause: one success dropped all crashes of a request, at all gateways, and for a minute none was counted, however many servers ended. It also closed losses whose servers had not been found to have ended, and its report cleared crashes that came after it if it was read later.

Now a success answers the crashes before it, so that these do not block the request by themselves; its report names them. It does not make up for them: four successes make up for one crash, after it or in the moment before it. A request is blocked after three crashes without a success since, or after four that its successes do not make up for. A success ends a block, and one more crash blocks the request again, for longer, until four successes speak for it. Losses stay open until their server has ended or lived on. So a request that many callers send is not blocked by servers that lose power together.

--- a/packages/gateway/src/slatehoist/gateway/crash_reports.py
+++ b/packages/gateway/src/slatehoist/gateway/crash_reports.py
@@ -9,7 +9,7 @@
 from slatehoist.gateway.model import Endpoint
 from slatehoist.gateway.part_reports import KEY_PREFIX, PartReports
 from slatehoist.gateway.settings import MAX_LOGGED_PARTS, STORE_RETRY_S
-from slatehoist.observe import GatewayMetrics
+from slatehoist.observe import GatewayMetrics, milliseconds
 from slatehoist.routing import CRASH_RETENTION_S, CrashTally, PromptPart
 from slatehoist.storage import (
     HistoryLostError,
@@ -26,6 +26,8 @@
 CRASHES = "crashes"
 #: Largest number of rows in one transaction; the platform's store accepts 100.
 _MAX_ROWS_PER_WRITE = 100
+#: Largest number of crashes that the report of a success names, the newest ones.
+_MAX_ANSWERED = 32
 
 
 class CrashReports:
@@ -70,8 +72,7 @@
         self._unsent: dict[str, Write] = {}
         #: For each row, the time at which this gateway wrote or first read it.
         self._seen_at: dict[str, float] = {}
-        #: Own reports that were stored, to be written again if the store loses them: no
-        #: crashes before a success of the request, and no success before a crash.
+        #: Own reports that were stored, to be written again if the store loses them.
         self._stored: dict[str, Write] = {}
         #: Expired reports that were removed, with the time of that. An older copy of
         #: the store may contain them again.
@@ -118,18 +119,28 @@
                 self.record_part_success(request.parts)
 
     def record_success(self, digest: str, parts: Sequence[PromptPart] = ()) -> None:
-        """Record that a request succeeded; report it if it was in a crash before."""
-        self._ledger.record_success(digest)
+        """Record that a request ran to its end; report it if it was in a crash before.
+
+        The report names the crashes before the success: other gateways may read it
+        after those that came later.
+        """
         self.record_part_success(parts)
         if not self._tally.record_success(digest, self._clock()):
             return
-        for stored in [key for key in self._stored if key.startswith(f"{digest}/")]:
-            del self._stored[stored]
-        key = self._success_key(digest)
-        # Older instances need a crash id in each row.
-        value = {"digest": digest, "crash": "", "success": True}
+        key = f"{digest}/success/{self._instance}"
+        answered = self._tally.answered_crashes(digest)[-_MAX_ANSWERED:]
+        value = {
+            "digest": digest,
+            # Older instances need a crash id in each row.
+            "crash": "",
+            "success": True,
+            "after": answered,
+        }
         self._unsent[key] = Write(CRASHES, key, value)
-        log.info("request_cleared", extra={"digest": digest})
+        log.info(
+            "request_succeeded_after_crash",
+            extra={"digest": digest, **self._log_fields(digest, self._clock())},
+        )
         self._write_needed.set()
 
     def record_part_success(self, parts: Sequence[PromptPart]) -> None:
@@ -140,16 +151,17 @@
     def _report_crash(self, crash: Crash, now: float) -> None:
         crash_id = crash.crash_id
         self.parts.record_own_crash(crash, now)
-        for digest, parts, *_ in crash.requests:
-            crashes = self._tally.record_crash(digest, crash_id, now)
-            self._stored.pop(self._success_key(digest), None)
+        lost_at = crash.lost_at or [now] * len(crash.requests)
+        for (digest, parts, *_), at in zip(crash.requests, lost_at, strict=True):
+            crashes = self._tally.record_crash(digest, crash_id, now, at)
             self._metrics.crash_reports.labels("own").inc()
             key = f"{digest}/{crash_id}/{self._instance}"
             value: dict[str, object] = {"digest": digest, "crash": crash_id}
             if parts:
                 value["service"] = parts[0].service
                 value["parts"] = [part.part_id for part in parts]
-            self._unsent[key] = Write(CRASHES, key, value)
+            if parts or self._tally.needs_report(digest, crash_id):
+                self._unsent[key] = Write(CRASHES, key, value)
             log.warning(
                 "request_in_crash",
                 extra={
@@ -157,6 +169,7 @@
                     "prompt_parts": value.get("parts", ())[:MAX_LOGGED_PARTS],
                     "crash": crash_id,
                     "crashes": crashes,
+                    **self._log_fields(digest, now),
                 },
             )
         self._write_needed.set()
@@ -251,7 +264,7 @@
             feed = await self._table.changes(CRASHES, self._version, self._poll_s)
             rows, self._version = feed.rows, feed.version
         now = self._clock()
-        # In the order of their writes: a success clears earlier crashes only.
+        # In the order of their writes: a success speaks for earlier crashes only.
         for row in sorted(rows, key=lambda row: row.version):
             if row.key.startswith(KEY_PREFIX):
                 self._seen_at[row.key] = now
@@ -267,8 +280,14 @@
         if self.parts.has_pending:
             self._write_needed.set()
 
-    def _success_key(self, digest: str) -> str:
-        return f"{digest}/success/{self._instance}"
+    def _log_fields(self, digest: str, now: float) -> dict[str, object]:
+        """Return what decides whether a request is blocked, as log fields."""
+        unanswered, unexcused = self._tally.count_crashes(digest)
+        return {
+            "without_success_since": unanswered,
+            "without_enough_successes": unexcused,
+            "blocked_ms": milliseconds(self._tally.blocked_for_s(digest, now)),
+        }
 
     def _write_lost_reports(self, rows: list[Row]) -> None:
         """Write the own reports again that are missing from a list of all rows."""
@@ -288,11 +307,10 @@
             )
             return
         if row.value.get("success"):
-            self._tally.record_success(digest, now)
+            self._tally.record_success(digest, now, after=self._read_answered(row))
             return
         crashes = self._tally.record_crash(digest, crash_id, now)
         self.parts.record_crash(crash_id, _read_parts(row), now)
-        self._stored.pop(self._success_key(digest), None)
         if row.key.endswith(f"/{self._instance}"):
             return
         self._metrics.crash_reports.labels("other").inc()
@@ -303,9 +321,20 @@
                 "crash": crash_id,
                 "crashes": crashes,
                 "version": row.version,
+                **self._log_fields(digest, now),
             },
         )
 
+    def _read_answered(self, row: Row) -> list[str]:
+        """Return the crashes before a success; all known ones if older instances wrote.
+
+        Rows are read in the order of their writes.
+        """
+        after = row.value.get("after")
+        if not isinstance(after, list):
+            return self._tally.known_crashes(row.value["digest"])
+        return [crash_id for crash_id in after if isinstance(crash_id, str)]
+
 
 def _read_parts(row: Row) -> list[PromptPart]:
     """Return the prompt parts in a report; none if older instances wrote it."""
--- a/packages/gateway/src/slatehoist/gateway/losses.py
+++ b/packages/gateway/src/slatehoist/gateway/losses.py
@@ -43,10 +43,17 @@
 
 
 class Crash(NamedTuple):
-    """End of an endpoint, and the requests that were lost by it."""
+    """End of an endpoint, and the requests that were lost by it.
+
+    Attributes
+    ----------
+    lost_at : tuple of float
+        Time at which each request was lost; empty if that is not known.
+    """
 
     crash_id: str
     requests: list[LostRequest]
+    lost_at: tuple[float, ...] = ()
 
 
 class _Loss(NamedTuple):
@@ -80,8 +87,6 @@
         self._row_ttl_s = row_ttl_s
         #: Open losses by run; see `Endpoint.run_id`.
         self._losses: dict[str, deque[_Loss]] = {}
-        #: Digests of the open losses, and of some that were closed.
-        self._digests: set[str] = set()
         self._ends: dict[str, _End] = {}
 
     def record_loss(
@@ -91,9 +96,8 @@
         run_id = endpoint.run_id
         end = self._ends.get(run_id)
         if end is not None and sent_at <= end.at:
-            return Crash(_crash_id(run_id, end), [request])
+            return Crash(_crash_id(run_id, end), [request], (now,))
         self._open_losses(run_id).append(_Loss(request, now))
-        self._digests.add(request.digest)
         return None
 
     def record_end(self, endpoint: Endpoint, now: float) -> Crash | None:
@@ -106,7 +110,9 @@
         self._drop_old_ends(now)
         if not losses:
             return None
-        return Crash(_crash_id(run_id, end), [loss.request for loss in losses])
+        requests = [loss.request for loss in losses]
+        lost_at = tuple(loss.at for loss in losses)
+        return Crash(_crash_id(run_id, end), requests, lost_at)
 
     def record_restart(
         self, old: Endpoint, current: Endpoint, now: float
@@ -121,11 +127,6 @@
             self._open_losses(current.run_id).append(loss)
         return None
 
-    def record_success(self, digest: str) -> None:
-        """Close the losses of a request that succeeded, which crashes no endpoint."""
-        if digest in self._digests:
-            self._keep_losses(lambda run_id, loss: loss.request.digest != digest)
-
     def observe_list(
         self, listed: Iterable[Endpoint], read_at: float, reliable_since: float
     ) -> list[LostRequest]:
@@ -170,9 +171,6 @@
                 self._losses[run_id] = deque(kept, _MAX_OPEN_LOSSES)
             else:
                 del self._losses[run_id]
-        self._digests = {
-            loss.request.digest for losses in self._losses.values() for loss in losses
-        }
 
     def _open_losses(self, run_id: str) -> deque[_Loss]:
         return self._losses.setdefault(run_id, deque(maxlen=_MAX_OPEN_LOSSES))
