Let a single success not speak for a part of a prompt

Cause: one success proved a part for ten minutes, and dropped its crashes and its conviction at all gateways.

Now a part is sound after four successes; only then its earlier crashes are dropped, and crashes at the same time count once. After fewer successes it is still convicted by five crashes in all. Rows state the successes of their writer; readers take the larger number, not the sum.

test_endpoints_that_crash_at_once_do_not_block_a_proven_part asserted this of a part with one success; it does so now of one with four, and a new test that five crashes at once block a part with one.

--- a/packages/gateway/src/slatehoist/gateway/part_reports.py
+++ b/packages/gateway/src/slatehoist/gateway/part_reports.py
@@ -167,10 +167,13 @@
         self._convictions.pop(row.key, None)
         self._pending.pop(row.key, None)
         self._proofs_shared_at[part] = now
+        successes = row.value.get("successes")
+        if not isinstance(successes, int) or successes < 1:
+            successes = 1  # Older instances do not state them.
         if state == _SUCCEEDED:
-            self.tally.record_success([part], now)
+            self.tally.record_success([part], now, successes)
         else:
-            self.tally.record_earlier_proof(part, now)
+            self.tally.record_earlier_proof(part, now, successes)
 
     def begin_snapshot(self) -> None:
         """Forget the versions of rows, some of which may be gone."""
@@ -271,6 +274,8 @@
         }
         if conviction is not None:
             value |= {"trials": conviction.trials, "weak": conviction.is_weak}
+        else:
+            value["successes"] = self.tally.successes(part)
         return Write(self._table_name, key, value)
 
     def _log_event(self, event: str, part: PromptPart, **fields: object) -> None:
--- a/packages/gateway/tests/test_gateway_prompt_parts.py
+++ b/packages/gateway/tests/test_gateway_prompt_parts.py
@@ -1,6 +1,7 @@
 """Tests of requests, no two alike, that crash servers by a part of their prompts."""
 
 import asyncio
+import itertools
 import random
 import unittest
 from unittest import mock
@@ -375,6 +376,29 @@
             self.assertIsNone(gateway.crashes.parts.tally.conviction(part))
 
 
+class SingleSuccessTests(PartTestCase):
+    """A request with the part that succeeded does not keep the part from being blocked.
+
+    No two requests are alike.
+    """
+
+    # Guards against a part that counts as proven by one success, so that crashes in
+    # quick succession count once (BUDGET).
+    async def test_part_is_stopped_although_one_request_with_it_succeeded(self):
+        for pause_s, gateways, place in itertools.product((0.5, 2.0), (1, 2), range(5)):
+            with self.subTest(pause_s=pause_s, gateways=gateways, place=place):
+                fleet, _ = await self.start(12, gateways, down_s=1.0)
+                fleet.answer_poison = lambda number, place=place: (
+                    SimulatedReply() if number == place else None
+                )
+                for number in range(30):
+                    gateway = fleet.rng.choice(fleet.gateways)
+                    await gateway.send(f"{number}".encode(), parts=(POISON_PART,))
+                    await fleet.advance(pause_s)
+                self.assertGreaterEqual(len(fleet.crash_times()), 3)
+                self.assert_stopped(fleet)
+
+
 class RandomWorldTests(PartTestCase):
     """Rules hold for drawn sizes, rates and faults; `SEEDS` are drawn once and kept."""
 
--- a/packages/routing/src/slatehoist/routing/prompt_parts.py
+++ b/packages/routing/src/slatehoist/routing/prompt_parts.py
@@ -4,9 +4,11 @@
 prompts in common. Sound requests share other parts with them, and are lost too if their
 endpoint crashes. Three rules tell the parts apart:
 
-- A part of a request that succeeded is proven. Crashes before that do not count.
-- An unproven part is convicted after `MAX_CRASHES` crashes. A proven part is convicted
-  only if no unproven one explains the crashes, and after more of them.
+- A part of a request that succeeded is proven. An unproven part is convicted after
+  `MAX_CRASHES` crashes. A proven part is convicted only if no unproven one explains the
+  crashes, and after more of them.
+- A part that has succeeded several times is sound: crashes before that do not count,
+  and those at the same time count once. A single success may be chance.
 - A convicted part does not block a request if each of its crashes had another convicted
   part, which the request lacks and which explains the crash.
 
@@ -24,9 +26,11 @@
 #: Crashes after which it is convicted if it is convicted at another service.
 _MAX_CRASHES_IF_KNOWN = 1
 #: Crashes after which a proven part is convicted, and least seconds between two that
-#: count: endpoints that lose power together say nothing about a part.
+#: count if it has succeeded as often as stated: endpoints that lose power together say
+#: nothing about such a part.
 MAX_CRASHES_OF_PROVEN = 5
 SEPARATE_CRASHES_S = 2.0
+SUCCESSES_OF_SOUND = 4
 #: Seconds for which a part stays proven after a success.
 PROOF_S = 600.0
 #: Seconds for which crashes and convictions are kept.
@@ -86,6 +90,8 @@
         self.at = at
         self.unproven: set[PromptPart] = set()
         self.proven: set[PromptPart] = set()
+        #: Those of the proven parts that succeeded after the crash.
+        self.answered: set[PromptPart] = set()
 
     def add(self, part: PromptPart, is_proven: bool) -> bool:
         """Add a part; return False if it is known, or if there are too many."""
@@ -95,9 +101,16 @@
         (self.proven if is_proven else self.unproven).add(part)
         return True
 
+    def answer(self, part: PromptPart) -> None:
+        """Record that a part has succeeded since."""
+        self.unproven.discard(part)
+        self.proven.add(part)
+        self.answered.add(part)
+
     def discard(self, part: PromptPart) -> None:
         self.unproven.discard(part)
         self.proven.discard(part)
+        self.answered.discard(part)
 
     def has_any(self, parts: Set[PromptPart]) -> bool:
         return not (self.unproven.isdisjoint(parts) and self.proven.isdisjoint(parts))
@@ -110,7 +123,9 @@
         self._crashes: OrderedDict[str, _Crash] = OrderedDict()
         #: Crashes of each part, in order.
         self._crashes_of: dict[PromptPart, list[_Crash]] = {}
-        self._proofs: OrderedDict[PromptPart, float] = OrderedDict()
+        #: Time of the last success of each proven part, and the successes until then,
+        #: at most `SUCCESSES_OF_SOUND`.
+        self._proofs: OrderedDict[PromptPart, tuple[float, int]] = OrderedDict()
         self._convicted: OrderedDict[PromptPart, PartConviction] = OrderedDict()
 
     def record_crash(
@@ -138,25 +153,38 @@
         return convicted
 
     def record_success(
-        self, parts: Iterable[PromptPart], now: float
+        self, parts: Iterable[PromptPart], now: float, reported: int | None = None
     ) -> list[PromptPart]:
         """Record the parts of a request that succeeded.
 
         Return the parts that other instances may suspect, so that they need to know.
+
+        Parameters
+        ----------
+        reported : int or None
+            Successes of the parts that another instance reports; None if the request
+            succeeded here.
         """
         doubted = []
         for part in parts:
             if self._is_doubted(part):
                 doubted.append(part)
-            self._prove(part, now)
+            self._prove(part, now, reported)
             self._convicted.pop(part, None)
-            for crash in self._crashes_of.pop(part, ()):
-                crash.discard(part)
+            for crash in self._crashes_of.get(part, ()):
+                if self._is_sound(part):
+                    crash.discard(part)
+                else:
+                    crash.answer(part)
+            if self._is_sound(part):
+                self._crashes_of.pop(part, None)
         return doubted
 
-    def record_earlier_proof(self, part: PromptPart, now: float) -> None:
+    def record_earlier_proof(
+        self, part: PromptPart, now: float, reported: int = 1
+    ) -> None:
         """Record that a part was proven at another instance before recent crashes."""
-        self._prove(part, now)
+        self._prove(part, now, reported)
         for crash in self._crashes_of.get(part, ()):
             crash.unproven.discard(part)
             crash.proven.add(part)
@@ -182,6 +210,10 @@
         """Return True if a part is proven and was not in too many crashes since."""
         return self._is_proven(part, now) and not self._has_proven_limit(part)
 
+    def successes(self, part: PromptPart) -> int:
+        """Return the successes of a part, at most `SUCCESSES_OF_SOUND`."""
+        return self._proofs.get(part, (0.0, 0))[1]
+
     def convict(self, part: PromptPart, conviction: PartConviction) -> None:
         """Take over a conviction that another instance has stored."""
         self._convicted[part] = conviction
@@ -238,11 +270,14 @@
             for crash in self._crashes_of.get(part, ())
             if crash.unproven.isdisjoint(self._convicted)
         ]
-        return _count_separate(unexplained) >= MAX_CRASHES_OF_PROVEN
+        if self._is_sound(part):
+            return _count_separate(unexplained) >= MAX_CRASHES_OF_PROVEN
+        return len(unexplained) >= MAX_CRASHES_OF_PROVEN
 
     def _is_doubted(self, part: PromptPart) -> bool:
         """Return True if an instance without a proof may convict the part soon."""
-        count = len(self._crashes_of.get(part, ()))
+        crashes = self._crashes_of.get(part, ())
+        count = sum(part not in crash.answered for crash in crashes)
         return part in self._convicted or count >= MAX_CRASHES - 1
 
     def _is_explained(self, part: PromptPart, parts: Sequence[PromptPart]) -> bool:
@@ -260,15 +295,21 @@
         is_weak = self._is_proven(part, now) or _count_separate(crashes) == 1
         self.convict(part, PartConviction(now, is_weak=is_weak))
 
-    def _prove(self, part: PromptPart, now: float) -> None:
-        self._proofs[part] = now
+    def _prove(self, part: PromptPart, now: float, reported: int | None) -> None:
+        successes = self.successes(part) if self._is_proven(part, now) else 0
+        # Instances report the same successes to each other.
+        successes = successes + 1 if reported is None else max(successes, reported)
+        self._proofs[part] = now, min(successes, SUCCESSES_OF_SOUND)
         self._proofs.move_to_end(part)
         if len(self._proofs) > _MAX_PROOFS:
             self._proofs.popitem(last=False)
 
+    def _is_sound(self, part: PromptPart) -> bool:
+        return self.successes(part) >= SUCCESSES_OF_SOUND
+
     def _is_proven(self, part: PromptPart, now: float) -> bool:
-        at = self._proofs.get(part)
-        return at is not None and now - at < PROOF_S
+        proof = self._proofs.get(part)
+        return proof is not None and now - proof[0] < PROOF_S
 
     def _drop_expired(self, now: float) -> None:
         while self._crashes:
--- a/packages/routing/tests/test_routing_prompt_parts.py
+++ b/packages/routing/tests/test_routing_prompt_parts.py
@@ -14,6 +14,7 @@
     MAX_CRASHES_OF_PROVEN,
     MAX_TRIALS,
     SEPARATE_CRASHES_S,
+    SUCCESSES_OF_SOUND,
     TRIAL_DELAYS_S,
     PartConviction,
 )
@@ -90,12 +91,45 @@
         self.tally.record_success([FIRST], 31.0)
         self.assertEqual(self.blocked(FIRST, BAD), [BAD])
 
-    def test_endpoints_that_crash_at_once_do_not_block_a_proven_part(self):
-        self.tally.record_success([FIRST], 0.0)
+    def test_endpoints_that_crash_at_once_do_not_block_a_sound_part(self):
+        for _ in range(SUCCESSES_OF_SOUND):
+            self.tally.record_success([FIRST], 0.0)
+        for number in range(20):
+            self.tally.record_crash(f"c{number}", [FIRST], 1.0 + number * 0.1)
+        self.assertEqual(self.blocked(FIRST), [])
+
+    def test_successes_that_another_instance_reports_make_a_part_sound(self):
+        self.tally.record_earlier_proof(FIRST, 0.0, SUCCESSES_OF_SOUND)
         for number in range(20):
             self.tally.record_crash(f"c{number}", [FIRST], 1.0 + number * 0.1)
         self.assertEqual(self.blocked(FIRST), [])
 
+    # Guards against a part that crashes endpoints one after the other, and counts as
+    # proven by a single success (BUDGET).
+    def test_part_that_succeeded_once_is_blocked_by_crashes_at_once(self):
+        self.tally.record_success([BAD], 0.0)
+        for number in range(MAX_CRASHES_OF_PROVEN):
+            self.assertEqual(self.blocked(BAD), [])
+            self.tally.record_crash(f"c{number}", [BAD], 1.0 + number * 0.1)
+        self.assertEqual(self.blocked(BAD), [BAD])
+
+    # Guards against a part whose crashes a single success drops, so that it crashes as
+    # many endpoints again (BUDGET).
+    def test_crashes_before_a_single_success_count(self):
+        self.crash(BAD, at=0.0, count=MAX_CRASHES)
+        self.tally.record_success([BAD], 10.0)
+        self.crash(BAD, at=11.0, count=MAX_CRASHES_OF_PROVEN - MAX_CRASHES - 1)
+        self.assertEqual(self.blocked(BAD), [])
+        self.crash(BAD, at=20.0)
+        self.assertEqual(self.blocked(BAD), [BAD])
+
+    def test_crashes_before_several_successes_do_not_count(self):
+        self.crash(BAD, at=0.0, count=MAX_CRASHES)
+        for _ in range(SUCCESSES_OF_SOUND):
+            self.tally.record_success([BAD], 10.0)
+        self.crash(BAD, at=11.0, count=MAX_CRASHES_OF_PROVEN - 1)
+        self.assertEqual(self.blocked(BAD), [])
+
     def test_first_trial_comes_early_if_all_crashes_were_at_once(self):
         for number in range(MAX_CRASHES):
             self.tally.record_crash(f"c{number}", [BAD], 1.0)
