Clear a suspect at an entry only by a success

Callers of the older entry could see a second server end under a request that one server had rejected, and other requests be refused as the cause instead.

Evidence: test_status_other_than_a_success_does_not_clear_a_suspect failed for all five statuses before this change.

--- a/packages/daemon/src/slatehoist/daemon/entry/dispatch.py
+++ b/packages/daemon/src/slatehoist/daemon/entry/dispatch.py
@@ -177,7 +177,8 @@
     ) -> web.StreamResponse:
         peer.observe_load(outcome.load, self._clock())
         self._prefixes.record_sent(req.prefixes, peer.instance.name)
-        if answer.head is not None and answer.head.proves_end:
+        head = answer.head
+        if head is not None and head.proves_end and head.is_success:
             self._guard.report_completed(req.digest)
         if keyed is not None:
             keyed.record_outcome(outcome, answer)
--- a/packages/daemon/tests/test_daemon_reply_ends.py
+++ b/packages/daemon/tests/test_daemon_reply_ends.py
@@ -143,19 +143,28 @@
         self.assertIsInstance(attempt.outcome, Final)
         return crashes.observe_incarnation("second", 1.0)
 
+    async def finish(self, status: int, headers: dict[str, str]) -> bool:
+        """Return True if a response clears the suspect that it answers."""
+        guard = mock.Mock()
+        dispatcher = Dispatcher(None, None, None, guard, None, None, lambda: 0.0, None)
+        answer = CallerAnswer(mock.Mock(), "trace")
+        answer.set_head(Head(status, headers))
+        req = SimpleNamespace(digest="d", prefixes=[])
+        final = Final("a1", 0, "")
+        await dispatcher._finish(req, mock.Mock(), answer, None, final)
+        return guard.report_completed.called
+
     async def test_end_that_is_not_proved_does_not_clear_a_suspect(self):
         for headers, cleared in ((UNPROVED, False), ({}, True)):
             with self.subTest(headers=headers):
-                guard = mock.Mock()
-                dispatcher = Dispatcher(
-                    None, None, None, guard, None, None, lambda: 0.0, None
-                )
-                answer = CallerAnswer(mock.Mock(), "trace")
-                answer.set_head(Head(200, headers))
-                req = SimpleNamespace(digest="d", prefixes=[])
-                final = Final("a1", 0, "")
-                await dispatcher._finish(req, mock.Mock(), answer, None, final)
-                self.assertEqual(guard.report_completed.called, cleared)
+                self.assertEqual(await self.finish(200, headers), cleared)
+
+    # Guards against a suspect that is cleared by an endpoint which rejected it without
+    # having run it (BUDGET).
+    async def test_status_other_than_a_success_does_not_clear_a_suspect(self):
+        for status in (302, 304, 400, 413, 500):
+            with self.subTest(status=status):
+                self.assertFalse(await self.finish(status, {}))
 
 
 class CallerAnswerTests(unittest.IsolatedAsyncioTestCase):
--- a/packages/wire/src/slatehoist/wire/messages.py
+++ b/packages/wire/src/slatehoist/wire/messages.py
@@ -132,6 +132,11 @@
         """Return True if a body that ended is known to be whole."""
         return self.headers.get(UNPROVED_END_HEADER) != UNPROVED_END
 
+    @property
+    def is_success(self) -> bool:
+        """Return True if the status is that of a request that ran to its end."""
+        return 200 <= self.status < 300
+
 
 class Data(NamedTuple):
     """Chunk of the response's body with its sequence number, which starts at 0."""
