Release a late hold also if the reports are older than the switch

If the last reports of the ranks were older than the arming of a switch, a settlement of a late hold of an earlier pass took it for the switch at the held pass, and disarmed all ranks but the coordinator's (MAP). A query without an answer ended the settlement. Found by reading; no run of processes has shown it.

The answer of the coordinator's rank decides now: if that is armed for another pass, the hold is late. Holders whose newer report shows another pass are left to the next cycle.

--- a/packages/maps/src/slatehoist/maps/coordinator.py
+++ b/packages/maps/src/slatehoist/maps/coordinator.py
@@ -257,7 +257,8 @@
         else:
             self._grants.deny(own.epoch, step)
         reports = self._fresh_reports()
-        if any(rank not in reports for rank in holders):
+        holders = [r for r in holders if r in reports and reports[r].held == step]
+        if not holders:
             return True
         placement = self._known_maps.get(own.epoch, own.map_version)
         self._grants.settling = True
--- a/packages/maps/src/slatehoist/maps/switch.py
+++ b/packages/maps/src/slatehoist/maps/switch.py
@@ -49,7 +49,13 @@
 from typing import NamedTuple, Protocol
 
 from slatehoist.maps.placement import Placement
-from slatehoist.maps.rank import Answer, Armed, RankClient, RankReport
+from slatehoist.maps.rank import (
+    Answer,
+    Armed,
+    RankClient,
+    RankReport,
+    RankUnreachableError,
+)
 
 log = logging.getLogger(__name__)
 
@@ -505,7 +511,10 @@
         for rank, report in reports.items():
             if report.armed is None or report.armed.step == step:
                 continue
-            newest = await self._clients[rank].report()
+            try:
+                newest = await self._clients[rank].report()
+            except RankUnreachableError:
+                continue
             if newest.epoch == epoch and newest.armed and newest.armed.step != step:
                 return True
         return False
@@ -527,6 +536,8 @@
             armed = await self._fence_rank(coordinator, epoch, version, placement)
         elif granted or not await self._is_held_for(version, step):
             return Settlement.IMPOSSIBLE
+        if armed is not None and armed.step != step:
+            return Settlement.OBSOLETE
         if armed == (version, step):
             if await self._arm_ranks(others, epoch, version, step):
                 return Settlement.FINISHED
@@ -534,7 +545,7 @@
             others = range(len(self._clients))
             armed = None
         undone = await self._undo_ranks(others, epoch, version, step, placement)
-        if not undone or (armed is not None and armed.step == step):
+        if armed is not None or not undone:
             return Settlement.IMPOSSIBLE
         return Settlement.UNDONE
 
--- a/packages/maps/tests/test_maps_settlements.py
+++ b/packages/maps/tests/test_maps_settlements.py
@@ -30,10 +30,13 @@
         self._engine = engine
         self._rank = rank
         self._silent = silent
+        #: Queries that get no answer.
+        self.unanswered_queries = 0
 
     async def report(self):
         await asyncio.sleep(0.001)
-        if self._rank in self._silent:
+        self.unanswered_queries -= 1
+        if self._rank in self._silent or self.unanswered_queries >= 0:
             raise RankUnreachableError(f"rank {self._rank}")
         return self._engine.reports()[self._rank]
 
@@ -105,6 +108,28 @@
                     self.assertEqual(self.engine.armed, [armed] * RANKS)
                     self.run_passes()
 
+    # Guards against a switch that is undone although its coordinator's rank is armed,
+    # for a pass after the one that is held by a late order (MAP).
+    def test_late_hold_is_only_released_if_the_reports_are_older_than_the_switch(self):
+        self.order("prepare", NEWER, PLACEMENT)
+        reports = {r.rank: r for r in self.engine.reports()}
+        self.order("arm", NEWER, STEP + 1)
+        self.order("hold", STEP, ranks=[HOLDER])
+        reports[HOLDER] = reports[HOLDER]._replace(held=STEP)
+        self.assertEqual(self.settle(reports=reports), Settlement.OBSOLETE)
+        self.assertEqual(self.engine.armed, [Armed(NEWER, STEP + 1)] * RANKS)
+        self.run_passes()
+
+    def test_late_hold_is_released_if_queries_get_no_answer_at_first(self):
+        self.order("prepare", NEWER, PLACEMENT)
+        self.order("arm", NEWER, STEP + 1)
+        self.order("hold", STEP, ranks=[HOLDER])
+        for client in self.clients:
+            client.unanswered_queries = 1
+        self.assertEqual(self.settle(), Settlement.OBSOLETE)
+        self.assertEqual(self.engine.armed, [Armed(NEWER, STEP + 1)] * RANKS)
+        self.run_passes()
+
     def test_hold_is_not_obsolete_if_only_an_old_report_shows_another_pass(self):
         old = self.engine.reports()[2]._replace(armed=Armed(OLDER, STEP - 1))
         self.order("prepare", NEWER, PLACEMENT)
