Count a reported success once, and save up none for later crashes

Successes beyond those that made up for a crash were kept for crashes to come, and a report counted again each time all reports are read. A conviction whose crashes had expired was never ended by a success. Found by reading.

--- a/packages/routing/src/slatehoist/routing/crashes.py
+++ b/packages/routing/src/slatehoist/routing/crashes.py
@@ -55,7 +55,7 @@
     answered_ahead : set of str
         Crashes that are not known yet, and that a success followed elsewhere.
     successes : int
-        Successes that make up for no crash yet.
+        Successes since the last one that made up for a crash.
     """
 
     __slots__ = ("crashes", "unanswered", "unexcused", "answered_ahead", "successes")
@@ -83,18 +83,26 @@
         )
 
     def record_success(self, after: Collection[str] | None) -> list[str]:
-        """Record a success; return the crashes that are answered by it."""
-        self.successes += 1
-        if self.successes >= SUCCESSES_PER_CRASH and self.unexcused:
-            self.successes -= SUCCESSES_PER_CRASH
-            del self.unexcused[0]
+        """Record a success; return the crashes that it is the first one to follow.
+
+        One that another instance reports counts only if it is news, since reports are
+        read again. Successes are not saved up for later crashes.
+        """
         if after is None:
             answered = list(self.unanswered)
+            is_news = True
         else:
             answered = [crash_id for crash_id in after if crash_id in self.unanswered]
-            unknown = [c for c in after if c not in self.crashes]
-            self.answered_ahead.update(unknown[:MAX_ANSWERED_AHEAD])
+            is_news = bool(answered)
+            room = MAX_ANSWERED_AHEAD - len(self.answered_ahead)
+            unknown = [crash_id for crash_id in after if crash_id not in self.crashes]
+            self.answered_ahead.update(unknown[:room])
         self.unanswered.difference_update(answered)
+        if is_news and self.unexcused:
+            self.successes += 1
+            if self.successes == SUCCESSES_PER_CRASH:
+                self.successes = 0
+                del self.unexcused[0]
         return answered
 
     def drop_expired(self, now: float) -> None:
@@ -170,9 +178,8 @@
         """
         if after is None:
             self._count_success(digest, now)
-        evidence = self._crashes.get(digest)
-        if evidence is None:
-            return False
+        evidence = self._crashes.get(digest, _Evidence())
+        evidence.drop_expired(now)
         answered = evidence.record_success(after)
         if digest in self._convicted and not evidence.is_guilty:
             self._lifted.add(digest)
--- a/packages/routing/tests/test_routing_crashes.py
+++ b/packages/routing/tests/test_routing_crashes.py
@@ -86,6 +86,29 @@
         self.tally.record_crash("a", "later", 100.0)
         self.assertFalse(self.tally.is_blocked("a", 100.0))
 
+    def test_successes_are_not_saved_up_for_later_crashes(self):
+        self.tally.record_crash("a", "first", 0.0)
+        for _ in range(100):
+            self.tally.record_success("a", 1.0)
+        for number in range(MAX_CRASHES):
+            self.tally.record_crash("a", f"c{number}", 100.0 + number)
+        self.tally.record_success("a", 110.0)
+        self.assertEqual(self.tally.count_crashes("a"), (0, MAX_CRASHES))
+
+    # Reports are read again if the store has lost its history.
+    def test_success_that_is_reported_again_counts_once(self):
+        self.record_crashes("a", MAX_UNEXCUSED_CRASHES)
+        for _ in range(2 * SUCCESSES_PER_CRASH):
+            self.tally.record_success("a", 1.0, after=["a-0", "a-1"])
+        self.assertEqual(self.tally.count_crashes("a")[1], MAX_UNEXCUSED_CRASHES)
+        self.assertTrue(self.tally.is_blocked("a", 1.0))
+
+    def test_success_after_its_crashes_expired_ends_a_conviction(self):
+        self.record_crashes("a", MAX_CRASHES)
+        self.tally.record_success("a", CRASH_RETENTION_S)
+        self.tally.record_crash("a", "later", CRASH_RETENTION_S + 1.0)
+        self.assertFalse(self.tally.is_blocked("a", CRASH_RETENTION_S + 1.0))
+
     # The crash was before the success, and its news came after it.
     def test_success_speaks_for_a_crash_that_is_found_out_later(self):
         self.tally.record_success("a", 5.0)
