Block a request that succeeds often for five seconds at first

A request that has succeeded four times of late is now blocked for five seconds at first, and for the usual times by crashes after that. A request that crashes its servers never has four successes, so nothing changes for it.

Evidence: test_request_of_many_callers_that_runs_long_is_served_again_soon failed before; SingleAnswerTests hold.

--- a/packages/gateway/tests/test_gateway_crashes.py
+++ b/packages/gateway/tests/test_gateway_crashes.py
@@ -26,6 +26,7 @@
     BLOCKED_S,
     MAX_CRASHES,
     MAX_UNEXCUSED_CRASHES,
+    SHORT_BLOCK_S,
 )
 from slatehoist.storage import Write
 
@@ -364,6 +365,19 @@
                 sent = await self.send_often(fleet, 10.0, 10.0)
                 self.assertFalse(any(exchange.blocked for exchange in sent))
 
+    # Guards against a request that is refused for a minute since most of its servers
+    # lost power together.
+    async def test_request_of_many_callers_that_runs_long_is_served_again_soon(self):
+        fleet = await self.start_fleet(servers=24, gateways=1)
+        fleet.run_s = 2.0
+        await self.send_often(fleet, 3.0, 5.0)
+        for server in fleet.servers[:16]:
+            server.crash(fleet.now)
+        crashed_at = fleet.now
+        sent = await self.send_often(fleet, 20.0, 5.0)
+        late = [e for e in sent if e.arrived_at > crashed_at + 2 * SHORT_BLOCK_S]
+        self.assertFalse(any(exchange.blocked for exchange in late))
+
     async def test_request_is_served_beside_one_that_crashes_servers(self):
         fleet = await self.start_fleet(servers=12, gateways=2, down_s=1.0)
         fleet.run_s = 0.2
--- a/packages/routing/src/slatehoist/routing/crashes.py
+++ b/packages/routing/src/slatehoist/routing/crashes.py
@@ -13,6 +13,7 @@
 
 from collections import OrderedDict
 from collections.abc import Collection
+from typing import NamedTuple
 
 #: Number of crashes after which a request is blocked. Two may be a coincidence when
 #: several endpoints crash at once; each further crash costs another endpoint.
@@ -39,6 +40,30 @@
 #: since it was first blocked; the last value holds from there on. The fault may be
 #: fixed after a minute, but each trial may cost an endpoint.
 BLOCKED_S = (60.0, 240.0, CONVICTION_S)
+#: The same for the first block of a request that has succeeded `SUCCESSES_PER_CRASH`
+#: times of late: many endpoints may have lost power together.
+SHORT_BLOCK_S = 5.0
+
+
+class _Successes(NamedTuple):
+    """Successes of one request.
+
+    Attributes
+    ----------
+    last_at : float
+        Time of the last one.
+    recent : float
+        Number of them, which decays, less those that made up for crashes.
+    count : int
+        Number of them, at most `SUCCESSES_PER_CRASH`.
+    """
+
+    last_at: float
+    recent: float
+    count: int
+
+
+_NO_SUCCESSES = _Successes(float("-inf"), 0.0, 0)
 
 
 class _Evidence:
@@ -124,10 +149,10 @@
     def __init__(self) -> None:
         #: Evidence by request, the one with the oldest last crash first.
         self._crashes: OrderedDict[str, _Evidence] = OrderedDict()
-        #: Time of the last success, and the number of successes, which decays.
-        self._successes: OrderedDict[str, tuple[float, float]] = OrderedDict()
+        #: Successes of the last `SUCCESS_S` by request, the oldest last one first.
+        self._successes: OrderedDict[str, _Successes] = OrderedDict()
         #: Requests that reached the limit, with the time of their last crash and the
-        #: number of crashes since they did.
+        #: number of crashes since they did, -1 during a short block.
         self._convicted: OrderedDict[str, tuple[float, int]] = OrderedDict()
         #: Convicted requests whose block a success has ended. One more crash blocks
         #: them again.
@@ -154,7 +179,7 @@
         if self._is_excused(digest, now):
             return len(evidence.crashes)
         evidence.unexcused.append(crash_id)
-        succeeded_at, _ = self._successes.get(digest, (float("-inf"), 0.0))
+        succeeded_at = self._successes.get(digest, _NO_SUCCESSES).last_at
         is_answered = lost_at is not None and succeeded_at >= lost_at
         if not is_answered and crash_id not in evidence.answered_ahead:
             evidence.unanswered.add(crash_id)
@@ -241,10 +266,14 @@
         return evidence.is_suspected
 
     def _convict(self, digest: str, now: float) -> None:
-        crashed_at, crashes = self._convicted.get(digest, (now, -1))
-        # Crashes of one trial are reported by all instances that had sent it.
-        is_trial = now >= crashed_at + _blocked_s(crashes) or digest in self._lifted
-        crashes += crashes < 0 or is_trial
+        known = self._convicted.get(digest)
+        if known is None:
+            crashes = -1 if self._succeeds_often(digest, now) else 0
+        else:
+            # Crashes of one trial are reported by all instances that had sent it.
+            crashed_at, crashes = known
+            is_trial = now >= crashed_at + _blocked_s(crashes)
+            crashes += is_trial or digest in self._lifted
         self._convicted[digest] = now, crashes
         self._convicted.move_to_end(digest)
         self._lifted.discard(digest)
@@ -256,23 +285,33 @@
         self._lifted.discard(digest)
 
     def _count_success(self, digest: str, now: float) -> None:
-        self._successes[digest] = now, self._recent_successes(digest, now) + 1.0
+        count = self._successes.get(digest, _NO_SUCCESSES).count
+        self._successes[digest] = _Successes(
+            now,
+            self._recent_successes(digest, now) + 1.0,
+            min(count + 1, SUCCESSES_PER_CRASH),
+        )
         self._successes.move_to_end(digest)
-        while now - next(iter(self._successes.values()))[0] >= SUCCESS_S:
+        while now - next(iter(self._successes.values())).last_at >= SUCCESS_S:
             self._successes.popitem(last=False)
 
+    def _succeeds_often(self, digest: str, now: float) -> bool:
+        successes = self._successes.get(digest, _NO_SUCCESSES)
+        is_recent = now - successes.last_at < SUCCESS_S
+        return is_recent and successes.count == SUCCESSES_PER_CRASH
+
     def _recent_successes(self, digest: str, now: float) -> float:
         """Return the number of successes, each halved as `SUCCESS_HALF_LIFE_S` pass."""
-        at, count = self._successes.get(digest, (now, 0.0))
-        return count * _decay(now - at)
+        successes = self._successes.get(digest, _NO_SUCCESSES)
+        return successes.recent * _decay(now - successes.last_at)
 
     def _is_excused(self, digest: str, now: float) -> bool:
         """Return True if recent successes make up for a crash, and use them up."""
         if self._recent_successes(digest, now) < SUCCESSES_PER_CRASH:
             return False
-        at, count = self._successes[digest]
-        used = SUCCESSES_PER_CRASH / _decay(now - at)
-        self._successes[digest] = at, count - used
+        successes = self._successes[digest]
+        used = SUCCESSES_PER_CRASH / _decay(now - successes.last_at)
+        self._successes[digest] = successes._replace(recent=successes.recent - used)
         return True
 
     def _drop_expired(self, now: float) -> None:
@@ -290,4 +329,6 @@
 
 def _blocked_s(crashes: int) -> float:
     """Return the seconds of a block, by the crashes since the request was blocked."""
-    return BLOCKED_S[min(max(crashes, 0), len(BLOCKED_S) - 1)]
+    if crashes < 0:
+        return SHORT_BLOCK_S
+    return BLOCKED_S[min(crashes, len(BLOCKED_S) - 1)]
--- a/packages/routing/tests/test_routing_crashes.py
+++ b/packages/routing/tests/test_routing_crashes.py
@@ -7,6 +7,7 @@
     BLOCKED_S,
     MAX_CRASHES,
     MAX_UNEXCUSED_CRASHES,
+    SHORT_BLOCK_S,
     SUCCESS_S,
     SUCCESSES_PER_CRASH,
 )
@@ -58,6 +59,18 @@
         self.tally.record_crash("hot", "later", 10.0)
         self.assertTrue(self.tally.is_blocked("hot", 10.0))
 
+    # Many endpoints may lose power together, with the request on board of each.
+    def test_request_that_succeeded_often_is_blocked_for_a_short_time_at_first(self):
+        for number in range(SUCCESSES_PER_CRASH):
+            self.tally.record_success("hot", 10.0 * number)
+        now = 10.0 * SUCCESSES_PER_CRASH
+        self.record_crashes("hot", 10, now)
+        self.assertTrue(self.tally.is_blocked("hot", now + SHORT_BLOCK_S - 0.1))
+        now += SHORT_BLOCK_S
+        self.assertFalse(self.tally.is_blocked("hot", now))
+        self.tally.record_crash("hot", "later", now)
+        self.assertTrue(self.tally.is_blocked("hot", now + BLOCKED_S[0] - 0.1))
+
     def test_request_that_succeeds_often_is_not_blocked(self):
         for number in range(10 * MAX_CRASHES):
             self.tally.record_crash("hot", f"c{number}", number)
