--- a/packages/routing/src/slatehoist/routing/crashes.py
+++ b/packages/routing/src/slatehoist/routing/crashes.py
@@ -94,6 +94,7 @@
 
     @property
     def is_guilty(self) -> bool:
+        """Return True if the crashes suffice to block the request."""
         return (
             len(self.unanswered) >= MAX_CRASHES
             or len(self.unexcused) >= MAX_UNEXCUSED_CRASHES
@@ -101,7 +102,7 @@
 
     @property
     def is_suspected(self) -> bool:
-        """True if one more crash would suffice."""
+        """Return True if one more crash would suffice."""
         return (
             len(self.unanswered) >= MAX_CRASHES - 1
             or len(self.unexcused) >= MAX_UNEXCUSED_CRASHES - 1
@@ -203,7 +204,11 @@
         """
         if after is None:
             self._count_success(digest, now)
-        evidence = self._crashes.get(digest, _Evidence())
+        evidence = self._crashes.get(digest)
+        if evidence is None:
+            if digest in self._convicted:
+                self._acquit(digest)
+            return False
         evidence.drop_expired(now)
         answered = evidence.record_success(after)
         if digest in self._convicted and not evidence.is_guilty:
