Log each settlement of a late hold, and name the first held pass

A second hold_settled with obsolete within ten seconds was left out of the log, as if it could not end. The choice of the held pass has a method of its own.

--- a/packages/maps/src/slatehoist/maps/coordinator.py
+++ b/packages/maps/src/slatehoist/maps/coordinator.py
@@ -235,18 +235,9 @@
         coordinator could arm its own rank while the switch is being undone.
         """
         await self._probe_silent_ranks(now)
-        now = self._clock()
-        held = {
-            state.rank: state.held
-            for state in self._group.fresh_states(now)
-            if state.held is not None and self._is_interrupted(state.rank, now)
-        }
-        if not held:
+        step, holders = self._first_held_pass(self._clock())
+        if not holders:
             return False
-        # Holds of different passes belong to different switches. The first of these
-        # passes is the one that the group waits for.
-        step = min(held.values())
-        holders = [rank for rank in held if held[rank] == step]
         own = self._own_state
         # If another rank is a holder, its agent may have granted the switch.
         granted = holders != [own.rank] or self._grants.may_have_granted(
@@ -287,6 +278,20 @@
         self._log_settlement(outcome, step, holders, reports, granted)
         return True
 
+    def _first_held_pass(self, now: float) -> tuple[int, list[int]]:
+        """Return the first pass that interrupted switches hold, and the ranks that do.
+
+        Holds of different passes belong to different switches, and the group waits for
+        the first of them. Return no ranks if no switch is interrupted.
+        """
+        held = {
+            state.rank: state.held
+            for state in self._group.fresh_states(now)
+            if state.held is not None and self._is_interrupted(state.rank, now)
+        }
+        step = min(held.values(), default=0)
+        return step, [rank for rank in held if held[rank] == step]
+
     def _fresh_reports(self) -> dict[int, RankReport]:
         states = self._group.fresh_states(self._clock())
         return {state.rank: state.to_report() for state in states}
@@ -326,7 +331,7 @@
         version = held_version(reports, step)
         coordinator = coordinator_of(version)
         logged, logged_at = self._settle_logged
-        is_end = settlement in (Settlement.FINISHED, Settlement.UNDONE)
+        is_end = settlement in set(Settlement) - {Settlement.IMPOSSIBLE}
         if (
             not is_end
             and logged == settlement
--- a/packages/maps/src/slatehoist/maps/grants.py
+++ b/packages/maps/src/slatehoist/maps/grants.py
@@ -79,10 +79,15 @@
             self._granted_until = self._denied_until = report.epoch, step
 
     def may_have_granted(self, epoch: int, step: int) -> bool:
-        """Return True if a switch at this pass, or at a later one, may be granted.
+        """Return True if this agent or its predecessor may have granted a switch.
 
-        The agent keeps its newest grant only. A hold of an earlier pass is an order
-        that was carried out late.
+        Only the newest pass is kept for which that may be so. It counts for earlier
+        passes, too: these are held again by orders that are carried out late.
+
+        Parameters
+        ----------
+        step : int
+            Pass that is held for the switch.
         """
         return self._granted_until is None or (epoch, step) <= self._granted_until
 
